--- a/junctionfront/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""junctionfront: the decisions of a front door that meters many customers' use of one shared service."""
--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from junctionfront import interface as api
-from junctionfront.policy import Policy
+from wickspring import interface as api
+from wickspring.policy import Policy
 
 A = TypeVar("A")
 STEP = 20.0
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from junctionfront import interface as api
-from junctionfront.interface import Effect, Group, Status
-from junctionfront.policy import RETRY_MOST, RETRY_SHARE
 from tests.gateway import Gateway, every, only
+from wickspring import interface as api
+from wickspring.interface import Effect, Group, Status
+from wickspring.policy import RETRY_MOST, RETRY_SHARE
 
 Build = Callable[..., Gateway]
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from junctionfront import interface as api
-from junctionfront.interface import Effect, Group, Status
-from junctionfront.policy import COLD_CARE, COLD_DRAWS, ROOM_START
 from tests.gateway import Gateway, every, make_settings, only
+from wickspring import interface as api
+from wickspring.interface import Effect, Group, Status
+from wickspring.policy import COLD_CARE, COLD_DRAWS, ROOM_START
 
 FLEET = 330
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -7,9 +7,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from junctionfront import interface as api
-from junctionfront.interface import Effect, Group, Status
 from tests.gateway import Gateway, make_settings
+from wickspring import interface as api
+from wickspring.interface import Effect, Group, Status
 
 KINDS = ["request", "outcome", "count", "time", "list"]
 STEPS = st.lists(st.tuples(st.sampled_from(KINDS), st.integers(0, 10**6)))
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from junctionfront import interface as api
-from junctionfront.interface import Status
-from junctionfront.policy import ASK_LEAST
 from tests.gateway import Gateway, every, only
+from wickspring import interface as api
+from wickspring.interface import Status
+from wickspring.policy import ASK_LEAST
 
 Build = Callable[..., Gateway]
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from junctionfront import interface as api
-from junctionfront.interface import ListKind, Readiness, Status
 from tests.gateway import Gateway, every, only
+from wickspring import interface as api
+from wickspring.interface import ListKind, Readiness, Status
 
 Build = Callable[..., Gateway]
 
--- a/tests/test_wire.py
+++ b/tests/test_simwire.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from junctionfront import interface as api
-from junctionfront import wire, wirehost
+from wickspring import interface as api
+from wickspring import simhost, simwire
 
 SETTINGS = """Discovery=pushed
 Domain.CountLimit=50.0
@@ -74,7 +74,7 @@
 def test_page_examples_of_events() -> None:
     frame = batch(CALL, record("0007 0003 000000000000004d"), record("0006 0005 000c1ec50e6f2b19"))
     assert frame[8:12] == bytes.fromhex("000000b8")
-    _, events = wire.decode_batch(frame)
+    _, events = simwire.decode_batch(frame)
     assert events == [
         (3, api.Request(0x3E6565D3A91C4, 0, 0, 0x91F03B7C55D20A64, 8652.25, 2.0, 3, 1)),
         (3, api.TimerFired(0x4D)),
@@ -84,29 +84,30 @@
 
 def test_clients_mark_of_a_repeat() -> None:
     for bits, repeat in ((b"\4", False), (b"\6", True)):
-        _, [(_, event)] = wire.decode_batch(batch(CALL[:45] + bits + CALL[46:]))
+        _, [(_, event)] = simwire.decode_batch(batch(CALL[:45] + bits + CALL[46:]))
         assert isinstance(event, api.Request)
         assert event.repeat is repeat
-    assert wire.parse_settings(SETTINGS + "Clients.MarksRetry=true\n", 1).marks_repeats
+    assert simwire.parse_settings(SETTINGS + "Clients.MarksRetry=true\n", 1).marks_repeats
 
 
 def test_page_example_of_an_outcome() -> None:
     text = "0005 0003 0003e6565d3a91c4 0a124a07 1f93 0056 01 0003 0064 4032800000000000 00 00"
-    _, [(_, event)] = wire.decode_batch(batch(record(text)))
+    _, [(_, event)] = simwire.decode_batch(batch(record(text)))
     server = bytes.fromhex("0a124a071f93")
     assert event == api.Outcome(0x3E6565D3A91C4, 0, server, api.Status.OK, True, 18.5, (), 3, 0x56)
 
 
 def test_page_example_of_a_count_answer() -> None:
     text = "000b 0003 000000000089f690 0064 42180000 4001333333333333"
-    _, [(_, event)] = wire.decode_batch(batch(record(text)))
+    _, [(_, event)] = simwire.decode_batch(batch(record(text)))
     assert event == api.CountAnswer(0x89F690, api.Status.OK, 38.0, 2.15)
 
 
 def test_page_example_of_a_list() -> None:
     tail = record("0a124a07 1f93 00 0000 0000 00 3f800000 0000000000000000", 24)
     tail += record("0a9011f2 1fbc 01 0000 0000 00 3fc00000 40b7d40000000000", 24)
-    _, [(_, event)] = wire.decode_batch(batch(record("0002 0003 00 00000029 00000000 00000002"), tail=tail))
+    listed = record("0002 0003 00 00000029 00000000 00000002")
+    _, [(_, event)] = simwire.decode_batch(batch(listed, tail=tail))
     assert isinstance(event, api.ServerList)
     assert event.kind is api.ListKind.CACHED
     assert [(e.zone, e.weight, e.started_at) for e in event.entries] == [(0, 1.0, 0.0), (1, 1.5, 6100.0)]
@@ -129,27 +130,27 @@
     ],
 )
 def test_actions_as_on_the_page(action: api.Action, text: str) -> None:
-    assert wire.encode_reply([(3, action)]) == struct.pack(">II", 40, 1) + record(text, 32)
+    assert simwire.encode_reply([(3, action)]) == struct.pack(">II", 40, 1) + record(text, 32)
 
 
 def test_empty_batch() -> None:
     frame = bytes.fromhex("40c06e2000000000 00000010 00000000".replace(" ", ""))
     out = io.BytesIO()
-    wirehost.serve(io.BytesIO(frame), out)
+    simhost.serve(io.BytesIO(frame), out)
     assert out.getvalue() == bytes.fromhex("0000000800000000")
 
 
 def test_missing_setting_is_named_and_unknown_ones_are_skipped() -> None:
-    assert wire.parse_settings(SETTINGS, 1).gateways == 3
-    with pytest.raises(wire.WireError, match="missing setting Siblings"):
-        wire.parse_settings(SETTINGS.replace("Siblings=3\n", ""), 1)
+    assert simwire.parse_settings(SETTINGS, 1).gateways == 3
+    with pytest.raises(simwire.WireError, match="missing setting Siblings"):
+        simwire.parse_settings(SETTINGS.replace("Siblings=3\n", ""), 1)
 
 
 def test_hosted_instance_answers_and_stops() -> None:
     out = io.BytesIO()
     listed = batch(record("0002 0003 00 00000029 00000000 00000000"))
     stop = batch(record("000a 0003"), CALL)
-    wirehost.serve(io.BytesIO(start() + listed + stop), out)
+    simhost.serve(io.BytesIO(start() + listed + stop), out)
     frames = out.getvalue()
     assert frames[:8] == bytes.fromhex("0000000800000000")
     assert frames[-8:] == bytes.fromhex("0000000800000000")  # a stopped instance says nothing
@@ -159,9 +160,9 @@
     def fail(self: object, now: float, event: object) -> list[api.Action]:
         raise RuntimeError("broken table")
 
-    monkeypatch.setattr("junctionfront.policy.Policy.handle", fail)
+    monkeypatch.setattr("wickspring.policy.Policy.handle", fail)
     out = io.BytesIO()
-    wirehost.serve(io.BytesIO(start() + batch(CALL)), out)
+    simhost.serve(io.BytesIO(start() + batch(CALL)), out)
     assert b"broken table" in out.getvalue()
 
 
@@ -173,7 +174,7 @@
     frame: bytes, monkeypatch: pytest.MonkeyPatch, capsysbinary: pytest.CaptureFixture[bytes]
 ) -> None:
     monkeypatch.setattr("sys.stdin", io.TextIOWrapper(io.BytesIO(frame)))
-    assert wirehost.main() != 0
+    assert simhost.main() != 0
     captured = capsysbinary.readouterr()
     assert captured.out == b""
     assert captured.err.count(b"\n") == 1
--- a/junctionfront/policy.py
+++ b/wickspring/policy.py
@@ -9,9 +9,9 @@
 from random import Random
 from typing import Any
 
-from junctionfront import interface as api
-from junctionfront.interface import Effect, Group, Readiness, Status
-from junctionfront.state import LONG_AGO, Account, Held, Server
+from wickspring import interface as api
+from wickspring.interface import Effect, Group, Readiness, Status
+from wickspring.state import LONG_AGO, Account, Held, Server
 
 MARGIN = 20.0  # ms before a deadline at which the final answer is given; several ticks of any host
 WINDOW_BURSTS, WINDOW_SPREAD = 4.0, 8.0  # window in burst/rate: so many at most, or this over the spread
--- a/junctionfront/wirehost.py
+++ b/wickspring/simhost.py
@@ -9,8 +9,8 @@
 import traceback
 from typing import BinaryIO
 
-from junctionfront import wire
-from junctionfront.policy import Policy
+from wickspring import simwire
+from wickspring.policy import Policy
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
@@ -27,36 +27,36 @@
 
 def answer(policies: dict[int, Policy], frame: bytes) -> bytes:
     """Pass one batch to the instances and collect their actions."""
-    now, events = wire.decode_batch(frame)
-    actions: list[tuple[int, wire.WireAction]] = []
+    now, events = simwire.decode_batch(frame)
+    actions: list[tuple[int, simwire.WireAction]] = []
     for instance, event in events:
-        if isinstance(event, wire.Stop):
+        if isinstance(event, simwire.Stop):
             policies.pop(instance, None)
             continue
         try:
-            if isinstance(event, wire.Start):
+            if isinstance(event, simwire.Start):
                 policies[instance] = Policy(event.settings)
             elif instance in policies:
                 actions += [(instance, action) for action in policies[instance].handle(now, event)]
         except Exception:  # the wire wants any failure of the decision code told as a fault
             text = traceback.format_exc(limit=-3)
-            actions.append((instance, wire.Fault(text)))
-    return wire.encode_reply(actions)
+            actions.append((instance, simwire.Fault(text)))
+    return simwire.encode_reply(actions)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends; a malformed frame raises `wire.WireError`."""
+    """Answer batches until the input ends; a malformed frame raises `simwire.WireError`."""
     policies: dict[int, Policy] = {}
-    header_size = wire.BATCH_HEADER.size
+    header_size = simwire.BATCH_HEADER.size
     while header := read_exactly(source, header_size):
         if len(header) < header_size:
-            raise wire.WireError("input ends inside a frame header")
-        length = wire.BATCH_HEADER.unpack(header)[1]
+            raise simwire.WireError("input ends inside a frame header")
+        length = simwire.BATCH_HEADER.unpack(header)[1]
         if length < header_size:
-            raise wire.WireError(f"frame length {length} is shorter than the header")
+            raise simwire.WireError(f"frame length {length} is shorter than the header")
         body = read_exactly(source, length - header_size)
         if len(body) < length - header_size:
-            raise wire.WireError("input ends inside a frame")
+            raise simwire.WireError("input ends inside a frame")
         sink.write(answer(policies, header + body))
         sink.flush()
 
@@ -65,8 +65,8 @@
     """Run on this process's standard streams."""
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except (wire.WireError, UnicodeDecodeError) as error:
-        print(f"junctionfront: malformed input: {error}", file=sys.stderr)
+    except (simwire.WireError, UnicodeDecodeError) as error:
+        print(f"wickspring: malformed input: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/junctionfront/wire.py
+++ b/wickspring/simwire.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from junctionfront import interface as api
+from wickspring import interface as api
 
 EVENT_SIZE = 56
 ACTION_SIZE = 32
--- a/junctionfront/state.py
+++ b/wickspring/state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from junctionfront import interface as api
+from wickspring import interface as api
 
 LONG_AGO = -1e12
 """A time before any clock."""
