--- a/wickspring/__init__.py
+++ b/wickspring/__init__.py
@@ -1,1 +1,3 @@
-"""wickspring: the decisions of a front door that meters many customers' use of one shared service."""
+"""wickspring: a gateway that meters many customers' use of one shared service."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/wickspring/config.py
@@ -0,0 +1,286 @@
+"""The one place where configuration is read, checked and given defaults.
+
+Three sources come together here: the JSON file named by GW_CONFIG, the environment, and
+`deploy/http2.toml`. The settings of the decision module have one mapping from their wire names,
+`build_settings`; the simulator's path=value lines and the nested JSON both end in it.
+Every message names the key at fault.
+"""
+
+from __future__ import annotations
+
+import math
+import os
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from wickspring import interface as api
+
+EFFECT = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
+HTTP2_FILE = Path(__file__).parent.parent / "deploy" / "http2.toml"
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be used; the message names the key."""
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What the process may use."""
+
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+
+
+class ListedServer(msgspec.Struct, frozen=True):
+    """One ticket server as discovery describes it."""
+
+    id: str
+    addr: str = ""
+    zone: str = ""
+    cell: int = 0
+    state: str = "up"
+    weight: float = 1.0
+    started_ms: float = 0.0
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """A full list of ticket servers, or the changes since a version."""
+
+    version: int = 0
+    full: bool = True
+    servers: tuple[ListedServer, ...] = ()
+
+
+class Http2(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The second front and HTTP/2 to ticket servers, as `deploy/http2.toml` sets them."""
+
+    enabled: bool = False
+    listen: str = "127.0.0.1:0"
+    servers: tuple[str, ...] = ()  # ids of ticket servers that speak HTTP/2; "*" for all
+
+
+class InstanceFile(msgspec.Struct, frozen=True):
+    """The JSON document at GW_CONFIG."""
+
+    settings: dict[str, Any]
+    name: str = "ingress"
+    listen: str = ""
+    discovery: str = ""
+    counter: str = ""
+    seed: str = "0"
+    limits: Limits = Limits()
+    known: Listing = Listing()
+
+
+class Instance(msgspec.Struct, frozen=True):
+    """All that one ingress runs on, checked."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    counter: tuple[str, int]
+    limits: Limits
+    known: Listing
+    settings: api.Settings
+    http2: Http2
+
+
+def parse_address(key: str, text: str, *, any_port: bool = False) -> tuple[str, int]:
+    """Read `host:port`; the error names `key`."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit():
+        raise ConfigError(f"{key} is not host:port: {text!r}")
+    number = int(port)
+    if number > 65535 or (number == 0 and not any_port):
+        raise ConfigError(f"{key} has no usable port: {text!r}")
+    return host, number
+
+
+def flatten(value: Any, path: str = "") -> dict[str, str]:
+    """Turn nested JSON settings into the path=value pairs of the simulator's wire."""
+    if isinstance(value, Mapping):
+        pairs: dict[str, str] = {}
+        for key, inner in value.items():
+            pairs.update(flatten(inner, f"{path}.{key}" if path else str(key)))
+        return pairs
+    if isinstance(value, list) and any(isinstance(item, Mapping) for item in value):
+        pairs = {f"{path}.count": str(len(value))}
+        for index, item in enumerate(value):
+            pairs.update(flatten(item, f"{path}.{index}"))
+        return pairs
+    if isinstance(value, list):
+        return {path: ",".join(flatten(item, path)[path] for item in value)}
+    if isinstance(value, bool):
+        return {path: "true" if value else "false"}
+    return {path: "" if value is None else str(value)}
+
+
+class _Pairs:
+    """Typed reading of path=value pairs."""
+
+    def __init__(self, pairs: Mapping[str, str]) -> None:
+        self.pairs = pairs
+
+    def text(self, key: str) -> str:
+        if key not in self.pairs:
+            raise ConfigError(f"missing setting {key}")
+        return self.pairs[key]
+
+    def number(self, key: str, default: float | None = None, least: float = 0.0) -> float:
+        if default is not None and key not in self.pairs:
+            return default
+        text = self.text(key)
+        try:
+            value = float(text)
+        except ValueError as error:
+            raise ConfigError(f"setting {key} is not a number: {text!r}") from error
+        if not math.isfinite(value) or value < least:
+            raise ConfigError(f"setting {key} must be a number from {least:g} up: {text!r}")
+        return value
+
+    def whole(self, key: str, default: int | None = None, least: int = 0) -> int:
+        value = self.number(key, default, least)
+        if value != int(value):
+            raise ConfigError(f"setting {key} is not a whole number: {self.pairs[key]!r}")
+        return int(value)
+
+    def flag(self, key: str, default: str | None = None) -> bool:
+        text = self.text(key) if default is None else self.pairs.get(key, default)
+        if text.lower() not in ("true", "false", "1", "0"):
+            raise ConfigError(f"setting {key} is neither true nor false: {text!r}")
+        return text.lower() in ("true", "1")
+
+    def words(self, key: str) -> tuple[str, ...]:
+        return tuple(word for word in self.pairs.get(key, "").split(",") if word)
+
+    def effect(self, key: str) -> api.Effect:
+        if self.text(key) not in EFFECT:
+            raise ConfigError(f"setting {key} is not known: {self.pairs[key]!r}")
+        return EFFECT[self.pairs[key]]
+
+    def group(self, key: str) -> api.Group:
+        try:
+            return api.Group(self.pairs.get(key) or "all")
+        except ValueError as error:
+            raise ConfigError(f"setting {key} is not known: {self.pairs[key]!r}") from error
+
+
+def _class(get: _Pairs, at: str) -> api.ClassSettings:
+    return api.ClassSettings(
+        effect=get.effect(f"{at}.Effect"),
+        group=get.group(f"{at}.Group"),
+        repeat_window=get.number(f"{at}.Window"),
+        aim=get.number(f"{at}.Promise", least=0.001),
+        deadline=get.number(f"{at}.Deadline"),
+        worth=get.number(f"{at}.Worth"),
+        late_worth=get.number(f"{at}.LateWorth"),
+        stream=get.flag(f"{at}.Stream"),
+        name=get.pairs.get(f"{at}.Name", ""),
+    )
+
+
+def _plan(get: _Pairs, at: str) -> api.PlanSettings:
+    return api.PlanSettings(
+        rate=get.number(f"{at}.UnitsPerS") / 1000.0,  # the wire says units a second; inside, all is in ms
+        burst=get.number(f"{at}.PeakUnits"),
+        most_open=get.whole(f"{at}.MaxOut"),
+        ceiling_rate=get.number(f"{at}.NeverOverRate") / 1000.0,
+        ceiling_burst=get.number(f"{at}.NeverOverDepth"),
+        ceiling_slack=get.number(f"{at}.HardSlack"),
+        price=get.number(f"{at}.WorthFactor"),
+        over_worth=get.number(f"{at}.ExtraWorth"),
+        over_cost=get.number(f"{at}.OverCost"),
+        name=get.pairs.get(f"{at}.Name", ""),
+    )
+
+
+def build_settings(pairs: Mapping[str, str], seed: int) -> api.Settings:
+    """Map wire names to the settings type; unknown keys are skipped, a missing one is named."""
+    get = _Pairs(pairs)
+    return api.Settings(
+        seed=seed,
+        own_number=get.whole("SelfIndex"),
+        gateways=get.whole("Siblings"),
+        zone=get.whole("Zone"),
+        classes=tuple(_class(get, f"Lanes.{i}") for i in range(get.whole("Lanes.count"))),
+        plans=tuple(_plan(get, f"Packages.{i}") for i in range(get.whole("Packages.count"))),
+        may_count=get.flag("Domain.MayCount"),
+        count_timeout=get.number("Domain.CountLimit"),
+        largest_units=get.number("Domain.Largest"),
+        settles_later=get.flag("Domain.PostPaid"),
+        meter_period=get.number("Domain.Metering"),
+        may_probe=get.flag("Permissions.Probing"),
+        may_cancel=get.flag("Permissions.Cancelling"),
+        parallel_attempts=get.flag("Permissions.ParallelTries"),
+        most_attempts=get.whole("Permissions.MaxAttempts"),
+        list_on_request=get.text("Discovery") == "on_request",
+        list_ask_within=get.number("Obligations.AskWithin"),
+        answer_slack=get.number("Obligations.AnswerSlack"),
+        drain_grace=get.number("Obligations.DrainGrace"),
+        cold_capacity=get.number("Obligations.StartCapacity"),
+        cold_time=get.number("Obligations.WarmWithin"),
+        overload_factor=get.number("Obligations.OverloadFactor"),
+        overload_time=get.number("Obligations.TipAfter"),
+        tick=get.number("Tick"),
+        load_fields=get.words("Telemetry.Fields"),
+        marks_repeats=get.flag("Clients.MarksRetry", "false"),
+        zones=get.words("Zones"),
+        dial_timeout=get.number("Permissions.DialTimeout", 250.0),
+        idle_close=get.number("Permissions.IdleClose", 30_000.0),
+        streams_per_connection=get.whole("Permissions.StreamsPerConn", 100, 1),
+    )
+
+
+def load_http2(path: Path) -> Http2:
+    """Read the file that says where the HTTP/2 front listens; without a file it is off."""
+    if not path.exists():
+        return Http2()
+    try:
+        http2 = msgspec.convert(tomllib.loads(path.read_text()), Http2)
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        raise ConfigError(f"{path.name}: {error}") from error
+    parse_address(f"{path.name}: listen", http2.listen, any_port=True)
+    return http2
+
+
+def load_instance(path: Path, env: Mapping[str, str], http2_path: Path = HTTP2_FILE) -> Instance:
+    """Read and check all that one ingress needs; the environment wins over the file."""
+    try:
+        file = msgspec.json.decode(path.read_bytes(), type=InstanceFile)
+    except OSError as error:
+        raise ConfigError(f"{path} cannot be read: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"{path.name}: {error}") from error
+    try:
+        seed = int(file.seed, 16)
+    except ValueError as error:
+        raise ConfigError(f"seed is not a hexadecimal number: {file.seed!r}") from error
+    if file.limits.sockets < 32:
+        raise ConfigError(f"limits.sockets must be 32 or more: {file.limits.sockets}")
+    settings = build_settings(flatten(file.settings), seed)
+    for word, kinds in (("Lanes", settings.classes), ("Packages", settings.plans)):
+        names = [kind.name for kind in kinds]
+        if "" in names or len(set(names)) < len(names):
+            raise ConfigError(f"setting {word}: every Name must be there, once")
+    return Instance(
+        name=env.get("GW_NAME", file.name),
+        listen=parse_address("listen", env.get("GW_LISTEN", file.listen), any_port=True),
+        discovery=parse_address("discovery", env.get("GW_DISCOVERY", file.discovery)),
+        counter=parse_address("counter", file.counter) if settings.may_count else ("", 0),
+        limits=file.limits,
+        known=file.known,
+        settings=settings,
+        http2=load_http2(http2_path),
+    )
+
+
+def from_environment() -> Instance:
+    """Load the instance that GW_CONFIG names; GW_HTTP2 may name another HTTP/2 file."""
+    path = os.environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG is not set")
+    return load_instance(Path(path), os.environ, Path(os.environ.get("GW_HTTP2", HTTP2_FILE)))
--- /dev/null
+++ b/wickspring/core/effects.py
@@ -0,0 +1,69 @@
+"""What the reducer is told beside the module's own events, and the effects that it asks for.
+
+Probes, counts, timers and the following of the list are the module's own actions, passed on as they are.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wickspring import interface as api
+
+
+class Verdict(Enum):
+    """The three kinds of final answer."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    """One attempt has ended; `body` is the ticket server's with status OK alone."""
+
+    request: int
+    attempt: int
+    status: api.Status
+    load: tuple[float, ...] = ()
+    body: bytes = b""
+    settled_units: float = 0.0
+    fleet_use: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Sweep:
+    """Time to look for requests that were not answered before their deadline."""
+
+
+@dataclass(slots=True, frozen=True)
+class StartAttempt:
+    """Send the request to a server; give up at `until`."""
+
+    request: int
+    attempt: int
+    server: api.ServerId
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class StopAttempt:
+    """Stop waiting for an attempt; its end is not to be reported."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Give the client its final answer."""
+
+    request: int
+    verdict: Verdict
+    retry_after: float = 0.0
+    body: bytes = b""
+
+
+Event = api.Event | AttemptEnded | Sweep
+Effect = StartAttempt | StopAttempt | Answer | api.SetTimer | api.Probe | api.Count | api.FollowList
--- /dev/null
+++ b/wickspring/core/reducer.py
@@ -0,0 +1,240 @@
+"""The one reducer: every change of state of the ingress happens in `Reducer.reduce`.
+
+It owns the decision module, hands it events, and turns its actions into effects. It keeps the few facts
+that the rules hang on (which attempts are out, which may have run) and holds the module's actions to them.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass, field
+
+from wickspring import interface as api
+from wickspring.core.effects import (
+    Answer,
+    AttemptEnded,
+    Effect,
+    Event,
+    StartAttempt,
+    StopAttempt,
+    Sweep,
+    Verdict,
+)
+from wickspring.core.invariants import holds
+from wickspring.policy import Policy
+
+OVERDUE = 10.0  # ms before the deadline at which a request still open is failed by the sweep
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt that is out."""
+
+    entry: api.ServerEntry
+    sent_at: float
+
+
+@dataclass(slots=True)
+class Pending:
+    """A request that still waits for its final answer, or whose attempts are still out."""
+
+    request: api.Request
+    kind: api.ClassSettings
+    sent: int = 0
+    out: dict[int, Attempt] = field(default_factory=dict)
+    ran: list[Attempt] = field(default_factory=list)  # ended, and may have run
+    over: bool = False
+
+    def first_exposed(self) -> Attempt | None:
+        """Return the earliest attempt that may have run or may yet."""
+        return min([*self.ran, *self.out.values()], key=lambda attempt: attempt.sent_at, default=None)
+
+    def may_refuse(self) -> bool:
+        """Tell whether a refusal, which says that asking again is harmless, would be true."""
+        if self.kind.effect is api.Effect.SAFE or not (self.ran or self.out):
+            return True
+        return self.kind.effect is api.Effect.KEYED and self.kind.group is api.Group.ALL
+
+
+class Reducer:
+    """State of one ingress; feed it events, carry out what it returns, in order."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.policy = Policy(settings)
+        self.pending: dict[int, Pending] = {}
+        self.entries: dict[api.ServerId, api.ServerEntry] = {}
+        self.tally: Counter[str] = Counter()
+        self._effects: list[Effect] = []
+        self._queue: deque[api.Event] = deque()
+
+    def reduce(self, now: float, event: Event) -> list[Effect]:
+        """Take one event in and return the effects that it asks for."""
+        effects: list[Effect] = []
+        self._effects = effects
+        if isinstance(event, Sweep):
+            self._sweep(now)
+        else:
+            noted = self._note(now, event)
+            if noted is not None:
+                self._queue.append(noted)
+        while self._queue:
+            # What an action ends at once (a cancelled or moot attempt) is told to the module afterwards.
+            for action in self.policy.handle(now, self._queue.popleft()):
+                self._act(now, action)
+        return effects
+
+    def may_send(self, server: api.ServerId) -> bool:
+        """Tell whether new work may still go to a server; asked again just before the first byte."""
+        entry = self.entries.get(server)
+        return entry is not None and entry.readiness is api.Readiness.READY
+
+    @property
+    def waiting(self) -> int:
+        """How many requests are owed a final answer."""
+        return sum(not pending.over for pending in self.pending.values())
+
+    # Events: note what the rules hang on, then let the module decide.
+
+    def _note(self, now: float, event: api.Event | AttemptEnded) -> api.Event | None:
+        if isinstance(event, AttemptEnded):
+            return self._ended(now, event)
+        if isinstance(event, api.Request):
+            if not holds(event.request not in self.pending, "request number used once"):
+                return None
+            self.pending[event.request] = Pending(event, self.settings.classes[event.class_index])
+            self.tally["taken"] += 1
+        elif isinstance(event, api.Withdrawn):
+            pending = self.pending.get(event.request)
+            if pending is None or pending.over:
+                return None
+            self._close(pending, "withdrawn")
+        elif isinstance(event, api.ServerList):
+            self._list(event)
+        return event
+
+    def _list(self, event: api.ServerList) -> None:
+        if event.kind in (api.ListKind.CACHED, api.ListKind.COMPLETE):
+            self.entries.clear()
+        for entry in event.entries:
+            self.entries[entry.server] = entry
+
+    def _ended(self, now: float, event: AttemptEnded) -> api.Outcome | None:
+        pending = self.pending.get(event.request)
+        attempt = pending.out.pop(event.attempt, None) if pending is not None else None
+        if pending is None or attempt is None:
+            return None  # stopped a moment ago; its end has been told
+        if not event.status.never_ran:
+            pending.ran.append(attempt)
+        if event.status is api.Status.OK and not pending.over:
+            self._answer(pending, Verdict.SERVED, body=event.body)
+        over = pending.over
+        self._forget(pending)
+        return api.Outcome(
+            event.request,
+            event.attempt,
+            attempt.entry.server,
+            event.status,
+            over,
+            now - attempt.sent_at,
+            event.load,
+            event.settled_units,
+            event.fleet_use,
+        )
+
+    def _sweep(self, now: float) -> None:
+        """Fail what the module has let run past its time: the client must never be left without."""
+        for pending in list(self.pending.values()):
+            if not pending.over and now > pending.request.deadline - OVERDUE:
+                holds(False, "answered before the deadline")
+                self._answer(pending, Verdict.FAILED)
+                self._queue.append(api.Withdrawn(pending.request.request))
+
+    # Actions of the module.
+
+    def _act(self, now: float, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(now, action)
+        elif isinstance(action, api.Refuse | api.Fail):
+            pending = self.pending.get(action.request)
+            if pending is None or pending.over:
+                return
+            if isinstance(action, api.Refuse) and holds(pending.may_refuse(), "refusal of what never ran"):
+                self._answer(pending, Verdict.REFUSED, action.retry_after)
+            else:
+                self._answer(pending, Verdict.FAILED)
+            self._forget(pending)
+        elif isinstance(action, api.Cancel):
+            self._stop(now, action)
+        else:
+            self._effects.append(action)
+
+    def _send(self, now: float, send: api.Send) -> None:
+        pending = self.pending.get(send.request)
+        if pending is None:
+            return
+        number, entry = pending.sent, self.entries.get(send.server)
+        pending.sent += 1
+        # The module never asks for any of these; should it err, the attempt is not made.
+        if (
+            entry is None
+            or pending.over
+            or number >= self.settings.most_attempts
+            or not holds(self._may_repeat(now, pending, entry), "no forbidden copy")
+            or not holds(entry.readiness is api.Readiness.READY, "nothing new to a draining server")
+        ):
+            moot, over = api.Status.MOOT, pending.over
+            self._queue.append(api.Outcome(send.request, number, send.server, moot, over, 0.0, (), 0.0, 0))
+            return
+        pending.out[number] = Attempt(entry, now)
+        self.tally["attempts"] += 1
+        until = pending.request.deadline
+        until = min(until, now + send.timeout) if send.timeout else until
+        self._effects.append(StartAttempt(send.request, number, send.server, until))
+
+    def _may_repeat(self, now: float, pending: Pending, entry: api.ServerEntry) -> bool:
+        first, kind = pending.first_exposed(), pending.kind
+        if first is None:
+            return True
+        if pending.out and not self.settings.parallel_attempts:
+            return False
+        if kind.effect is not api.Effect.KEYED:
+            return kind.effect is api.Effect.SAFE
+        if now > first.sent_at + kind.repeat_window:
+            return False
+        if kind.group is api.Group.ZONE:
+            return entry.zone == first.entry.zone
+        return kind.group is api.Group.ALL or entry.cell == first.entry.cell
+
+    def _stop(self, now: float, cancel: api.Cancel) -> None:
+        pending = self.pending.get(cancel.request)
+        attempt = pending.out.pop(cancel.attempt, None) if pending is not None else None
+        if pending is None or attempt is None:
+            return
+        pending.ran.append(attempt)
+        self._effects.append(StopAttempt(cancel.request, cancel.attempt))
+        server, spent = attempt.entry.server, now - attempt.sent_at
+        self._queue.append(
+            api.Outcome(
+                cancel.request, cancel.attempt, server, api.Status.CANCELLED, pending.over, spent, (), 0.0, 0
+            )
+        )
+        self._forget(pending)
+
+    # Ends.
+
+    def _answer(
+        self, pending: Pending, verdict: Verdict, retry_after: float = 0.0, body: bytes = b""
+    ) -> None:
+        if holds(not pending.over, "one final answer"):
+            self._close(pending, verdict.value)
+            self._effects.append(Answer(pending.request.request, verdict, retry_after, body))
+
+    def _close(self, pending: Pending, word: str) -> None:
+        pending.over = True
+        self.tally[word] += 1
+        self._forget(pending)
+
+    def _forget(self, pending: Pending) -> None:
+        if pending.over and not pending.out:
+            self.pending.pop(pending.request.request, None)
--- a/wickspring/interface.py
+++ b/wickspring/interface.py
@@ -75,6 +75,7 @@
     worth: float
     late_worth: float
     stream: bool
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,6 +91,7 @@
     price: float
     over_worth: float
     over_cost: float
+    name: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -122,6 +124,10 @@
     tick: float
     load_fields: tuple[str, ...]
     marks_repeats: bool = False
+    zones: tuple[str, ...] = ()
+    dial_timeout: float = 250.0
+    idle_close: float = 30_000.0
+    streams_per_connection: int = 100
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/wickspring/net/calls.py
@@ -0,0 +1,121 @@
+"""What a client's request says, read the same way for every front, and what a final answer looks like."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+from urllib.parse import parse_qs
+
+from wickspring import interface as api
+from wickspring.core.effects import Verdict
+
+MOST_BODY = 64 * 1024
+READY_PATH = "/up"
+MOST_BUDGET_MS = 3_600_000
+
+
+class CallError(ValueError):
+    """A request that cannot be taken; the message names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A request as it will be sent on, and what the decision module is to know of it."""
+
+    method: str
+    target: str
+    call_id: str
+    key: str
+    body: bytes
+    class_index: int
+    plan_index: int
+    customer: int
+    budget: float
+    units: float
+    spread: int
+    first: int
+    repeat: bool
+
+
+class Client(Protocol):
+    """The place of one request in a front, where its final answer goes."""
+
+    def answer(self, status: int, retry_after: str, body: bytes) -> None:
+        """Give the final answer."""
+
+
+STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 429, Verdict.FAILED: 502}
+
+
+def retry_after(milliseconds: float) -> str:
+    """Write the time to stay away as decimal seconds, never rounded down to nothing."""
+    return f"{max(milliseconds, 1.0) / 1000.0:.3f}"
+
+
+class CallReader:
+    """Checks requests against the settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.classes = {kind.name: index for index, kind in enumerate(settings.classes)}
+        self.plans = {plan.name: index for index, plan in enumerate(settings.plans)}
+
+    def read(self, method: str, target: str, headers: Mapping[str, str], body: bytes) -> Call:
+        """Read one request; `CallError` names what is wrong."""
+        class_index = self.classes.get(headers.get("x-call-class", ""))
+        if class_index is None:
+            raise CallError("X-Call-Class")
+        plan_index = self.plans.get(headers.get("api-plan", ""))
+        if plan_index is None:
+            raise CallError("Api-Plan")
+        call_id = headers.get("x-call-id", "")
+        if not call_id or len(call_id) > 128:
+            raise CallError("X-Call-Id")
+        key, effect = headers.get("idempotency-key", ""), self.settings.classes[class_index].effect
+        if method != ("GET" if effect is api.Effect.SAFE else "POST"):
+            raise CallError("method")
+        if (effect is api.Effect.KEYED) != bool(key):
+            raise CallError("Idempotency-Key")
+        units, spread, first = self._terms(headers.get("api-terms", ""))
+        budget, repeat = _budget(headers.get("x-budget-ms", "")), headers.get("x-again") == "1"
+        customer = _customer(target)
+        return Call(
+            method, target, call_id, key, body,
+            class_index, plan_index, customer, budget, units, spread, first, repeat,
+        )  # fmt: skip
+
+    def _terms(self, text: str) -> tuple[float, int, int]:
+        terms = dict(part.strip().partition("=")[::2] for part in text.split(","))
+        try:
+            units, spread, first = float(terms["units"]), int(terms["spread"]), int(terms["first"])
+        except (KeyError, ValueError) as error:
+            raise CallError("Api-Terms") from error
+        units_fit = math.isfinite(units) and 0 < units <= self.settings.largest_units
+        if not units_fit or spread < 1 or first < 0:
+            raise CallError("Api-Terms")
+        return units, spread, first
+
+
+def _budget(text: str) -> float:
+    if not text.isascii() or not text.isdigit() or len(text) > 9 or int(text) > MOST_BUDGET_MS:
+        raise CallError("X-Budget-Ms")
+    return float(text)
+
+
+def _customer(target: str) -> int:
+    query = target.partition("?")[2]
+    if query.startswith("customer=") and "&" not in query:  # the usual form, read without a full parse
+        texts = [query[9:]]
+    else:
+        texts = parse_qs(query).get("customer", [])
+    try:
+        if len(texts) != 1 or len(texts[0]) != 16 or not texts[0].isalnum():
+            raise ValueError
+        customer = int(texts[0], 16)
+    except ValueError as error:
+        raise CallError("customer") from error
+    if customer >= 2**33:
+        raise CallError("customer")
+    return customer
--- /dev/null
+++ b/wickspring/net/counter.py
@@ -0,0 +1,190 @@
+"""The counter service: a few pipelined connections, answers matched in order.
+
+A call that has timed out keeps its place in the line of its connection, or later answers would be taken
+for earlier ones. Calls for one name always take the same connection, so their answers come in order.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from wickspring import interface as api
+from wickspring.interface import Status
+from wickspring.logs import kv
+from wickspring.net.clock import Clock
+from wickspring.net.link import Link, connect
+from wickspring.net.timers import Timers
+
+log = logging.getLogger(__name__)
+
+CONNECTIONS = 4
+IDLE_MOST = 4000.0  # ms; the counter closes what is idle for about 10 s, so nothing older is written to
+SILENCE_MOST = 1000.0  # ms without an answer owed for so long: the connection is replaced
+LONGEST_LIFE = 60_000.0
+LONGEST_LINE = 256
+
+
+class CounterError(ValueError):
+    """The counter said something that is no answer."""
+
+
+def encode(call: api.Count) -> bytes:
+    """Write one call; the life is at least 1 ms and is capped where the counter would cap it."""
+    amount = f"{call.amount:.6f}".rstrip("0").rstrip(".")
+    life = max(1, min(int(LONGEST_LIFE), round(call.keep_for)))
+    return b"bump %d %s %d\r\n" % (call.name, amount.encode(), life)
+
+
+def decode(line: bytes) -> tuple[Status, float]:
+    """Read one answer line without its end."""
+    word, _, rest = line.partition(b" ")
+    if word == b"ok":
+        try:
+            return Status.OK, float(rest)
+        except ValueError as error:
+            raise CounterError(f"no total in {line!r}") from error
+    if word in (b"busy", b"error"):
+        return Status.FULL, 0.0  # nothing has been added
+    raise CounterError(f"not an answer: {line!r}")
+
+
+class LineReader:
+    """Cuts a stream of bytes into lines that end in CRLF."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take bytes in and return the lines that are whole."""
+        *lines, self._rest = (self._rest + data).split(b"\r\n")
+        if len(self._rest) > LONGEST_LINE:
+            raise CounterError("a line without an end")
+        return lines
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A call that has been written; `done` once its caller has been told."""
+
+    name: int
+    asked_at: float
+    done: bool = False
+
+
+class Connection:
+    """One connection to the counter and the line of calls on it."""
+
+    def __init__(self, counter: Counter) -> None:
+        self.counter = counter
+        self.link: Link | None = None
+        self.line: deque[Waiting] = deque()
+        self.unwritten: list[tuple[Waiting, bytes]] = []  # asked for while the dial is on
+        self.used_at = counter.clock.now()
+        self.dead = False
+
+    def call(self, waiting: Waiting, data: bytes) -> None:
+        """Write a call, or keep it until the connection is up."""
+        self.used_at = waiting.asked_at
+        if self.link is None:
+            self.unwritten.append((waiting, data))
+            return
+        self.link.send(data)
+        if self.link.broken:
+            self.counter.finish(waiting, Status.CONNECT_FAILED)
+            self.close()
+        else:
+            self.line.append(waiting)
+
+    async def run(self) -> None:
+        """Dial, then read answers until the connection ends."""
+        sock = await connect(self.counter.address, self.counter.settings.dial_timeout)
+        if sock is None:
+            self.close()
+            return
+        if self.dead:
+            sock.close()
+            return
+        self.link = link = Link(sock, self.counter.nursery)
+        unwritten, self.unwritten = self.unwritten, []
+        for waiting, data in unwritten:
+            if not waiting.done:  # one given up before it was written is not added at all
+                self.call(waiting, data)
+        reader = LineReader()
+        try:
+            while data := await link.receive() or b"":
+                for line in reader.feed(data):
+                    self._answered(line)
+        except CounterError as error:
+            log.warning("counter_garbled", extra=kv(reason=error))
+        self.close()
+
+    def _answered(self, line: bytes) -> None:
+        if line == b"pong":
+            return
+        status, total = decode(line)
+        if not self.line:
+            raise CounterError("an answer to no call")
+        self.counter.finish(self.line.popleft(), status, total)
+
+    def silent(self, now: float) -> bool:
+        """Tell whether an answer has been owed for too long."""
+        return bool(self.line) and now - self.line[0].asked_at > SILENCE_MOST
+
+    def close(self) -> None:
+        """End this connection; what was written may have been added, the rest has not."""
+        self.dead = True
+        if self.link is not None:
+            self.link.close()
+        for waiting, _ in self.unwritten:
+            self.counter.finish(waiting, Status.CONNECT_FAILED)
+        for waiting in self.line:
+            self.counter.finish(waiting, Status.TIMEOUT)
+        self.unwritten.clear()
+        self.line.clear()
+
+
+class Counter:
+    """Calls the counter; every call gets exactly one answer, within the settings' time-out."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        settings: api.Settings,
+        clock: Clock,
+        timers: Timers,
+        nursery: trio.Nursery,
+        answered: Callable[[api.CountAnswer], None],
+    ) -> None:
+        self.address, self.settings, self.clock = address, settings, clock
+        self.timers, self.nursery, self.answered = timers, nursery, answered
+        self.connections: list[Connection | None] = [None] * CONNECTIONS
+
+    def call(self, call: api.Count) -> None:
+        """Add to a named count."""
+        now = self.clock.now()
+        waiting = Waiting(call.name, now)
+        self._connection(call.name % 2**33 % CONNECTIONS, now).call(waiting, encode(call))
+        self.timers.at(now + self.settings.count_timeout, lambda: self.finish(waiting, Status.TIMEOUT))
+
+    def _connection(self, place: int, now: float) -> Connection:
+        connection = self.connections[place]
+        if connection is not None and not connection.dead:
+            idle = not connection.line and now - connection.used_at > IDLE_MOST
+            if not idle and not connection.silent(now):
+                return connection
+            connection.close()
+        connection = self.connections[place] = Connection(self)
+        self.nursery.start_soon(connection.run)
+        return connection
+
+    def finish(self, waiting: Waiting, status: Status, total: float = 0.0) -> None:
+        """Tell the caller of one call's answer, once."""
+        if not waiting.done:
+            waiting.done = True
+            elapsed = self.clock.now() - waiting.asked_at
+            self.answered(api.CountAnswer(waiting.name, status, total, elapsed))
--- /dev/null
+++ b/wickspring/net/discovery.py
@@ -0,0 +1,177 @@
+"""Discovery: the watch of the list of ticket servers, kept open and followed from the version held."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable
+
+import h11
+import msgspec
+import trio
+
+from wickspring import interface as api
+from wickspring.config import ConfigError, ListedServer, Listing, parse_address
+from wickspring.logs import kv
+from wickspring.net.link import Link, connect
+
+log = logging.getLogger(__name__)
+
+SILENCE_MOST = 5.0  # s; an empty line comes every 2 s, so this is two of them missed
+DIAL_MS = 1000.0
+PAUSE_FIRST, PAUSE_MOST = 0.1, 1.0  # s between tries to connect
+LONGEST_LINE = 8 << 20
+STATES = {
+    "up": api.Readiness.READY,
+    "draining": api.Readiness.DRAINING,
+    "removed": api.Readiness.GONE,
+}
+
+_decoder = msgspec.json.Decoder(Listing)
+
+
+class ListError(ValueError):
+    """A line of the list that cannot be used; the list held stays."""
+
+
+def server_id(server: ListedServer) -> api.ServerId:
+    """Return the module's name of a server: the id, which is the same at every ingress."""
+    return server.id.encode()
+
+
+def decode(line: bytes) -> Listing:
+    """Read one object of the list."""
+    try:
+        return _decoder.decode(line)
+    except msgspec.DecodeError as error:
+        raise ListError(str(error)) from error
+
+
+class Directory:
+    """The servers as discovery has named them: their addresses, and news for the decision module."""
+
+    def __init__(self, zones: tuple[str, ...]) -> None:
+        self.zones = {name: index for index, name in enumerate(zones)}
+        self.addresses: dict[api.ServerId, tuple[str, int]] = {}
+        self.version = 0
+
+    def apply(self, listing: Listing, kind: api.ListKind | None = None) -> api.ServerList:
+        """Take one listing in whole, or raise `ListError` and keep what is held."""
+        entries, addresses = [], {}
+        for server in listing.servers:
+            entry = self._entry(server)
+            entries.append(entry)
+            if entry.readiness is not api.Readiness.GONE or server.addr:
+                try:
+                    addresses[entry.server] = parse_address(f"addr of {server.id}", server.addr)
+                except ConfigError as error:
+                    raise ListError(str(error)) from error
+        if kind is None:
+            kind = api.ListKind.COMPLETE if listing.full else api.ListKind.CHANGES
+        self.addresses.update(addresses)
+        self.version = listing.version
+        return api.ServerList(kind, tuple(entries))
+
+    def _entry(self, server: ListedServer) -> api.ServerEntry:
+        if server.state not in STATES:
+            raise ListError(f"state of {server.id} is not known: {server.state!r}")
+        if not math.isfinite(server.weight) or server.weight < 0:
+            raise ListError(f"weight of {server.id} is no weight: {server.weight!r}")
+        # A hall that the settings do not name is no hall of ours: it counts as another one.
+        zone = self.zones.setdefault(server.zone, len(self.zones))
+        state = STATES[server.state]
+        return api.ServerEntry(server_id(server), zone, server.cell, state, server.weight, server.started_ms)
+
+
+class WatchReader:
+    """Cuts the chunked answer of a watch into the lines of its body."""
+
+    def __init__(self) -> None:
+        self.http = h11.Connection(h11.CLIENT)
+        self._rest = b""
+        self.ended = False
+
+    def request(self, target: str, host: str) -> bytes:
+        """Return the bytes that open the watch."""
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        return (self.http.send(request) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take bytes in and return whole lines; empty ones are signs of life."""
+        try:
+            self.http.receive_data(data)
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                if isinstance(event, h11.Response) and event.status_code != 200:
+                    raise ListError(f"status {event.status_code}")
+                if isinstance(event, h11.Data):
+                    self._rest += event.data
+                if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    self.ended = True
+                    break
+        except h11.RemoteProtocolError as error:
+            raise ListError(str(error)) from error
+        *lines, self._rest = self._rest.split(b"\n")
+        if len(self._rest) > LONGEST_LINE:
+            raise ListError("a line without an end")
+        return [line.strip() for line in lines]
+
+
+class Discovery:
+    """Keeps the watch open, whatever happens to it."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        directory: Directory,
+        nursery: trio.Nursery,
+        listed: Callable[[api.ServerList], None],
+    ) -> None:
+        self.address, self.directory, self.nursery, self.listed = address, directory, nursery, listed
+        self.heard = trio.Event()
+
+    async def run(self) -> None:
+        """Watch for ever, with a pause between tries that grows to a second."""
+        pause = PAUSE_FIRST
+        while True:
+            if await self._watch():
+                pause = PAUSE_FIRST
+            await trio.sleep(pause)
+            pause = min(2 * pause, PAUSE_MOST)
+
+    async def _watch(self) -> bool:
+        """Follow one connection to its end; True if it said anything."""
+        sock = await connect(self.address, DIAL_MS)
+        if sock is None:
+            return False
+        link, reader, heard = Link(sock, self.nursery), WatchReader(), False
+        try:
+            target = f"/discovery/hosts?follow=1&since={self.directory.version}"
+            link.send(reader.request(target, f"{self.address[0]}:{self.address[1]}"))
+            while not reader.ended:
+                with trio.fail_after(SILENCE_MOST):
+                    data = await link.receive()
+                if not data:
+                    break
+                for line in reader.feed(data):
+                    heard = True
+                    self._line(line)
+        except (ListError, trio.TooSlowError) as error:
+            log.warning("watch_broken", extra=kv(reason=error or "silent"))
+        finally:
+            link.close()
+        return heard
+
+    def _line(self, line: bytes) -> None:
+        if line:
+            try:
+                news = self.directory.apply(decode(line))
+            except ListError as error:  # the list held stays in force
+                log.warning("list_line_bad", extra=kv(reason=error))
+                return
+            states = " ".join(f"{e.server.decode()}:{e.readiness.value}" for e in news.entries[:20])
+            log.info("list", extra=kv(version=self.directory.version, kind=news.kind.value, servers=states))
+            self.listed(news)
+        self.heard.set()
--- /dev/null
+++ b/wickspring/net/http1_front.py
@@ -0,0 +1,133 @@
+"""The platform's front: HTTP/1.1 from clients, one request at a time on each connection."""
+
+from __future__ import annotations
+
+import logging
+
+import h11
+
+from wickspring.logs import kv
+from wickspring.net.calls import MOST_BODY, READY_PATH, CallError
+from wickspring.net.link import Link
+from wickspring.net.runtime import Runtime
+
+log = logging.getLogger(__name__)
+
+MOST_HEAD = 16 * 1024
+LINGER_MS = 1000.0  # for the client to read the last answer and close
+
+
+class Http1Connection:
+    """One client connection."""
+
+    def __init__(self, link: Link, runtime: Runtime) -> None:
+        self.link, self.runtime = link, runtime
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+        self.number: int | None = None  # of the request that waits for its answer
+        self.ending = False
+
+    async def run(self) -> None:
+        """Read until the client leaves or this side has said its last."""
+        while True:
+            data = await self.link.receive()
+            if not data:
+                break
+            if self.ending:
+                continue  # read and dropped, so that closing does not reset the answer
+            self.http.receive_data(data)
+            self.advance()
+        self.ending = True
+        if self.number is not None:  # the client has left while its request was out
+            number, self.number = self.number, None
+            self.runtime.leave(number)
+        self.link.close()
+
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+        return self.number is None and self.request is None and not self.http.trailing_data[0]
+
+    def advance(self) -> None:
+        """Take in what has been read, up to the end of one request."""
+        try:
+            while not self.ending:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Request):
+                    self.request, self.body = event, bytearray()
+                    if self.http.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self.link.send(self.http.send(go_on) or b"")
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > MOST_BODY:
+                        self.answer(413, "", b"body over 64 KiB\n")
+                        return
+                elif isinstance(event, h11.EndOfMessage):
+                    self._take()
+                    return
+        except h11.RemoteProtocolError as error:
+            code = error.error_status_hint
+            self.answer(code if code in (413, 431) else 400, "", f"{error}\n".encode())
+
+    def _take(self) -> None:
+        request = self.request
+        assert request is not None
+        method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
+        if target == READY_PATH:
+            self.answer(200 if self.runtime.ready else 503, "", b"")
+            return
+        if target.partition("?")[0] != "/api":
+            self.answer(404, "", b"no such path\n")
+            return
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
+        try:
+            call = self.runtime.calls.read(method, target, headers, bytes(self.body))
+        except CallError as error:
+            self.answer(400, "", f"bad {error}\n".encode())
+            return
+        self.number = self.runtime.new_number()
+        self.runtime.take(self.number, call, self)
+
+    def answer(self, status: int, retry_after: str, body: bytes) -> None:
+        """Write the final answer, and go on to the next request where there may be one."""
+        self.number = None
+        headers = [("Content-Length", str(len(body)))]
+        if retry_after:
+            headers.append(("Retry-After", retry_after))
+        if self.runtime.draining or self.http.their_state is not h11.DONE:
+            headers.append(("Connection", "close"))
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            data = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
+            if body:
+                data += self.http.send(h11.Data(data=body)) or b""
+            data += self.http.send(h11.EndOfMessage()) or b""
+            self.link.send(data)
+        self.request = None
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            if self.http.trailing_data[0]:
+                self.advance()
+        else:
+            self.finish()
+
+    def finish(self) -> None:
+        """End the connection after what has been written."""
+        self.ending = True
+        self.link.finish()
+        self.runtime.later(LINGER_MS, self.link.close)
+
+
+async def serve(link: Link, runtime: Runtime) -> None:
+    """Serve one client connection; its errors end it and nothing else."""
+    connection = Http1Connection(link, runtime)
+    runtime.connections.add(connection)
+    try:
+        await connection.run()
+    except Exception as error:
+        log.exception("client_connection_failed", extra=kv(reason=error))
+    finally:
+        link.close()
+        runtime.connections.discard(connection)
--- /dev/null
+++ b/wickspring/net/link.py
@@ -0,0 +1,140 @@
+"""One TCP connection that writes at once and reads in the task that owns it.
+
+Answers and requests are small, so the kernel nearly always takes them whole: `send` writes without
+waiting, and what does not fit is written by a task of its own. This spares a task for each request. The
+owner is left free to keep reading, which is how a peer's close is noticed while an answer is owed.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+
+import trio
+
+READ_SIZE = 65536
+MOST_UNSENT = 1 << 20  # bytes; a peer that lets more pile up has stopped reading
+
+
+class Link:
+    """A connected, non-blocking socket."""
+
+    __slots__ = ("_closing", "_nursery", "_shut", "_sock", "_unsent", "broken")
+
+    def __init__(self, sock: socket.socket, nursery: trio.Nursery) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock, self._nursery = sock, nursery
+        self._unsent = bytearray()
+        self._shut = False
+        self._closing = False
+        self.broken = False  # the peer is gone or this side has closed
+
+    @property
+    def flushed(self) -> bool:
+        """True once the kernel has taken every byte that was sent."""
+        return not self._unsent and not self.broken
+
+    def send(self, data: bytes) -> None:
+        """Write now what the kernel takes and the rest as it can; errors show in `broken`."""
+        if self.broken or self._shut or not data:
+            return
+        if self._unsent:
+            self._unsent += data
+            self.broken |= len(self._unsent) > MOST_UNSENT
+            return
+        try:
+            taken = self._sock.send(data)
+        except BlockingIOError:
+            taken = 0
+        except OSError:
+            self.broken = True
+            return
+        if taken < len(data):
+            self._unsent += data[taken:]
+            self._nursery.start_soon(self._flush)
+
+    async def _flush(self) -> None:
+        try:
+            while self._unsent and not self._closing:
+                await trio.lowlevel.wait_writable(self._sock)
+                del self._unsent[: self._sock.send(self._unsent)]
+        except BlockingIOError:
+            self._nursery.start_soon(self._flush)
+        except (OSError, trio.ClosedResourceError):
+            self.broken = True
+        else:
+            if self._shut:
+                self._shutdown()
+
+    async def receive(self) -> bytes | None:
+        """Return what has come; b"" at the peer's end, None where the connection broke or was closed here."""
+        while True:
+            try:
+                if self._closing:
+                    return None
+                return self._sock.recv(READ_SIZE)
+            except BlockingIOError:
+                try:
+                    await trio.lowlevel.wait_readable(self._sock)
+                except trio.ClosedResourceError:
+                    return None
+            except OSError:
+                self.broken = True
+                return None
+
+    def stale(self) -> bool:
+        """Tell whether the peer has closed, or has said something unasked, on an idle connection."""
+        if self.broken:
+            return True
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def finish(self) -> None:
+        """Say that nothing more will be written; reading goes on, so that no reset hurts the answer."""
+        if not self._shut:
+            self._shut = True
+            if not self._unsent:
+                self._shutdown()
+
+    def _shutdown(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.broken = True
+
+    def close(self) -> None:
+        """Close at once and wake the reader."""
+        self.broken = True
+        if not self._closing:
+            self._closing = True
+            trio.lowlevel.notify_closing(self._sock)
+            self._sock.close()
+
+
+async def connect(address: tuple[str, int], timeout_ms: float) -> socket.socket | None:
+    """Dial within a time-out of its own; None where the connection does not come up."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, "connect")
+        if code:
+            with trio.fail_after(timeout_ms / 1000.0):
+                await trio.lowlevel.wait_writable(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "connect")
+    except (OSError, trio.TooSlowError):
+        sock.close()
+        return None
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/wickspring/net/runtime.py
@@ -0,0 +1,207 @@
+"""Carries out the reducer's effects, and brings it what the sockets say."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter as Tally
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
+
+import trio
+
+from wickspring import interface as api
+from wickspring.config import Instance
+from wickspring.core import effects as core
+from wickspring.core.invariants import broken, holds
+from wickspring.core.reducer import Reducer
+from wickspring.logs import kv
+from wickspring.net.calls import STATUS, Call, CallReader, Client, retry_after
+from wickspring.net.clock import Clock
+from wickspring.net.counter import Counter
+from wickspring.net.discovery import Directory
+from wickspring.net.http1_link import Http1Link
+from wickspring.net.timers import Timers
+from wickspring.net.upstream import Carrier, Job, Reply, Upstream
+
+log = logging.getLogger(__name__)
+
+SWEEP_MS = 100.0
+REPORT_MS = 10_000.0
+PROBE_MS = 1000.0
+TRANSIT_MS = 2.0  # a budget runs from when the client sent the request; so much may have passed
+
+
+class Connection(Protocol):
+    """A client connection, of either front."""
+
+    def idle(self) -> bool:
+        """Tell whether no request is under way."""
+
+    def finish(self) -> None:
+        """End it after what has been written."""
+
+
+class Runtime:
+    """The ingress between its sockets and its reducer."""
+
+    def __init__(self, instance: Instance, nursery: trio.Nursery) -> None:
+        settings = instance.settings
+        self.instance, self.nursery, self.clock = instance, nursery, Clock()
+        self.timers = Timers(self.clock)
+        self.reducer = Reducer(settings)
+        self.calls = CallReader(settings)
+        self.directory = Directory(settings.zones)
+        self.upstream = Upstream(
+            settings, self.clock, self.timers, nursery, self.reducer.may_send, self._make_carrier
+        )
+        self.counter = Counter(
+            instance.counter, settings, self.clock, self.timers, nursery, self.dispatch
+        )
+        self.connections: set[Connection] = set()
+        self.ready = False
+        self.draining = False
+        self.answers: Tally[str] = Tally()
+        self._clients: dict[int, tuple[Call, Client]] = {}
+        self._jobs: dict[tuple[int, int], Job] = {}
+        self._news: deque[core.Event] = deque()
+        self._dispatching = False
+        self._last_number = 0
+        self.later(SWEEP_MS, self._sweep)
+        self.later(REPORT_MS, self._report)
+
+    def _make_carrier(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> Carrier:
+        return Http1Link(upstream, server, address)
+
+    def later(self, delay: float, action: Callable[[], None]) -> None:
+        """Call `action` after so many milliseconds."""
+        self.timers.at(self.clock.now() + delay, action)
+
+    # From the fronts.
+
+    def new_number(self) -> int:
+        """Return a number for a request; clients' own ids never name anything in here."""
+        self._last_number += 1
+        return self._last_number
+
+    def take(self, number: int, call: Call, client: Client) -> None:
+        """Take a request; its answer goes to `client`, perhaps before this returns."""
+        self._clients[number] = (call, client)
+        deadline = self.clock.now() + call.budget - TRANSIT_MS
+        self.dispatch(
+            api.Request(
+                number, call.class_index, call.plan_index, call.customer, deadline,
+                call.units, call.spread, call.first, call.repeat,
+            )
+        )  # fmt: skip
+
+    def leave(self, number: int) -> None:
+        """The client has gone away: nothing more is owed."""
+        self._clients.pop(number, None)
+        self.dispatch(api.Withdrawn(number))
+
+    @property
+    def owed(self) -> int:
+        """How many clients wait for an answer."""
+        return len(self._clients)
+
+    # Events in, effects out.
+
+    def dispatch(self, event: core.Event) -> None:
+        """Reduce an event and carry out what follows; events that effects cause wait their turn."""
+        self._news.append(event)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._news:
+                news = self._news.popleft()
+                try:
+                    effects = self.reducer.reduce(self.clock.now(), news)
+                except Exception as error:  # one request's trouble must not take the others down
+                    holds(False, "the reducer never raises")
+                    log.exception("reducer_failed", extra=kv(reason=error))
+                    continue
+                for effect in effects:
+                    self._perform(effect)
+        finally:
+            self._dispatching = False
+
+    def _perform(self, effect: core.Effect) -> None:
+        if isinstance(effect, core.Answer):
+            self._answer(effect)
+        elif isinstance(effect, core.StartAttempt):
+            self._start(effect)
+        elif isinstance(effect, core.StopAttempt):
+            job = self._jobs.pop((effect.request, effect.attempt), None)
+            if job is not None:
+                self.upstream.stop(job)
+        elif isinstance(effect, api.Count):
+            self.counter.call(effect)
+        elif isinstance(effect, api.SetTimer):
+            self.later(effect.delay, partial(self.dispatch, api.TimerFired(effect.token)))
+        elif isinstance(effect, api.Probe):
+            self._probe(effect)
+        # api.FollowList: the watch of discovery is always open
+
+    def _answer(self, answer: core.Answer) -> None:
+        client = self._clients.pop(answer.request, None)
+        if client is None:
+            return
+        advice = retry_after(answer.retry_after) if answer.verdict is core.Verdict.REFUSED else ""
+        client[1].answer(STATUS[answer.verdict], advice, answer.body)
+
+    def _start(self, start: core.StartAttempt) -> None:
+        client = self._clients.get(start.request)
+        if client is None:
+            self.dispatch(core.AttemptEnded(start.request, start.attempt, api.Status.MOOT))
+            return
+        call = client[0]
+        left = max(1, int(start.until - self.clock.now()))
+        headers = [("X-Call-Id", call.call_id), ("X-Budget-Ms", str(left))]
+        if call.key:
+            headers.append(("Idempotency-Key", call.key))
+        ended = partial(self._attempt_ended, start.request, start.attempt)
+        job = Job(start.server, call.method, call.target, headers, call.body, start.until, ended)
+        self._jobs[start.request, start.attempt] = job
+        self.upstream.start(job, self.directory.addresses.get(start.server))
+
+    def _attempt_ended(self, request: int, attempt: int, reply: Reply) -> None:
+        self._jobs.pop((request, attempt), None)
+        self.dispatch(
+            core.AttemptEnded(
+                request, attempt, reply.status, reply.load, reply.body, reply.settled_units, reply.fleet_use
+            )
+        )
+
+    def _probe(self, probe: api.Probe) -> None:
+        asked = self.clock.now()
+
+        def ended(reply: Reply) -> None:
+            elapsed = self.clock.now() - asked
+            self.dispatch(api.ProbeResult(probe.server, reply.status, elapsed, reply.load))
+
+        path = "/metrics/load" if self.instance.settings.load_fields else "/alive"
+        job = Job(probe.server, "GET", path, [], b"", asked + PROBE_MS, ended, new_work=False)
+        self.upstream.start(job, self.directory.addresses.get(probe.server))
+
+    # Upkeep.
+
+    def _sweep(self) -> None:
+        self.dispatch(core.Sweep())
+        self.later(SWEEP_MS, self._sweep)
+
+    def report(self) -> dict[str, object]:
+        """Return the figures of this process."""
+        return {
+            "owed": self.owed,
+            "connections": len(self.connections),
+            "dials": self.upstream.dials,
+            **self.reducer.tally,
+            **{f"broken[{name.replace(' ', '_')}]": times for name, times in broken.items()},
+        }
+
+    def _report(self) -> None:
+        log.info("figures", extra=kv(**self.report()))
+        self.later(REPORT_MS, self._report)
--- /dev/null
+++ b/wickspring/net/server.py
@@ -0,0 +1,124 @@
+"""One ingress, from its listening socket to its end."""
+
+from __future__ import annotations
+
+import errno
+import gc
+import logging
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from wickspring import interface as api
+from wickspring.config import Instance
+from wickspring.logs import kv
+from wickspring.net import http1_front
+from wickspring.net.discovery import Directory, Discovery, ListError
+from wickspring.net.link import Link
+from wickspring.net.runtime import Runtime
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in
+ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
+SPARE_SOCKETS = 0.5  # of the descriptors are left to ticket servers, counter and discovery
+
+Serve = Callable[[Link, Runtime], Awaitable[None]]
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    """Open a listening socket on this address only."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def accept(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
+    """Accept until the listener is closed; short of descriptors, wait for some to come free."""
+    most = int(runtime.instance.limits.sockets * SPARE_SOCKETS)
+    while True:
+        try:
+            if len(runtime.connections) >= most:
+                await trio.sleep(0.01)
+                continue
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            try:
+                await trio.lowlevel.wait_readable(listener)
+            except trio.ClosedResourceError:
+                return
+        except OSError as error:
+            if error.errno == errno.EBADF:
+                return
+            log.warning("accept_failed", extra=kv(reason=error))
+            await trio.sleep(0.01)
+        else:
+            runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
+
+
+def close_listener(listener: socket.socket) -> None:
+    """Stop accepting."""
+    trio.lowlevel.notify_closing(listener)
+    listener.close()
+
+
+def start_known(runtime: Runtime, directory: Directory) -> None:
+    """Begin with the list that the configuration gives; it may be old."""
+    try:
+        runtime.dispatch(directory.apply(runtime.instance.known, api.ListKind.CACHED))
+    except ListError as error:
+        log.warning("known_list_bad", extra=kv(reason=error))
+
+
+async def drain(runtime: Runtime, listeners: list[socket.socket]) -> None:
+    """Take what still comes, finish all that has been taken, and end."""
+    runtime.draining = True
+    log.info("draining", extra=kv(owed=runtime.owed))
+    await trio.sleep(ACCEPT_ON_S)
+    for listener in listeners:
+        close_listener(listener)
+    for connection in list(runtime.connections):
+        if connection.idle():
+            connection.finish()
+    longest = max((kind.deadline for kind in runtime.instance.settings.classes), default=0.0)
+    with trio.move_on_after(longest / 1000.0):
+        while runtime.owed:
+            await trio.sleep(0.01)
+    await trio.sleep(0.05)  # for the last answers to leave
+    log.info("stopped", extra=kv(**runtime.report()))
+
+
+async def run(instance: Instance, started: Callable[[Runtime, socket.socket], None] | None = None) -> None:
+    """Serve until SIGTERM or SIGINT, then drain."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            runtime = Runtime(instance, nursery)
+            listener = listen(instance.listen)
+            nursery.start_soon(runtime.timers.run)
+            start_known(runtime, runtime.directory)
+            discovery = Discovery(instance.discovery, runtime.directory, nursery, runtime.dispatch)
+            nursery.start_soon(discovery.run)
+            nursery.start_soon(accept, listener, runtime, http1_front.serve)
+            with trio.move_on_after(FIRST_LIST_S):
+                await discovery.heard.wait()
+            gc.collect()
+            gc.freeze()  # what start-up has made lives as long as the process
+            runtime.ready = True
+            host, port = listener.getsockname()
+            log.info("ready", extra=kv(name=instance.name, listen=f"{host}:{port}"))
+            if started is not None:
+                started(runtime, listener)
+            async for _ in signals:
+                break
+            await drain(runtime, [listener])
+            nursery.cancel_scope.cancel()
--- a/wickspring/simwire.py
+++ b/wickspring/simwire.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from wickspring import config
 from wickspring import interface as api
 
 EVENT_SIZE = 56
@@ -63,7 +64,6 @@
     3: api.ListKind.COMPLETE,
 }
 READINESS = {0: api.Readiness.READY, 1: api.Readiness.DRAINING, 2: api.Readiness.GONE}
-EFFECT = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
 
 
 class WireError(ValueError):
@@ -94,7 +94,7 @@
 
 
 def parse_settings(text: str, seed: int) -> api.Settings:
-    """Read the start-up parameters; unknown keys are skipped, a missing one is named."""
+    """Read the start-up parameters, one path=value pair a line."""
     pairs: dict[str, str] = {}
     for line in text.splitlines():
         if line.strip():
@@ -102,89 +102,10 @@
             if not mark:
                 raise WireError(f"settings line without '=': {line!r}")
             pairs[key] = value
-
-    def get(key: str) -> str:
-        if key not in pairs:
-            raise WireError(f"missing setting {key}")
-        return pairs[key]
-
-    def num(key: str) -> float:
-        text = get(key)
-        try:
-            return float(text)
-        except ValueError as error:
-            raise WireError(f"setting {key} is not a number: {text!r}") from error
-
-    def flag(key: str) -> bool:
-        return get(key).lower() in ("true", "1")
-
-    def choice(key: str) -> api.Effect:
-        if get(key) not in EFFECT:
-            raise WireError(f"setting {key} is not known: {pairs[key]!r}")
-        return EFFECT[pairs[key]]
-
-    def group(key: str) -> api.Group:
-        try:
-            return api.Group(pairs.get(key) or "all")
-        except ValueError as error:
-            raise WireError(f"setting {key} is not known: {pairs[key]!r}") from error
-
-    classes = tuple(
-        api.ClassSettings(
-            effect=choice(f"Lanes.{i}.Effect"),
-            group=group(f"Lanes.{i}.Group"),
-            repeat_window=num(f"Lanes.{i}.Window"),
-            aim=num(f"Lanes.{i}.Promise"),
-            deadline=num(f"Lanes.{i}.Deadline"),
-            worth=num(f"Lanes.{i}.Worth"),
-            late_worth=num(f"Lanes.{i}.LateWorth"),
-            stream=flag(f"Lanes.{i}.Stream"),
-        )
-        for i in range(int(num("Lanes.count")))
-    )
-    plans = tuple(
-        api.PlanSettings(
-            rate=num(f"Packages.{i}.UnitsPerS") / 1000.0,
-            burst=num(f"Packages.{i}.PeakUnits"),
-            most_open=int(num(f"Packages.{i}.MaxOut")),
-            ceiling_rate=num(f"Packages.{i}.NeverOverRate") / 1000.0,
-            ceiling_burst=num(f"Packages.{i}.NeverOverDepth"),
-            ceiling_slack=num(f"Packages.{i}.HardSlack"),
-            price=num(f"Packages.{i}.WorthFactor"),
-            over_worth=num(f"Packages.{i}.ExtraWorth"),
-            over_cost=num(f"Packages.{i}.OverCost"),
-        )
-        for i in range(int(num("Packages.count")))
-    )
-    fields = tuple(field for field in pairs.get("Telemetry.Fields", "").split(",") if field)
-    return api.Settings(
-        seed=seed,
-        own_number=int(num("SelfIndex")),
-        gateways=int(num("Siblings")),
-        zone=int(num("Zone")),
-        classes=classes,
-        plans=plans,
-        may_count=flag("Domain.MayCount"),
-        count_timeout=num("Domain.CountLimit"),
-        largest_units=num("Domain.Largest"),
-        settles_later=flag("Domain.PostPaid"),
-        meter_period=num("Domain.Metering"),
-        may_probe=flag("Permissions.Probing"),
-        may_cancel=flag("Permissions.Cancelling"),
-        parallel_attempts=flag("Permissions.ParallelTries"),
-        most_attempts=int(num("Permissions.MaxAttempts")),
-        list_on_request=get("Discovery") == "on_request",
-        list_ask_within=num("Obligations.AskWithin"),
-        answer_slack=num("Obligations.AnswerSlack"),
-        drain_grace=num("Obligations.DrainGrace"),
-        cold_capacity=num("Obligations.StartCapacity"),
-        cold_time=num("Obligations.WarmWithin"),
-        overload_factor=num("Obligations.OverloadFactor"),
-        overload_time=num("Obligations.TipAfter"),
-        tick=num("Tick"),
-        load_fields=fields,
-        marks_repeats=pairs.get("Clients.MarksRetry", "").lower() in ("true", "1"),
-    )
+    try:
+        return config.build_settings(pairs, seed)
+    except config.ConfigError as error:
+        raise WireError(str(error)) from error
 
 
 def _status(code: int) -> api.Status:
