--- a/wickspring/net/counter.py
+++ b/wickspring/net/counter.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -18,7 +19,7 @@
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
 from wickspring.net.link import Link, connect
-from wickspring.net.timers import Timers
+from wickspring.net.timers import Timer, Timers
 
 log = logging.getLogger(__name__)
 
@@ -73,6 +74,7 @@
 
     name: int
     asked_at: float
+    timer: Timer | None = None
     done: bool = False
 
 
@@ -168,8 +170,9 @@
         """Add to a named count."""
         now = self.clock.now()
         waiting = Waiting(call.name, now)
+        overdue = partial(self.finish, waiting, Status.TIMEOUT)
+        waiting.timer = self.timers.at(now + self.settings.count_timeout, overdue)
         self._connection(call.name % 2**33 % CONNECTIONS, now).call(waiting, encode(call))
-        self.timers.at(now + self.settings.count_timeout, lambda: self.finish(waiting, Status.TIMEOUT))
 
     def _connection(self, place: int, now: float) -> Connection:
         connection = self.connections[place]
@@ -186,5 +189,7 @@
         """Tell the caller of one call's answer, once."""
         if not waiting.done:
             waiting.done = True
+            if waiting.timer is not None:
+                waiting.timer.cancel()
             elapsed = self.clock.now() - waiting.asked_at
             self.answered(api.CountAnswer(waiting.name, status, total, elapsed))
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import Counter as Tally
 from collections import deque
 from collections.abc import Callable
@@ -198,6 +199,7 @@
             "owed": self.owed,
             "connections": len(self.connections),
             "dials": self.upstream.dials,
+            "cpu_s": time.process_time(),
             **self.reducer.tally,
             **{f"broken[{name.replace(' ', '_')}]": times for name, times in broken.items()},
         }
--- a/wickspring/net/upstream.py
+++ b/wickspring/net/upstream.py
@@ -9,6 +9,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -17,7 +18,7 @@
 from wickspring.interface import Status
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
-from wickspring.net.timers import Timers
+from wickspring.net.timers import Timer, Timers
 
 log = logging.getLogger(__name__)
 
@@ -50,15 +51,21 @@
     done: Callable[[Reply], None]
     new_work: bool = True  # an attempt; a probe may go to a server that drains
     carrier: Carrier | None = None
+    timer: Timer | None = None
     ended: bool = False
 
     def end(self, reply: Reply) -> None:
         """Tell the end, once."""
         if not self.ended:
-            self.ended = True
-            self.carrier = None
+            self.retire()
             self.done(reply)
 
+    def retire(self) -> None:
+        """End without telling."""
+        self.ended, self.carrier = True, None
+        if self.timer is not None:
+            self.timer.cancel()
+
 
 class Carrier(Protocol):
     """A connection to a ticket server, of either protocol."""
@@ -118,7 +125,7 @@
         if address is None:
             job.end(Reply(Status.CONNECT_FAILED))
             return
-        self.timers.at(job.until, lambda: self.stop(job, Reply(Status.TIMEOUT)))
+        job.timer = self.timers.at(job.until, partial(self.stop, job, Reply(Status.TIMEOUT)))
         pool = self.pools.get(job.server)
         if pool is None or pool.address != address:
             if pool is not None:  # the server has moved; what is out at the old address may still answer
@@ -174,8 +181,7 @@
             return
         carrier = job.carrier
         if reply is None:
-            job.ended = True
-            job.carrier = None
+            job.retire()
         else:
             job.end(reply)
         if carrier is not None:
