--- /dev/null
+++ b/example/__init__.py
@@ -0,0 +1,1 @@
+"""A toy site to try the gateway with."""
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
@@ -13,6 +14,9 @@
 
 MOST_BODY = 64 * 1024
 READY_PATH = "/up"
+# What is passed on unchanged must stay one token there too: HTTP/2 lets more through than HTTP/1.1 may say.
+_TOKEN = re.compile(r"[\x21-\x7e]{1,256}")
+_VISIBLE = re.compile(r"[\x21-\x7e]{1,8192}")
 MOST_BUDGET_MS = 3_600_000
 
 
@@ -71,12 +75,14 @@
         if plan_index is None:
             raise CallError("Api-Plan")
         call_id = headers.get("x-call-id", "")
-        if not call_id or len(call_id) > 128:
+        if not _TOKEN.fullmatch(call_id):
             raise CallError("X-Call-Id")
+        if not _VISIBLE.fullmatch(target):
+            raise CallError("path")
         key, effect = headers.get("idempotency-key", ""), self.settings.classes[class_index].effect
         if method != ("GET" if effect is api.Effect.SAFE else "POST"):
             raise CallError("method")
-        if (effect is api.Effect.KEYED) != bool(key):
+        if (effect is api.Effect.KEYED) != bool(key) or (key and not _TOKEN.fullmatch(key)):
             raise CallError("Idempotency-Key")
         units, spread, first = self._terms(headers.get("api-terms", ""))
         budget, repeat = _budget(headers.get("x-budget-ms", "")), headers.get("x-again") == "1"
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -113,6 +113,9 @@
         else:
             self.finish()
 
+    def drain(self) -> None:
+        """Say nothing: `Connection: close` goes out with the next answer."""
+
     def finish(self) -> None:
         """End the connection after what has been written."""
         self.ending = True
--- a/wickspring/net/http1_link.py
+++ b/wickspring/net/http1_link.py
@@ -78,8 +78,8 @@
         return self.job is not None or (self.link is None and not self.closed)
 
     def stale(self) -> bool:
-        """Tell whether the peer has closed."""
-        return self.link is None or self.link.stale()
+        """Tell whether the peer has closed, or has said something unasked."""
+        return self.link is None or self.link.peek() is not None
 
     def begin(self, job: Job) -> None:
         """Write the job now, or once the connection is up."""
--- /dev/null
+++ b/wickspring/net/http2_front.py
@@ -0,0 +1,255 @@
+"""The second front: HTTP/2 from clients, by prior knowledge, onto the same core and the same rules."""
+
+from __future__ import annotations
+
+import logging
+
+import h2.config
+import h2.connection
+import h2.events
+from h2.errors import ErrorCodes
+from h2.exceptions import H2Error
+
+from wickspring.logs import kv
+from wickspring.net.calls import MOST_BODY, READY_PATH, CallError
+from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
+from wickspring.net.link import Link
+from wickspring.net.runtime import Runtime
+
+log = logging.getLogger(__name__)
+
+LINGER_MS = 1000.0
+MOST_RESETS = 200  # more than are answered: a client that only opens and resets is shut out
+WINDOW = 1 << 20  # bytes of bodies that a connection may have on the way in
+
+
+class Stream:
+    """One request on a connection, and the place where its answer goes."""
+
+    def __init__(self, owner: Http2Connection, number: int, headers: dict[str, str]) -> None:
+        self.owner, self.id, self.headers = owner, number, headers
+        self.body = bytearray()
+        self.request: int | None = None  # the core's number while an answer is owed
+        self.budget = 0.0
+        self.outgoing: bytearray | None = None  # what is left of the answer
+
+    def answer(self, status: int, retry_after: str, body: bytes) -> None:
+        """Give the final answer, as fast as the client's windows let it out."""
+        self.request = None
+        self.owner.answer(self, status, retry_after, body)
+
+
+class Http2Connection:
+    """One client connection with many streams."""
+
+    def __init__(self, link: Link, runtime: Runtime) -> None:
+        self.link, self.runtime = link, runtime
+        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        self.http = h2.connection.H2Connection(config)
+        self.frames = Frames(PREFACE_SIZE)
+        self.streams: dict[int, Stream] = {}
+        self.last_stream = 0
+        self.resets = 0
+        self.refusing = False  # no new streams: the last GOAWAY has been sent
+        self.ending = False
+
+    async def run(self) -> None:
+        """Read until the client leaves or this side has said its last."""
+        streams = self.runtime.instance.settings.streams_per_connection
+        self.http.local_settings = settings(client=False, streams=streams)
+        self.http.initiate_connection()
+        self.http.increment_flow_control_window(WINDOW)
+        self.flush()
+        while True:
+            data = await self.link.receive()
+            if not data:
+                break
+            if not self.ending:
+                self.feed(data)
+        self.drop()
+        self.link.close()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes in; what is no HTTP/2 ends this connection and no other."""
+        try:
+            for part in self.frames.feed(data):
+                if isinstance(part, GoAway):
+                    self.refusing = True  # the client opens nothing more; its streams are still answered
+                    continue
+                for event in self.http.receive_data(part):
+                    self._event(event)
+        except (H2Error, UnicodeDecodeError, ValueError) as error:
+            log.info("client_broke_http2", extra=kv(reason=error))
+            self.drop()
+            self.flush()
+            self.finish_now()
+            return
+        self.flush()
+        if self.refusing and not self.streams:
+            self.finish_now()
+
+    def drop(self) -> None:
+        """Withdraw whatever is still owed on this connection."""
+        self.ending = True
+        streams, self.streams = list(self.streams.values()), {}
+        for stream in streams:
+            self._withdraw(stream)
+
+    def _withdraw(self, stream: Stream) -> None:
+        number, stream.request = stream.request, None
+        if number is not None:
+            self.runtime.leave(number)
+
+    def flush(self) -> None:
+        """Write what h2 has ready."""
+        self.link.send(self.http.data_to_send())
+
+    def idle(self) -> bool:
+        """Tell that this connection takes a `finish` at any time: it ends when its streams have."""
+        return True
+
+    def finish(self) -> None:
+        """Take no more streams, answer those there are, and end."""
+        if not self.refusing:
+            self.refusing = True
+            self.link.send(goaway(self.last_stream))
+        if not self.streams:
+            self.finish_now()
+
+    def drain(self) -> None:
+        """Tell the client to go elsewhere; streams on their way here are still taken."""
+        self.link.send(goaway(LAST_STREAM))
+
+    def finish_now(self) -> None:
+        """End the connection after what has been written."""
+        self.ending = True
+        self.link.finish()
+        self.runtime.later(LINGER_MS, self.link.close)
+
+    # Events of the connection.
+
+    def _event(self, event: h2.events.Event) -> None:
+        if isinstance(event, h2.events.RequestReceived):
+            self._open(event)
+        elif isinstance(event, h2.events.DataReceived):
+            self._data(event)
+        elif isinstance(event, h2.events.StreamEnded):
+            stream = self.streams.get(event.stream_id)
+            if stream is not None and stream.outgoing is None:
+                self._take(stream)
+        elif isinstance(event, h2.events.StreamReset):
+            self._reset(event.stream_id)
+        elif isinstance(event, h2.events.WindowUpdated | h2.events.RemoteSettingsChanged):
+            for stream in list(self.streams.values()):
+                self._pump(stream)
+
+    def _open(self, event: h2.events.RequestReceived) -> None:
+        number = event.stream_id
+        if self.refusing:
+            self.http.reset_stream(number, ErrorCodes.REFUSED_STREAM)
+            return
+        self.last_stream = max(self.last_stream, number)
+        headers = {str(name): str(value) for name, value in event.headers}
+        self.streams[number] = Stream(self, number, headers)
+
+    def _data(self, event: h2.events.DataReceived) -> None:
+        self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
+        stream = self.streams.get(event.stream_id)
+        if stream is None or stream.outgoing is not None:
+            return
+        stream.body += event.data
+        if len(stream.body) > MOST_BODY:
+            self.answer(stream, 413, "", b"body over 64 KiB\n")
+            if event.stream_id in self.streams or event.stream_ended is None:
+                self._reset_ours(event.stream_id, ErrorCodes.NO_ERROR)
+
+    def _take(self, stream: Stream) -> None:
+        headers = stream.headers
+        method, target = headers.get(":method", ""), headers.get(":path", "")
+        if target == READY_PATH:
+            self.answer(stream, 200 if self.runtime.ready else 503, "", b"")
+            return
+        if target.partition("?")[0] != "/api":
+            self.answer(stream, 404, "", b"no such path\n")
+            return
+        try:
+            call = self.runtime.calls.read(method, target, headers, bytes(stream.body))
+        except CallError as error:
+            self.answer(stream, 400, "", f"bad {error}\n".encode())
+            return
+        stream.budget = call.budget
+        stream.request = self.runtime.new_number()
+        self.runtime.take(stream.request, call, stream)
+
+    def _reset(self, number: int) -> None:
+        """The client wants no answer on this stream; the other streams are not touched.
+
+        Its request is withdrawn: that is its one end in the core, which starts nothing for it any more.
+        """
+        stream = self.streams.pop(number, None)
+        if stream is None:
+            return
+        self._withdraw(stream)
+        self.resets += 1
+        if self.resets > MOST_RESETS:
+            log.warning("client_resets_too_much", extra=kv(resets=self.resets))
+            self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
+            self.drop()
+            self.flush()
+            self.finish_now()
+
+    # Answers.
+
+    def answer(self, stream: Stream, status: int, retry_after: str, body: bytes) -> None:
+        """Begin the answer on a stream."""
+        if self.ending or stream.id not in self.streams:
+            return
+        self.resets = max(0, self.resets - 1)
+        headers = [(":status", str(status)), ("content-length", str(len(body)))]
+        if retry_after:
+            headers.append(("retry-after", retry_after))
+        try:
+            self.http.send_headers(stream.id, headers, end_stream=not body)
+        except H2Error as error:  # the stream has ended in a way that h2 has not told yet
+            log.info("answer_not_sent", extra=kv(reason=error))
+            self.streams.pop(stream.id, None)
+            return
+        stream.outgoing = bytearray(body)
+        self._pump(stream)
+        if stream.id in self.streams:  # a window is shut; past the client's time the answer is no use
+            self.runtime.later(max(stream.budget, LINGER_MS), lambda: self._give_up(stream))
+        self.flush()
+        if self.refusing and not self.streams:
+            self.finish_now()
+
+    def _pump(self, stream: Stream) -> None:
+        if stream.outgoing is not None and pump(self.http, stream.id, stream.outgoing):
+            self.streams.pop(stream.id, None)
+
+    def _give_up(self, stream: Stream) -> None:
+        if not self.ending and self.streams.pop(stream.id, None) is not None:
+            self._reset_ours(stream.id, ErrorCodes.CANCEL)
+            self.flush()
+            if self.refusing and not self.streams:
+                self.finish_now()
+
+    def _reset_ours(self, number: int, code: ErrorCodes) -> None:
+        self.streams.pop(number, None)
+        try:
+            self.http.reset_stream(number, code)
+        except H2Error as error:
+            log.info("stream_was_gone", extra=kv(reason=error))
+
+
+async def serve(link: Link, runtime: Runtime) -> None:
+    """Serve one client connection; its errors end it and nothing else."""
+    connection = Http2Connection(link, runtime)
+    runtime.connections.add(connection)
+    try:
+        await connection.run()
+    except Exception as error:
+        log.exception("client_connection_failed", extra=kv(reason=error))
+        connection.drop()
+    finally:
+        link.close()
+        runtime.connections.discard(connection)
--- /dev/null
+++ b/wickspring/net/http2_link.py
@@ -0,0 +1,247 @@
+"""HTTP/2 to a ticket server, by prior knowledge: one connection, many jobs, each on a stream of its own."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import h2.config
+import h2.connection
+import h2.events
+from h2.errors import ErrorCodes
+from h2.exceptions import H2Error
+
+from wickspring import interface as api
+from wickspring.interface import Status
+from wickspring.net.http2_wire import Frames, GoAway, pump, settings
+from wickspring.net.link import Link, connect
+from wickspring.net.reports import read_reply
+from wickspring.net.upstream import MOST_ANSWER, Job, Reply, Upstream
+
+WINDOW = 1 << 20
+MOST_STREAM_ID = 1 << 30  # a connection that has come so far is left for a new one
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A job on its stream."""
+
+    job: Job
+    outgoing: bytearray
+    began: float
+    written: bool = False  # its last byte is out
+    code: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+
+    def lost(self) -> Reply:
+        """Return the outcome of a break: whether the last byte was written decides what may have run."""
+        return Reply(Status.RESET if self.written else Status.CONNECT_FAILED)
+
+
+class Http2Link:
+    """A connection in the pool."""
+
+    def __init__(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> None:
+        self.upstream, self.server, self.address = upstream, server, address
+        config = h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
+        self.http = h2.connection.H2Connection(config)
+        self.frames = Frames()
+        self.link: Link | None = None
+        self.waiting: list[Job] = []  # for the connection to come up
+        self.streams: dict[int, Exchange] = {}
+        self.idle_since = self.heard_at = upstream.clock.now()
+        self.last_stream: int | None = None  # of a GOAWAY
+        self.suspect = False  # a job got no answer and nothing else was heard: no new work
+        self.up = False  # its settings have come, and with them how many streams it takes
+        self.closed = False
+
+    def room(self) -> int:
+        """Take jobs up to the stream limits of both sides, until the peer says that it goes."""
+        spent = (self.http.highest_outbound_stream_id or 0) > MOST_STREAM_ID
+        if self.closed or self.suspect or spent or self.last_stream is not None:
+            return 0
+        most = self.upstream.settings.streams_per_connection
+        if self.up:
+            most = min(most, self.http.remote_settings.max_concurrent_streams)
+        return max(0, most - len(self.streams) - len(self.waiting))
+
+    def busy(self) -> bool:
+        """Tell whether a job, or a dial, is on."""
+        return bool(self.streams or self.waiting) or (self.link is None and not self.closed)
+
+    def stale(self) -> bool:
+        """Tell whether the peer has closed; frames not read yet are no sign of that."""
+        return self.link is None or self.link.peek() == b""
+
+    def begin(self, job: Job) -> None:
+        """Open a stream for a job now, or once the connection is up."""
+        if self.up:
+            self._open(job)
+        else:
+            self.waiting.append(job)
+
+    def _open(self, job: Job) -> None:
+        if job.new_work and not self.upstream.may_send(self.server):
+            job.end(Reply(Status.CONNECT_FAILED))  # told of its drain while the connection was coming up
+            return
+        stream = self.http.get_next_available_stream_id()
+        headers = [
+            (":method", job.method),
+            (":scheme", "http"),
+            (":authority", "app.svc"),
+            (":path", job.target),
+            *((name.lower(), value) for name, value in job.headers),
+        ]
+        if job.body or job.method == "POST":
+            headers.append(("content-length", str(len(job.body))))
+        exchange = Exchange(job, bytearray(job.body), self.upstream.clock.now(), written=not job.body)
+        self.streams[stream] = exchange
+        self.http.send_headers(stream, headers, end_stream=not job.body)
+        self._pump(stream, exchange)
+        self._flush()
+        if self.link is not None and self.link.broken:
+            exchange.written = False
+            self.close()
+
+    def _pump(self, stream: int, exchange: Exchange) -> None:
+        if not exchange.written:
+            exchange.written = pump(self.http, stream, exchange.outgoing)
+
+    def _flush(self) -> None:
+        if self.link is not None:
+            self.link.send(self.http.data_to_send())
+
+    async def run(self) -> None:
+        """Dial, then read until either side ends the connection."""
+        asked = self.upstream.clock.now()
+        sock = await connect(self.address, self.upstream.settings.dial_timeout)
+        if sock is None or self.closed:
+            if sock is not None:
+                sock.close()
+            self.close()
+            return
+        self.link = Link(sock, self.upstream.nursery)
+        self.idle_since = self.heard_at = self.upstream.clock.now()
+        self.http.local_settings = settings(client=True, streams=0)
+        self.http.initiate_connection()
+        self.http.increment_flow_control_window(WINDOW)
+        self._flush()
+        # A peer that accepts and says nothing is as good as not there: one time-out covers both.
+        self.upstream.timers.at(asked + self.upstream.settings.dial_timeout, self._not_up)
+        while not self.closed:
+            data = await self.link.receive()
+            if not data:
+                break
+            self.heard_at = self.upstream.clock.now()
+            try:
+                for part in self.frames.feed(data):
+                    if isinstance(part, GoAway):
+                        self._going(part)
+                        continue
+                    for event in self.http.receive_data(part):
+                        self._event(event)
+            except (H2Error, UnicodeDecodeError, ValueError):
+                break
+            self._flush()
+            self._end_if_done()
+        self.close()
+
+    def _not_up(self) -> None:
+        if not self.up:
+            self.close()
+
+    def _come_up(self) -> None:
+        """Open what waits, as far as the peer's limit goes; the rest is placed elsewhere, still unsent."""
+        self.up = True
+        waiting, self.waiting = self.waiting, []
+        for job in waiting:
+            if job.ended:
+                continue
+            if self.room():
+                self._open(job)
+            elif not self.http.remote_settings.max_concurrent_streams:
+                job.end(Reply(Status.FULL))  # it takes none at all; another connection would not either
+            else:
+                self.upstream.place(job, self.address)
+
+    def _going(self, goaway: GoAway) -> None:
+        """Streams above the last one named never ran; the others may have, and may yet be answered."""
+        self.last_stream = min(goaway.last_stream, self.last_stream or goaway.last_stream)
+        for stream in [number for number in self.streams if number > self.last_stream]:
+            self._end(stream, Reply(Status.CONNECT_FAILED))
+
+    def _event(self, event: h2.events.Event) -> None:
+        stream = getattr(event, "stream_id", None) or 0
+        exchange = self.streams.get(stream)
+        if isinstance(event, h2.events.RemoteSettingsChanged) and not self.up:
+            self._come_up()
+        elif isinstance(event, h2.events.WindowUpdated | h2.events.RemoteSettingsChanged):
+            for number, other in list(self.streams.items()):
+                self._pump(number, other)
+        elif isinstance(event, h2.events.DataReceived):
+            self.http.acknowledge_received_data(event.flow_controlled_length, stream)
+            if exchange is not None:
+                exchange.body += event.data
+                if len(exchange.body) > MOST_ANSWER:
+                    self._cancel(stream)
+                    self._end(stream, Reply(Status.ERROR))
+        elif exchange is None:
+            return
+        elif isinstance(event, h2.events.ResponseReceived):
+            exchange.headers = {str(name): str(value) for name, value in event.headers}
+            code = exchange.headers.get(":status", "0")
+            exchange.code = int(code) if code.isdigit() else 0
+        elif isinstance(event, h2.events.StreamEnded):
+            fields = self.upstream.settings.load_fields
+            if not exchange.written:
+                self._cancel(stream)  # answered early; the rest of the request is of no use
+            reply = read_reply(exchange.code, exchange.headers, bytes(exchange.body), fields)
+            self._end(stream, reply)
+        elif isinstance(event, h2.events.StreamReset):
+            refused = event.error_code == ErrorCodes.REFUSED_STREAM
+            self._end(stream, Reply(Status.FULL) if refused else exchange.lost())
+
+    def _end(self, stream: int, reply: Reply) -> None:
+        exchange = self.streams.pop(stream, None)
+        self.idle_since = self.upstream.clock.now()
+        if exchange is not None:
+            exchange.job.end(reply)
+
+    def _cancel(self, stream: int) -> None:
+        try:
+            self.http.reset_stream(stream, ErrorCodes.CANCEL)
+        except H2Error:
+            return  # it has ended already
+
+    def abandon(self, job: Job) -> None:
+        """Reset the stream of one job; the others on the connection go on."""
+        if job in self.waiting:
+            self.waiting.remove(job)
+            return
+        for stream, exchange in list(self.streams.items()):
+            if exchange.job is job:
+                # A machine that has vanished keeps its connections open and silent for ever.
+                self.suspect |= self.heard_at < exchange.began
+                del self.streams[stream]
+                self.idle_since = self.upstream.clock.now()
+                self._cancel(stream)
+                self._flush()
+        self._end_if_done()
+
+    def _end_if_done(self) -> None:
+        if not self.room() and not self.streams and not self.waiting:
+            self.close()
+
+    def close(self) -> None:
+        """Close; each job ends by whether its last byte was written."""
+        self.closed = True
+        flushed = self.link is not None and self.link.flushed
+        if self.link is not None:
+            self.link.close()
+        streams, self.streams = list(self.streams.values()), {}
+        waiting, self.waiting = self.waiting, []
+        for exchange in streams:
+            exchange.written &= flushed
+            exchange.job.end(exchange.lost())
+        for job in waiting:
+            job.end(Reply(Status.CONNECT_FAILED))
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -83,17 +83,16 @@
                 self.broken = True
                 return None
 
-    def stale(self) -> bool:
-        """Tell whether the peer has closed, or has said something unasked, on an idle connection."""
+    def peek(self) -> bytes | None:
+        """Return a byte that has come and is not read yet, b"" at the peer's end, None if nothing has."""
         if self.broken:
-            return True
+            return b""
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
+            return self._sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
-        return True
+            return b""
 
     def finish(self) -> None:
         """Say that nothing more will be written; reading goes on, so that no reset hurts the answer."""
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -15,7 +15,7 @@
 from wickspring import interface as api
 from wickspring.config import Instance
 from wickspring.core import effects as core
-from wickspring.core.invariants import broken, holds
+from wickspring.core.invariants import broken
 from wickspring.core.reducer import Reducer
 from wickspring.logs import kv
 from wickspring.net.calls import STATUS, Call, CallReader, Client, retry_after
@@ -23,6 +23,7 @@
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory
 from wickspring.net.http1_link import Http1Link
+from wickspring.net.http2_link import Http2Link
 from wickspring.net.timers import Timers
 from wickspring.net.upstream import Carrier, Job, Reply, Upstream
 
@@ -40,6 +41,9 @@
     def idle(self) -> bool:
         """Tell whether no request is under way."""
 
+    def drain(self) -> None:
+        """Tell the client, where the protocol has words for it, that this ingress is about to end."""
+
     def finish(self) -> None:
         """End it after what has been written."""
 
@@ -73,6 +77,9 @@
         self.later(REPORT_MS, self._report)
 
     def _make_carrier(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> Carrier:
+        speakers = self.instance.http2.servers if self.instance.http2.enabled else ()
+        if "*" in speakers or server.decode() in speakers:
+            return Http2Link(upstream, server, address)
         return Http1Link(upstream, server, address)
 
     def later(self, delay: float, action: Callable[[], None]) -> None:
@@ -119,13 +126,11 @@
             while self._news:
                 news = self._news.popleft()
                 try:
-                    effects = self.reducer.reduce(self.clock.now(), news)
+                    for effect in self.reducer.reduce(self.clock.now(), news):
+                        self._perform(effect)
                 except Exception as error:  # one request's trouble must not take the others down
-                    holds(False, "the reducer never raises")
-                    log.exception("reducer_failed", extra=kv(reason=error))
-                    continue
-                for effect in effects:
-                    self._perform(effect)
+                    broken["no event raises"] += 1
+                    log.exception("event_failed", extra=kv(reason=error))
         finally:
             self._dispatching = False
 
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -12,9 +12,9 @@
 import trio
 
 from wickspring import interface as api
-from wickspring.config import Instance
+from wickspring.config import Instance, parse_address
 from wickspring.logs import kv
-from wickspring.net import http1_front
+from wickspring.net import http1_front, http2_front
 from wickspring.net.discovery import Directory, Discovery, ListError
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
@@ -84,6 +84,8 @@
     """Take what still comes, finish all that has been taken, and end."""
     runtime.draining = True
     log.info("draining", extra=kv(owed=runtime.owed))
+    for connection in list(runtime.connections):
+        connection.drain()
     await trio.sleep(ACCEPT_ON_S)
     for listener in listeners:
         close_listener(listener)
@@ -98,7 +100,10 @@
     log.info("stopped", extra=kv(**runtime.report()))
 
 
-async def run(instance: Instance, started: Callable[[Runtime, socket.socket], None] | None = None) -> None:
+Started = Callable[[Runtime, list[tuple[str, int]]], None]
+
+
+async def run(instance: Instance, started: Started | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
@@ -109,16 +114,21 @@
             discovery = Discovery(instance.discovery, runtime.directory, nursery, runtime.dispatch)
             nursery.start_soon(discovery.run)
             nursery.start_soon(accept, listener, runtime, http1_front.serve)
+            listeners = [listener]
+            if instance.http2.enabled:
+                place = parse_address("http2.toml: listen", instance.http2.listen, any_port=True)
+                listeners.append(listen(place))
+                nursery.start_soon(accept, listeners[1], runtime, http2_front.serve)
             with trio.move_on_after(FIRST_LIST_S):
                 await discovery.heard.wait()
             gc.collect()
             gc.freeze()  # what start-up has made lives as long as the process
             runtime.ready = True
-            host, port = listener.getsockname()
-            log.info("ready", extra=kv(name=instance.name, listen=f"{host}:{port}"))
+            places = [sock.getsockname() for sock in listeners]
+            log.info("ready", extra=kv(name=instance.name, listen=" ".join(f"{h}:{p}" for h, p in places)))
             if started is not None:
-                started(runtime, listener)
+                started(runtime, places)
             async for _ in signals:
                 break
-            await drain(runtime, [listener])
+            await drain(runtime, listeners)
             nursery.cancel_scope.cancel()
--- a/wickspring/net/timers.py
+++ b/wickspring/net/timers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable
 from heapq import heappop, heappush
@@ -13,8 +14,11 @@
 
 import trio
 
+from wickspring.logs import kv
 from wickspring.net.clock import Clock
 
+log = logging.getLogger(__name__)
+
 
 class Timer:
     """One call that is due at a time, unless it is cancelled before."""
@@ -69,6 +73,12 @@
             return math.inf
         return trio.current_time() + max(0.0, self._heap[0][0] - self._clock.now()) / 1000.0
 
+    def _call(self, action: Callable[[], None]) -> None:
+        try:
+            action()
+        except Exception as error:  # one timer's trouble must not end the rest
+            log.exception("timer_failed", extra=kv(reason=error))
+
     async def run(self) -> None:
         """Serve the heap for as long as the process lives."""
         while True:
@@ -80,5 +90,5 @@
                 timer = heappop(self._heap)[2]
                 action, timer.action = timer.action, None
                 if action is not None:
-                    action()
+                    self._call(action)
             self._drop()
--- a/wickspring/net/upstream.py
+++ b/wickspring/net/upstream.py
@@ -126,6 +126,10 @@
             job.end(Reply(Status.CONNECT_FAILED))
             return
         job.timer = self.timers.at(job.until, partial(self.stop, job, Reply(Status.TIMEOUT)))
+        self.place(job, address)
+
+    def place(self, job: Job, address: tuple[str, int]) -> None:
+        """Give a job of which nothing has been written to a connection."""
         pool = self.pools.get(job.server)
         if pool is None or pool.address != address:
             if pool is not None:  # the server has moved; what is out at the old address may still answer
