--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,193 @@
+"""Random cuts of valid messages and random garbage against every parser, from fixed seeds."""
+
+from __future__ import annotations
+
+import json
+
+import h11
+import pytest
+from h2.exceptions import H2Error
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.gateway import KIND, PLAN, make_settings
+from wickspring import interface as api
+from wickspring.net import counter, discovery
+from wickspring.net.calls import CallError, CallReader
+from wickspring.net.http1_link import AnswerReader
+from wickspring.net.http2_wire import Frames
+from wickspring.net.reports import read_reply
+from wickspring.net.upstream import Job
+
+same = settings(derandomize=True, max_examples=60, deadline=None, database=None)
+cuts = st.lists(st.integers(1, 40), min_size=1, max_size=30)
+
+
+def pieces(data: bytes, sizes: list[int]) -> list[bytes]:
+    out, at = list[bytes](), 0
+    while at < len(data):
+        size = sizes[len(out) % len(sizes)]
+        out.append(data[at : at + size])
+        at += size
+    return out
+
+
+@same
+@given(cuts)
+def test_counter_lines_however_cut(sizes: list[int]) -> None:
+    reader = counter.LineReader()
+    text = b"ok 12.5\r\nbusy\r\nerror\r\nok -3\r\npong\r\n"
+    lines = [line for piece in pieces(text, sizes) for line in reader.feed(piece)]
+    assert lines == text.split(b"\r\n")[:-1]
+    answers = [counter.decode(line) for line in lines[:-1]]
+    full = (api.Status.FULL, 0.0)
+    assert answers == [(api.Status.OK, 12.5), full, full, (api.Status.OK, -3.0)]
+
+
+@same
+@given(st.binary(max_size=600))
+def test_counter_garbage(data: bytes) -> None:
+    reader = counter.LineReader()
+    try:
+        for line in reader.feed(data):
+            counter.decode(line)
+    except counter.CounterError as error:
+        assert str(error)
+
+
+def test_counter_calls_are_plain_decimals_within_the_life() -> None:
+    assert counter.encode(api.Count(7, -2.5, 4000)) == b"bump 7 -2.5 4000\r\n"
+    assert counter.encode(api.Count(7, 1e-7, 0.2)) == b"bump 7 0 1\r\n"
+    assert counter.encode(api.Count(2**64 - 1, 3.0, 90_000)) == b"bump %d 3 60000\r\n" % (2**64 - 1)
+
+
+LIST = {"id": "s-1", "addr": "127.0.0.1:5000", "zone": "a", "cell": 3, "state": "up", "weight": 1.0, "new": 1}
+
+
+def watch(*lines: bytes) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(line), line) for line in lines)
+
+
+@same
+@given(cuts, cuts)
+def test_watch_however_cut(sizes: list[int], chunks: list[int]) -> None:
+    line = json.dumps({"version": 9, "full": True, "servers": [LIST]}).encode() + b"\n"
+    reader = discovery.WatchReader()
+    reader.request("/x", "h")
+    data = watch(*pieces(line + b"\n" + line, chunks))
+    lines = [got for piece in pieces(data, sizes) for got in reader.feed(piece)]
+    assert lines == [line.strip(), b"", line.strip()]
+    news = discovery.Directory(("a",)).apply(discovery.decode(lines[0]))
+    assert (news.kind, news.entries[0].server, news.entries[0].cell) == (api.ListKind.COMPLETE, b"s-1", 3)
+
+
+@same
+@given(st.binary(max_size=300) | st.text(max_size=60).map(str.encode))
+def test_watch_garbage(data: bytes) -> None:
+    for start in (b"", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", watch(data + b"\n")):
+        reader, directory = discovery.WatchReader(), discovery.Directory(())
+        reader.request("/x", "h")
+        try:
+            for line in reader.feed(start + data):
+                directory.apply(discovery.decode(line))
+        except discovery.ListError as error:
+            assert str(error)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [({"addr": "here"}, "addr"), ({"state": "odd"}, "state"), ({"weight": -1}, "weight"), ({"id": 4}, "id")],
+)
+def test_bad_list_line_names_the_key_and_the_old_list_holds(change: dict[str, object], named: str) -> None:
+    directory = discovery.Directory(("a",))
+    directory.apply(discovery.decode(json.dumps({"version": 4, "servers": [LIST]}).encode()))
+    bad = json.dumps({"version": 5, "servers": [{**LIST, **change}]}).encode()
+    with pytest.raises(discovery.ListError, match=named):
+        directory.apply(discovery.decode(bad))
+    assert (directory.version, directory.addresses) == (4, {b"s-1": ("127.0.0.1", 5000)})
+
+
+def ask(reader: AnswerReader) -> None:
+    reader.request(Job(b"s", "POST", "/api?customer=0", [("X-Call-Id", "1")], b"text", 0.0, lambda _: None))
+
+
+@same
+@given(cuts, st.binary(max_size=200), st.booleans())
+def test_answers_however_cut(sizes: list[int], body: bytes, chunked: bool) -> None:
+    reader = AnswerReader()
+    for _ in range(2):
+        ask(reader)
+        if chunked:
+            parts = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces(body, sizes))
+            data = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + parts + b"0\r\n\r\n"
+        else:
+            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        got = [answer for piece in pieces(data, sizes) if (answer := reader.feed(piece)) is not None]
+        assert [(status, text) for status, _, text in got] == [(200, body)]
+        assert reader.reusable()
+
+
+@same
+@given(st.binary(max_size=300))
+def test_answer_garbage_is_no_answer(data: bytes) -> None:
+    reader = AnswerReader()
+    ask(reader)
+    try:
+        assert reader.feed(b"\xff" + data) is None
+    except h11.RemoteProtocolError as error:
+        assert str(error)
+
+
+@same
+@given(st.binary(max_size=400), cuts)
+def test_frames_pass_on_no_byte_twice_and_none_out_of_order(data: bytes, sizes: list[int]) -> None:
+    frames, out = Frames(), b""
+    try:
+        for piece in pieces(data, sizes):
+            out += b"".join(part for part in frames.feed(piece) if isinstance(part, bytes))
+    except H2Error:
+        pass
+    kept = iter(data)
+    assert all(byte in kept for byte in out)  # a subsequence: only GOAWAY frames are left out
+
+
+CALLS = CallReader(make_settings(kind={"name": "view"}, plan={"name": "team"}))
+GOOD = {
+    "x-call-id": "9b1f", "x-call-class": "view", "api-plan": "team", "x-budget-ms": "480",
+    "api-terms": "units=2,spread=3,first=1",
+}  # fmt: skip
+
+
+@same
+@given(st.sampled_from(sorted(GOOD)), st.text(max_size=30), st.text(max_size=30))
+def test_odd_fields_are_named_or_read(field: str, value: str, target: str) -> None:
+    try:
+        call = CALLS.read("GET", "/api?customer=00000000b4d65521", {**GOOD, field: value}, b"")
+        assert 0 < call.units <= 4
+    except CallError as error:
+        assert str(error).lower() == field
+    with pytest.raises(CallError):
+        CALLS.read("GET", "/api?" + target + " ", GOOD, b"")
+
+
+def test_terms_of_a_good_call() -> None:
+    call = CALLS.read("GET", "/api?customer=00000000b4d65521", {**GOOD, "x-again": "1"}, b"")
+    assert (call.customer, call.units, call.spread, call.first) == (0xB4D65521, 2.0, 3, 1)
+    assert (call.budget, call.repeat, call.class_index, call.plan_index) == (480.0, True, 0, 0)
+    assert (KIND.name, PLAN.name) == ("", "")
+
+
+@pytest.mark.parametrize(
+    ("code", "headers", "status"),
+    [
+        (200, {}, api.Status.OK), (500, {}, api.Status.ERROR), (503, {}, api.Status.ERROR),
+        (503, {"x-rejected": "1"}, api.Status.FULL), (504, {"x-rejected": "1"}, api.Status.FULL),
+        (500, {"x-rejected": "1"}, api.Status.ERROR), (404, {}, api.Status.ERROR),
+    ],
+)  # fmt: skip
+def test_the_protocols_table(code: int, headers: dict[str, str], status: api.Status) -> None:
+    report = {"x-load-report": '{"inflight":7,"qps":1.5}'}
+    reply = read_reply(code, {**headers, **report}, b"", ("inflight", "qps"))
+    assert (reply.status, reply.load) == (status, (7.0, 1.5))
+    assert read_reply(code, {"x-load-report": "{oops"}, b"", ("inflight",)).load == ()
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,160 @@
+"""The reducer holds the module's actions to the rules, whatever the module asks for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from tests.gateway import KIND, Gateway, make_settings
+from wickspring import interface as api
+from wickspring.core import effects as core
+from wickspring.core import invariants
+from wickspring.core.reducer import OVERDUE, Reducer
+from wickspring.interface import Effect, Group, Status
+
+S = [Gateway.entry(n).server for n in range(4)]
+
+
+@pytest.fixture(autouse=True)
+def counted(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Count broken invariants as `python -O` does, so that what follows the check is seen."""
+
+    def holds(condition: bool, name: str) -> bool:
+        if not condition:
+            invariants.broken[name] += 1
+        return condition
+
+    monkeypatch.setattr("wickspring.core.reducer.holds", holds)
+    invariants.broken.clear()
+    yield
+    invariants.broken.clear()
+
+
+class Core:
+    """A reducer whose module does as the test says."""
+
+    def __init__(self, **kind: Any) -> None:
+        self.reducer = Reducer(make_settings(kind=kind))
+        self.say: list[list[api.Action]] = []
+        self.told: list[api.Event] = []
+        self.now = 1000.0
+        self.reducer.policy.handle = self.handle  # type: ignore[method-assign]
+        self.feed(api.ServerList(api.ListKind.COMPLETE, tuple(Gateway.entry(n) for n in range(4))))
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.told.append(event)
+        return self.say.pop(0) if self.say else []
+
+    def feed(self, event: core.Event, *says: list[api.Action]) -> list[core.Effect]:
+        self.say = list(says)
+        return self.reducer.reduce(self.now, event)
+
+    def request(self, *actions: api.Action) -> list[core.Effect]:
+        return self.feed(api.Request(1, 0, 0, 7, 4000.0, 1.0, 2, 0), list(actions))
+
+
+def send(server: int) -> api.Send:
+    return api.Send(1, S[server], 0.0)
+
+
+def ended(status: Status, attempt: int = 0, body: bytes = b"") -> core.AttemptEnded:
+    return core.AttemptEnded(1, attempt, status, body=body)
+
+
+def test_request_to_answer() -> None:
+    front = Core()
+    assert front.request(send(0)) == [core.StartAttempt(1, 0, S[0], 4000.0)]
+    front.now += 50
+    assert front.feed(ended(Status.OK, body=b"x")) == [core.Answer(1, core.Verdict.SERVED, 0.0, b"x")]
+    outcome = front.told[-1]
+    assert isinstance(outcome, api.Outcome)
+    assert (outcome.over, outcome.elapsed, outcome.server) == (True, 50.0, S[0])
+    assert front.reducer.pending == {}
+    assert not invariants.broken
+
+
+def test_second_answer_is_not_given() -> None:
+    front = Core()
+    front.request(send(0), send(1), api.Refuse(1, 5.0))
+    assert front.feed(ended(Status.OK), [api.Fail(1), api.Refuse(1, 1.0)]) == []
+    assert front.feed(ended(Status.OK, 1)) == []
+    assert front.reducer.tally["refused"] == 1
+
+
+@pytest.mark.parametrize("status", [Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED])
+def test_unsafe_that_may_have_run_is_neither_sent_again_nor_refused(status: Status) -> None:
+    front = Core(effect=Effect.UNSAFE)
+    front.request(send(0))
+    effects = front.feed(ended(status), [send(1)], [api.Refuse(1, 5.0)])
+    assert effects == [core.Answer(1, core.Verdict.FAILED)]
+    assert set(invariants.broken) == {"no forbidden copy", "refusal of what never ran"}
+    moot = front.told[-1]
+    assert isinstance(moot, api.Outcome)
+    assert moot.status is Status.MOOT
+
+
+@pytest.mark.parametrize("status", [Status.FULL, Status.CONNECT_FAILED])
+def test_unsafe_that_never_ran_goes_on(status: Status) -> None:
+    front = Core(effect=Effect.UNSAFE)
+    front.request(send(0))
+    assert front.feed(ended(status), [send(1)]) == [core.StartAttempt(1, 1, S[1], 4000.0)]
+    assert not invariants.broken
+
+
+@pytest.mark.parametrize(
+    ("group", "server", "later", "allowed"),
+    [(Group.ZONE, 2, 0, True), (Group.ZONE, 1, 0, False), (Group.ZONE, 2, 6000, False),
+     (Group.ALL, 1, 0, True), (Group.CELL, 1, 0, False)],
+)  # fmt: skip
+def test_keyed_stays_in_its_group_and_window(group: Group, server: int, later: float, allowed: bool) -> None:
+    front = Core(effect=Effect.KEYED, group=group)
+    front.request(send(0))
+    front.now += later
+    effects = front.feed(ended(Status.ERROR), [send(server)])
+    assert bool(effects) == allowed
+    assert bool(invariants.broken) != allowed
+
+
+def test_nothing_new_to_a_draining_server() -> None:
+    front = Core()
+    draining = Gateway.entry(0, readiness=api.Readiness.DRAINING)
+    front.feed(api.ServerList(api.ListKind.CHANGES, (draining,)))
+    assert front.request(send(0)) == []
+    assert invariants.broken["nothing new to a draining server"] == 1
+
+
+def test_cancel_ends_an_attempt_once() -> None:
+    front = Core()
+    front.request(send(0))
+    assert front.feed(api.TimerFired(1), [api.Cancel(1, 0), api.Cancel(1, 0)]) == [core.StopAttempt(1, 0)]
+    told = len(front.told)
+    assert front.feed(ended(Status.OK)) == []  # it came as it was being called off
+    assert len(front.told) == told
+
+
+def test_withdrawn_request_owes_nothing_and_stops_what_is_out() -> None:
+    front = Core()
+    front.request(send(0))
+    assert front.feed(api.Withdrawn(1), [api.Cancel(1, 0)]) == [core.StopAttempt(1, 0)]
+    assert front.feed(api.Withdrawn(1), [api.Fail(1)]) == []
+    assert front.reducer.pending == {}
+    assert front.reducer.tally == {"taken": 1, "attempts": 1, "withdrawn": 1}
+
+
+def test_sweep_fails_what_the_module_forgot() -> None:
+    front = Core()
+    front.request()
+    assert front.feed(core.Sweep()) == []
+    front.now = 4000.0 - OVERDUE + 1
+    assert front.feed(core.Sweep()) == [core.Answer(1, core.Verdict.FAILED)]
+    assert front.feed(core.Sweep()) == []
+    assert invariants.broken["answered before the deadline"] == 1
+
+
+def test_invariants_are_asserted_in_debug_builds() -> None:
+    assert invariants.holds(True, "fine")
+    with pytest.raises(AssertionError, match="not fine"):
+        invariants.holds(False, "not fine")
+    assert KIND.effect is Effect.SAFE
