--- a/wickspring/agent/supervisor.py
+++ b/wickspring/agent/supervisor.py
@@ -131,9 +131,10 @@
         self.starts += 1
         self._set(State.STARTING)
         started = trio.current_time()
+        host, port = self.managed.listen
         env = {
             **os.environ, "GW_CONFIG": str(self.managed.config), "GW_NAME": self.managed.name,
-            "GW_HTTP2": str(self.managed.http2),
+            "GW_LISTEN": f"{host}:{port}", "GW_HTTP2": str(self.managed.http2),
         }  # fmt: skip
         if self.tenants is not None:
             env["GW_TENANTS"] = str(self.tenants)
--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -314,6 +314,7 @@
 
     name: str
     config: str
+    listen: str = ""  # in place of the configuration's, so that instances may share one
     http2: str = ""
 
 
@@ -363,7 +364,8 @@
     here, managed = path.parent, []
     for entry in file.instance:
         config, http2 = here / entry.config, here / entry.http2 if entry.http2 else HTTP2_FILE
-        instance = load_instance(config, {"GW_NAME": entry.name}, http2)
+        env = {"GW_NAME": entry.name, **({"GW_LISTEN": entry.listen} if entry.listen else {})}
+        instance = load_instance(config, env, http2)
         plans = frozenset(plan.name for plan in instance.settings.plans)
         managed.append(Managed(entry.name, config, http2, instance.listen, plans))
     for key, values in (("name", [m.name for m in managed]), ("listen", [m.listen for m in managed])):
