--- a/wickspring/cli.py
+++ b/wickspring/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import argparse
-import importlib.metadata
 import logging
 import sys
 from collections.abc import Sequence
@@ -122,9 +121,11 @@
 
 def version(_: argparse.Namespace) -> int:
     """Print the version of the program and of what it serves with."""
+    from importlib.metadata import version as installed  # dear to load, and an ingress has no use for it
+
     print(f"wickspring {__version__}")
     for name in ("trio", "h11", "h2", "msgspec"):
-        print(f"{name} {importlib.metadata.version(name)}")
+        print(f"{name} {installed(name)}")
     return 0
 
 
