Take requests of both fronts in one place; never run an unsafe call id twice

The two fronts read, checked and took requests in lines of the same shape; Runtime.ask and Runtime.serve do it now. The reducer keeps the ids of unsafe calls that were sent on until their time is over: an HTTP/2 library that resends a request after a reset gets a failure, not a second run (core/reducer.py _arrived; tests in test_reducer, test_http2). A link whose peer lets over 1 MiB pile up is now closed; before, it was marked broken and kept.

--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -74,13 +74,15 @@
             for stream in others:
                 assert (await client.answer(stream))[0] == 200
             assert (await client.ask(request()))[0] == 200  # the connection is as good as before
+            again = request("ticket-escalate", x_call_id="slow-doomed")  # as a library would send it again
+            assert (await client.ask(again))[0] == 502
             await here.owed_none()
             runs = Counter(seen.call_id for one in servers for seen in one.seen)
             assert runs["slow-doomed"] == 1
             assert set(runs.values()) == {1}
             assert doomed not in client.ended
             tally = here.runtime.reducer.tally
-            assert (tally["served"], tally["withdrawn"]) == (6, 1)
+            assert (tally["served"], tally["withdrawn"], tally["failed"]) == (6, 1, 1)
             assert here.tally_adds_up()
 
     run(main)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -143,6 +143,20 @@
     assert front.reducer.tally == {"taken": 1, "attempts": 1, "withdrawn": 1}
 
 
+def test_unsafe_request_sent_again_under_its_id_does_not_run_twice() -> None:
+    front = Core(effect=Effect.UNSAFE)
+    front.feed(core.Arrived(api.Request(1, 0, 0, 7, 4000.0, 1.0, 2, 0), "id"), [send(0)])
+    front.feed(api.Withdrawn(1), [api.Cancel(1, 0)])
+    told = len(front.told)
+    again = core.Arrived(api.Request(2, 0, 0, 7, 4000.0, 1.0, 2, 0), "id")
+    assert front.feed(again, [api.Send(2, S[1], 0.0)]) == [core.Answer(2, core.Verdict.FAILED)]
+    assert len(front.told) == told  # it takes nothing from the quota either
+    front.now += 10_000
+    front.feed(core.Sweep())
+    late = core.Arrived(api.Request(3, 0, 0, 7, 20_000.0, 1.0, 2, 0), "id")
+    assert front.feed(late, [api.Send(3, S[1], 0.0)]) == [core.StartAttempt(3, 0, S[1], 20_000.0)]
+
+
 def test_sweep_fails_what_the_module_forgot() -> None:
     front = Core()
     front.request()
--- a/wickspring/core/effects.py
+++ b/wickspring/core/effects.py
@@ -19,6 +19,14 @@
     FAILED = "failed"
 
 
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    """A client's request, with the id that the client gave it."""
+
+    request: api.Request
+    call_id: str
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     """One attempt has ended; `body` is the ticket server's with status OK alone."""
@@ -65,5 +73,5 @@
     body: bytes = b""
 
 
-Event = api.Event | AttemptEnded | Sweep
+Event = api.Event | Arrived | AttemptEnded | Sweep
 Effect = StartAttempt | StopAttempt | Answer | api.SetTimer | api.Probe | api.Count | api.FollowList
--- a/wickspring/core/reducer.py
+++ b/wickspring/core/reducer.py
@@ -12,6 +12,7 @@
 from wickspring import interface as api
 from wickspring.core.effects import (
     Answer,
+    Arrived,
     AttemptEnded,
     Effect,
     Event,
@@ -40,6 +41,7 @@
 
     request: api.Request
     kind: api.ClassSettings
+    call_id: str = ""
     sent: int = 0
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: list[Attempt] = field(default_factory=list)  # ended, and may have run
@@ -65,6 +67,7 @@
         self.pending: dict[int, Pending] = {}
         self.entries: dict[api.ServerId, api.ServerEntry] = {}
         self.tally: Counter[str] = Counter()
+        self._unsafe: dict[str, float] = {}  # call ids that may have run and must not again, until when
         self._effects: list[Effect] = []
         self._queue: deque[api.Event] = deque()
 
@@ -96,14 +99,13 @@
 
     # Events: note what the rules hang on, then let the module decide.
 
-    def _note(self, now: float, event: api.Event | AttemptEnded) -> api.Event | None:
+    def _note(self, now: float, event: api.Event | Arrived | AttemptEnded) -> api.Event | None:
         if isinstance(event, AttemptEnded):
             return self._ended(now, event)
+        if isinstance(event, Arrived):
+            return self._arrived(event.request, event.call_id)
         if isinstance(event, api.Request):
-            if not holds(event.request not in self.pending, "request number used once"):
-                return None
-            self.pending[event.request] = Pending(event, self.settings.classes[event.class_index])
-            self.tally["taken"] += 1
+            return self._arrived(event, "")
         elif isinstance(event, api.Withdrawn):
             pending = self.pending.get(event.request)
             if pending is None or pending.over:
@@ -113,6 +115,20 @@
             self._list(event)
         return event
 
+    def _arrived(self, request: api.Request, call_id: str) -> api.Request | None:
+        if not holds(request.request not in self.pending, "request number used once"):
+            return None
+        pending = Pending(request, self.settings.classes[request.class_index], call_id)
+        self.pending[request.request] = pending
+        self.tally["taken"] += 1
+        if call_id in self._unsafe:
+            # Every try of a client has an id of its own, so this is one request sent again on its way here,
+            # as HTTP/2 libraries do after a reset. The first may have run, though nobody waits for it now.
+            self.tally["sent_again"] += 1
+            self._answer(pending, Verdict.FAILED)
+            return None
+        return request
+
     def _list(self, event: api.ServerList) -> None:
         if event.kind in (api.ListKind.CACHED, api.ListKind.COMPLETE):
             self.entries.clear()
@@ -144,6 +160,8 @@
 
     def _sweep(self, now: float) -> None:
         """Fail what the module has let run past its time: the client must never be left without."""
+        while self._unsafe and next(iter(self._unsafe.values())) < now:  # about in order of time
+            del self._unsafe[next(iter(self._unsafe))]
         for pending in list(self.pending.values()):
             if not pending.over and now > pending.request.deadline - OVERDUE:
                 holds(False, "answered before the deadline")
@@ -188,6 +206,8 @@
             return
         pending.out[number] = Attempt(entry, now)
         self.tally["attempts"] += 1
+        if pending.kind.effect is api.Effect.UNSAFE and pending.call_id:
+            self._unsafe[pending.call_id] = max(pending.request.deadline, now + pending.kind.deadline)
         until = pending.request.deadline
         until = min(until, now + send.timeout) if send.timeout else until
         self._effects.append(StartAttempt(send.request, number, send.server, until))
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -15,6 +15,7 @@
 
 MOST_BODY = 64 * 1024
 READY_PATH = "/up"
+CALL_PATH = "/api"
 # What is passed on unchanged must stay one token there too: HTTP/2 lets more through than HTTP/1.1 may say.
 _TOKEN = re.compile(r"[\x21-\x7e]{1,256}")
 _VISIBLE = re.compile(r"[\x21-\x7e]{1,8192}")
@@ -55,6 +56,9 @@
 class Client(Protocol):
     """The place of one request in a front, where its final answer goes."""
 
+    def accepted(self, number: int, budget: float) -> None:
+        """Note the number under which the request is taken, and the client's milliseconds for it."""
+
     def answer(self, status: int, retry_after: str, body: bytes) -> None:
         """Give the final answer."""
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
-import logging
-
 import h11
 
-from wickspring.logs import kv
-from wickspring.net.calls import MOST_BODY, READY_PATH, CallError
+from wickspring.net.calls import MOST_BODY
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
 
-log = logging.getLogger(__name__)
-
 MOST_HEAD = 16 * 1024
 LINGER_MS = 1000.0  # for the client to read the last answer and close
 
@@ -39,10 +34,12 @@
             self.http.receive_data(data)
             self.advance()
         self.ending = True
-        if self.number is not None:  # the client has left while its request was out
-            number, self.number = self.number, None
+
+    def drop(self) -> None:
+        """Withdraw the request that is out, if any: the client has left."""
+        number, self.number = self.number, None
+        if number is not None:
             self.runtime.leave(number)
-        self.link.close()
 
     def idle(self) -> bool:
         """Tell whether no request is under way."""
@@ -65,31 +62,21 @@
                     if len(self.body) > MOST_BODY:
                         self.answer(413, "", b"body over 64 KiB\n")
                         return
-                elif isinstance(event, h11.EndOfMessage):
-                    self._take()
+                elif isinstance(event, h11.EndOfMessage) and self.request is not None:
+                    self._take(self.request)
                     return
         except h11.RemoteProtocolError as error:
             code = error.error_status_hint
             self.answer(code if code in (413, 431) else 400, "", f"{error}\n".encode())
 
-    def _take(self) -> None:
-        request = self.request
-        assert request is not None
+    def _take(self, request: h11.Request) -> None:
         method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
-        if target == READY_PATH:
-            self.answer(200 if self.runtime.ready else 503, "", b"")
-            return
-        if target.partition("?")[0] != "/api":
-            self.answer(404, "", b"no such path\n")
-            return
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
-        try:
-            call = self.runtime.calls.read(method, target, headers, bytes(self.body))
-        except CallError as error:
-            self.answer(error.status, "", f"bad {error}\n".encode())
-            return
-        self.number = self.runtime.new_number()
-        self.runtime.take(self.number, call, self)
+        self.runtime.ask(self, method, target, headers, bytes(self.body))
+
+    def accepted(self, number: int, budget: float) -> None:
+        """Note that an answer is owed."""
+        self.number = number
 
     def answer(self, status: int, retry_after: str, body: bytes) -> None:
         """Write the final answer, and go on to the next request where there may be one."""
@@ -124,13 +111,5 @@
 
 
 async def serve(link: Link, runtime: Runtime) -> None:
-    """Serve one client connection; its errors end it and nothing else."""
-    connection = Http1Connection(link, runtime)
-    runtime.connections.add(connection)
-    try:
-        await connection.run()
-    except Exception as error:
-        log.exception("client_connection_failed", extra=kv(reason=error))
-    finally:
-        link.close()
-        runtime.connections.discard(connection)
+    """Serve one client connection."""
+    await runtime.serve(Http1Connection(link, runtime), link)
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -11,7 +11,7 @@
 from h2.exceptions import H2Error
 
 from wickspring.logs import kv
-from wickspring.net.calls import MOST_BODY, READY_PATH, CallError
+from wickspring.net.calls import MOST_BODY
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
@@ -33,6 +33,10 @@
         self.budget = 0.0
         self.outgoing: bytearray | None = None  # what is left of the answer
 
+    def accepted(self, number: int, budget: float) -> None:
+        """Note that an answer is owed."""
+        self.request, self.budget = number, budget
+
     def answer(self, status: int, retry_after: str, body: bytes) -> None:
         """Give the final answer, as fast as the client's windows let it out."""
         self.request = None
@@ -66,8 +70,6 @@
                 break
             if not self.ending:
                 self.feed(data)
-        self.drop()
-        self.link.close()
 
     def feed(self, data: bytes) -> None:
         """Take bytes in; what is no HTTP/2 ends this connection and no other."""
@@ -166,20 +168,7 @@
     def _take(self, stream: Stream) -> None:
         headers = stream.headers
         method, target = headers.get(":method", ""), headers.get(":path", "")
-        if target == READY_PATH:
-            self.answer(stream, 200 if self.runtime.ready else 503, "", b"")
-            return
-        if target.partition("?")[0] != "/api":
-            self.answer(stream, 404, "", b"no such path\n")
-            return
-        try:
-            call = self.runtime.calls.read(method, target, headers, bytes(stream.body))
-        except CallError as error:
-            self.answer(stream, error.status, "", f"bad {error}\n".encode())
-            return
-        stream.budget = call.budget
-        stream.request = self.runtime.new_number()
-        self.runtime.take(stream.request, call, stream)
+        self.runtime.ask(stream, method, target, headers, bytes(stream.body))
 
     def _reset(self, number: int) -> None:
         """The client wants no answer on this stream; the other streams are not touched.
@@ -242,14 +231,5 @@
 
 
 async def serve(link: Link, runtime: Runtime) -> None:
-    """Serve one client connection; its errors end it and nothing else."""
-    connection = Http2Connection(link, runtime)
-    runtime.connections.add(connection)
-    try:
-        await connection.run()
-    except Exception as error:
-        log.exception("client_connection_failed", extra=kv(reason=error))
-        connection.drop()
-    finally:
-        link.close()
-        runtime.connections.discard(connection)
+    """Serve one client connection."""
+    await runtime.serve(Http2Connection(link, runtime), link)
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -41,7 +41,8 @@
             return
         if self._unsent:
             self._unsent += data
-            self.broken |= len(self._unsent) > MOST_UNSENT
+            if len(self._unsent) > MOST_UNSENT:
+                self.close()
             return
         try:
             taken = self._sock.send(data)
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -6,7 +6,7 @@
 import time
 from collections import Counter as Tally
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import Protocol
 
@@ -18,12 +18,22 @@
 from wickspring.core.invariants import broken
 from wickspring.core.reducer import Reducer
 from wickspring.logs import kv
-from wickspring.net.calls import STATUS, Call, CallReader, Client, retry_after
+from wickspring.net.calls import (
+    CALL_PATH,
+    READY_PATH,
+    STATUS,
+    Call,
+    CallError,
+    CallReader,
+    Client,
+    retry_after,
+)
 from wickspring.net.clock import Clock
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory
 from wickspring.net.http1_link import Http1Link
 from wickspring.net.http2_link import Http2Link
+from wickspring.net.link import Link
 from wickspring.net.timers import Timers
 from wickspring.net.upstream import Carrier, Job, Reply, Upstream
 from wickspring.tenants import PlanBook, TenantsError
@@ -40,6 +50,12 @@
 class Connection(Protocol):
     """A client connection, of either front."""
 
+    async def run(self) -> None:
+        """Read until either side ends it."""
+
+    def drop(self) -> None:
+        """Withdraw whatever is still owed on it."""
+
     def idle(self) -> bool:
         """Tell whether no request is under way."""
 
@@ -92,21 +108,41 @@
 
     # From the fronts.
 
-    def new_number(self) -> int:
-        """Return a number for a request; clients' own ids never name anything in here."""
+    async def serve(self, connection: Connection, link: Link) -> None:
+        """Serve one client connection; its errors end it and nothing else."""
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except Exception as error:
+            log.exception("client_connection_failed", extra=kv(reason=error))
+        finally:
+            connection.drop()
+            link.close()
+            self.connections.discard(connection)
+
+    def ask(self, client: Client, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
+        """Take one whole request, of either front; its answer may come before this returns."""
+        if target == READY_PATH:
+            client.answer(200 if self.ready else 503, "", b"")
+            return
+        if target.partition("?")[0] != CALL_PATH:
+            client.answer(404, "", b"no such path\n")
+            return
+        try:
+            call = self.calls.read(method, target, headers, body)
+        except CallError as error:
+            client.answer(error.status, "", f"bad {error}\n".encode())
+            return
         self._last_number += 1
-        return self._last_number
-
-    def take(self, number: int, call: Call, client: Client) -> None:
-        """Take a request; its answer goes to `client`, perhaps before this returns."""
+        number = self._last_number
+        client.accepted(number, call.budget)
         self._clients[number] = (call, client)
         deadline = self.clock.now() + call.budget - TRANSIT_MS
-        self.dispatch(
-            api.Request(
-                number, call.class_index, call.plan_index, call.customer, deadline,
-                call.units, call.spread, call.first, call.repeat,
-            )
+        request = api.Request(
+            number, call.class_index, call.plan_index, call.customer, deadline,
+            call.units, call.spread, call.first, call.repeat,
         )  # fmt: skip
+        self.dispatch(core.Arrived(request, call.call_id))
 
     def leave(self, number: int) -> None:
         """The client has gone away: nothing more is owed."""
