--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -19,6 +19,7 @@
 from wickspring import interface as api
 from wickspring.config import Http2, Instance, Limits, Listing, parse_address
 from wickspring.net import server
+from wickspring.net.http2_wire import Frames, GoAway
 from wickspring.net.http2_wire import settings as http2_settings
 from wickspring.net.runtime import Runtime
 
@@ -57,7 +58,11 @@
 
 @asynccontextmanager
 async def site(
-    *servers: toy.ToyServer, speak2: tuple[str, ...] = (), plan: api.PlanSettings = BIG_PLAN, **changes: Any
+    *servers: toy.ToyServer,
+    speak2: tuple[str, ...] = (),
+    plan: api.PlanSettings = BIG_PLAN,
+    sockets: int = 1024,
+    **changes: Any,
 ) -> AsyncIterator[Site]:
     """Start stand-ins and one ingress; stop them all at the end."""
     servers = servers or (toy.ToyServer("s0"), toy.ToyServer("s1"))
@@ -74,7 +79,8 @@
             places = [await toy.start(nursery, one.serve) for one in (discovery, counter)]
             found, counted = (parse_address("address", place) for place in places)
             http2 = Http2(enabled=True, servers=speak2)
-            instance = Instance("n0", local, found, counted, Limits(), Listing(), settings, http2)
+            limits = Limits(sockets=sockets)
+            instance = Instance("n0", local, found, counted, limits, Listing(), settings, http2)
             up = trio.Event()
             got: list[tuple[Runtime, list[tuple[str, int]]]] = []
 
@@ -154,7 +160,7 @@
         self.ended: dict[int, Got] = {}
         self.resets: dict[int, int] = {}
         self.goaways: list[int] = []
-        self.sending = trio.Lock()
+        self.frames, self.sending = Frames(), trio.Lock()
         self.credit = True  # windows are opened again as data come
 
     async def flush(self) -> None:
@@ -181,8 +187,13 @@
 
     async def read(self) -> bool:
         """Read once; False at the end of the connection."""
-        data = await self.stream.receive_some(65536)
-        for event in self.http.receive_data(data) if data else []:
+        data, events = await self.stream.receive_some(65536), []
+        for part in self.frames.feed(data):
+            if isinstance(part, GoAway):  # h2 would take it for the end of the connection
+                self.goaways.append(part.last_stream)
+            else:
+                events += self.http.receive_data(part)
+        for event in events:
             stream = getattr(event, "stream_id", None) or 0
             if isinstance(event, h2.events.ResponseReceived):
                 self.parts[stream] = {str(k): str(v) for k, v in event.headers}, bytearray()
@@ -196,8 +207,6 @@
                 self.ended[stream] = int(headers[":status"]), headers, bytes(body)
             elif isinstance(event, h2.events.StreamReset):
                 self.resets[stream] = int(event.error_code)
-            elif isinstance(event, h2.events.ConnectionTerminated):
-                self.goaways.append(event.last_stream_id or 0)
         await self.flush()
         return bool(data)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -257,3 +257,18 @@
             assert BIG_PLAN.name == plan.name
 
     run(main)
+
+
+def test_quiet_connections_make_room_for_others() -> None:
+    async def main() -> None:
+        async with site(sockets=32) as here:
+            busy = await client1(here.http1)
+            await busy.ask(request())
+            stuck = [await trio.open_tcp_stream(*here.http1) for _ in range(40)]
+            for stream in stuck:
+                with trio.move_on_after(0.01):
+                    await stream.send_all(b"GET /api HTTP/1.1\r\nX-Half: ")
+            assert (await (await client1(here.http1)).ask(request()))[0] == 200
+            assert len(here.runtime.connections) <= 16
+
+    run(main)
--- a/tests/test_http2.py
+++ b/tests/test_http2.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
@@ -13,7 +15,7 @@
 
 from example.toy import Answer, Http2Side, Seen, ToyServer, echo, start
 from tests.loopback import BIG_PLAN, client1, client2, request, site
-from wickspring.net.http2_wire import Frames, GoAway, goaway
+from wickspring.net.http2_wire import LAST_STREAM, Frames, GoAway, goaway
 
 ALL = ("*",)
 
@@ -297,6 +299,31 @@
     run(main)
 
 
+def test_sigterm_says_goaway_and_answers_what_still_comes() -> None:
+    async def main() -> None:
+        async def slow(seen: Seen) -> Answer:
+            await trio.sleep(0.9)
+            return await echo(seen)
+
+        async with site(ToyServer("s0", slow)) as here:
+            client, idle = await client2(here.http2), await client2(here.http2)
+            early = await client.send(request("ticket-escalate"))
+            await trio.sleep(0.05)
+            os.kill(os.getpid(), signal.SIGTERM)
+            while not client.goaways:
+                await client.read()
+            assert client.goaways == [LAST_STREAM]  # told to go, while what is on its way is still taken
+            late = await client.send(request("ticket-escalate"))
+            assert [(await client.answer(stream))[0] for stream in (early, late)] == [200, 200]
+            while await client.read():
+                pass
+            assert client.goaways == [LAST_STREAM, late]
+            while await idle.read():
+                pass
+
+    run(main)
+
+
 def test_client_that_only_opens_and_resets_is_shut_out() -> None:
     async def main() -> None:
         async with site() as here:
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -21,6 +21,7 @@
         self.request: h11.Request | None = None
         self.body = bytearray()
         self.number: int | None = None  # of the request that waits for its answer
+        self.heard_at = runtime.clock.now()
         self.ending = False
 
     async def run(self) -> None:
@@ -31,6 +32,7 @@
                 break
             if self.ending:
                 continue  # read and dropped, so that closing does not reset the answer
+            self.heard_at = self.runtime.clock.now()
             self.http.receive_data(data)
             self.advance()
         self.ending = True
@@ -45,6 +47,10 @@
         """Tell whether no request is under way."""
         return self.number is None and self.request is None and not self.http.trailing_data[0]
 
+    def quiet_since(self) -> float | None:
+        """Return when it was last heard of; None while an answer is owed on it."""
+        return self.heard_at if self.number is None else None
+
     def advance(self) -> None:
         """Take in what has been read, up to the end of one request."""
         try:
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -55,6 +55,7 @@
         self.last_stream = 0
         self.resets = 0
         self.refusing = False  # no new streams: the last GOAWAY has been sent
+        self.heard_at = runtime.clock.now()
         self.ending = False
 
     async def run(self) -> None:
@@ -69,6 +70,7 @@
             if not data:
                 break
             if not self.ending:
+                self.heard_at = self.runtime.clock.now()
                 self.feed(data)
 
     def feed(self, data: bytes) -> None:
@@ -110,6 +112,12 @@
         """Tell that this connection takes a `finish` at any time: it ends when its streams have."""
         return True
 
+    def quiet_since(self) -> float | None:
+        """Return when it was last heard of; None while an answer is owed on it."""
+        streams = self.streams.values()
+        owed = any(stream.request is not None or stream.outgoing is not None for stream in streams)
+        return None if owed else self.heard_at
+
     def finish(self) -> None:
         """Take no more streams, answer those there are, and end."""
         if not self.refusing:
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -59,6 +59,9 @@
     def idle(self) -> bool:
         """Tell whether no request is under way."""
 
+    def quiet_since(self) -> float | None:
+        """Return when it was last heard of; None while an answer is owed on it."""
+
     def drain(self) -> None:
         """Tell the client, where the protocol has words for it, that this ingress is about to end."""
 
@@ -154,6 +157,14 @@
         """How many clients wait for an answer."""
         return len(self._clients)
 
+    def make_room(self) -> None:
+        """End the client connection that has been quiet for longest, whether idle or stuck in a request."""
+        quiet = [(since, c) for c in self.connections if (since := c.quiet_since()) is not None]
+        if quiet:
+            connection = min(quiet, key=lambda pair: pair[0])[1]
+            self.connections.discard(connection)
+            connection.finish()
+
     # Events in, effects out.
 
     def dispatch(self, event: core.Event) -> None:
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -44,13 +44,10 @@
 
 
 async def accept(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
-    """Accept until the listener is closed; short of descriptors, wait for some to come free."""
+    """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
     most = int(runtime.instance.limits.sockets * SPARE_SOCKETS)
     while True:
         try:
-            if len(runtime.connections) >= most:
-                await trio.sleep(0.01)
-                continue
             sock, _ = listener.accept()
         except BlockingIOError:
             try:
@@ -63,6 +60,11 @@
             log.warning("accept_failed", extra=kv(reason=error))
             await trio.sleep(0.01)
         else:
+            if len(runtime.connections) >= most:
+                # Clients that hold connections and say nothing must not shut the others out.
+                runtime.make_room()
+            while len(runtime.connections) >= most:
+                await trio.sleep(0.01)
             runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
 
 
