--- a/example/toy.py
+++ b/example/toy.py
@@ -248,13 +248,14 @@
         return json.dumps({"version": self.version, "full": full, "servers": servers}).encode() + b"\n"
 
     async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one watch: the full list, then each change, an empty line every 2 s."""
+        """Serve one watch: the full list to who is behind, then each change, an empty line every 2 s."""
         async with stream:
             try:
-                await stream.receive_some(65536)
+                ask = await stream.receive_some(65536)
+                since = int(ask.partition(b"since=")[2].split()[0])
                 await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 told = len(self.news)
-                line = self._line(True, list(self.servers.values()))
+                line = self._line(True, list(self.servers.values())) if since < self.version else b"\n"
                 while True:
                     await stream.send_all(b"%x\r\n%s\r\n" % (len(line), line))
                     if told == len(self.news):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -272,3 +272,32 @@
             assert len(here.runtime.connections) <= 16
 
     run(main)
+
+
+def test_client_that_floods_while_its_answer_is_owed_is_ended() -> None:
+    async def main() -> None:
+        async with site(ToyServer("s0", never)) as here:
+            client = await client1(here.http1)
+            await client.send(request())
+            with pytest.raises(trio.BrokenResourceError):
+                while True:
+                    await client.stream.send_all(b"x" * 65536)
+            await here.owed_none()
+            assert here.runtime.reducer.tally["withdrawn"] == 1
+
+    run(main)
+
+
+def test_bad_list_line_holds_the_old_list_and_the_whole_list_is_asked_for() -> None:
+    async def main() -> None:
+        async with site() as here:
+            here.discovery.servers["s0"]["state"] = "draining"  # which the bad line should have told
+            here.discovery.news.append(b'{"version": 90, "full": false, "servers": [{"id": 4}]}\n')
+            here.discovery.changed.set()
+            here.discovery.changed = trio.Event()
+            while here.runtime.reducer.may_send(b"s0"):
+                assert here.runtime.reducer.may_send(b"s1")
+                await trio.sleep(0.005)
+            assert (await (await client1(here.http1)).ask(request()))[2].startswith(b"s1 ")
+
+    run(main)
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -55,6 +55,12 @@
         assert str(error)
 
 
+@pytest.mark.parametrize("line", [b"ok nan", b"ok inf", b"ok", b"ok x", b"fine 3", b""])
+def test_counter_line_that_is_no_answer(line: bytes) -> None:
+    with pytest.raises(counter.CounterError):
+        counter.decode(line)
+
+
 def test_counter_calls_are_plain_decimals_within_the_life() -> None:
     assert counter.encode(api.Count(7, -2.5, 4000)) == b"bump 7 -2.5 4000\r\n"
     assert counter.encode(api.Count(7, 1e-7, 0.2)) == b"bump 7 0 1\r\n"
--- a/wickspring/net/counter.py
+++ b/wickspring/net/counter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -46,9 +47,12 @@
     word, _, rest = line.partition(b" ")
     if word == b"ok":
         try:
-            return Status.OK, float(rest)
+            total = float(rest)
         except ValueError as error:
             raise CounterError(f"no total in {line!r}") from error
+        if not math.isfinite(total):  # it would poison the customer's account
+            raise CounterError(f"no total in {line!r}")
+        return Status.OK, total
     if word in (b"busy", b"error"):
         return Status.FULL, 0.0  # nothing has been added
     raise CounterError(f"not an answer: {line!r}")
@@ -123,6 +127,8 @@
                     self._answered(line)
         except CounterError as error:
             log.warning("counter_garbled", extra=kv(reason=error))
+        except Exception as error:  # one connection's oddity must not end the ingress
+            log.exception("counter_connection_failed", extra=kv(reason=error))
         self.close()
 
     def _answered(self, line: bytes) -> None:
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -136,13 +136,16 @@
         """Watch for ever, with a pause between tries that grows to a second."""
         pause = PAUSE_FIRST
         while True:
-            if await self._watch():
-                pause = PAUSE_FIRST
+            try:
+                if await self._watch():
+                    pause = PAUSE_FIRST
+            except Exception as error:  # an odd answer must not end the ingress
+                log.exception("watch_failed", extra=kv(reason=error))
             await trio.sleep(pause)
             pause = min(2 * pause, PAUSE_MOST)
 
     async def _watch(self) -> bool:
-        """Follow one connection to its end; True if it said anything."""
+        """Follow one connection to its end; True if it said anything, and nothing that was no list."""
         sock = await connect(self.address, DIAL_MS)
         if sock is None:
             return False
@@ -158,19 +161,20 @@
                 for line in reader.feed(data):
                     heard = True
                     self._line(line)
-        except (ListError, trio.TooSlowError) as error:
-            log.warning("watch_broken", extra=kv(reason=error or "silent"))
+        except trio.TooSlowError:
+            log.warning("watch_silent")
+        except ListError as error:
+            # The list held stays in force. What the line would have told, a drain perhaps, must not be
+            # missed: the next watch begins with the whole list.
+            log.warning("list_line_bad", extra=kv(reason=error))
+            self.directory.version, heard = 0, False
         finally:
             link.close()
         return heard
 
     def _line(self, line: bytes) -> None:
         if line:
-            try:
-                news = self.directory.apply(decode(line))
-            except ListError as error:  # the list held stays in force
-                log.warning("list_line_bad", extra=kv(reason=error))
-                return
+            news = self.directory.apply(decode(line))
             states = " ".join(f"{e.server.decode()}:{e.readiness.value}" for e in news.entries[:20])
             log.info("list", extra=kv(version=self.directory.version, kind=news.kind.value, servers=states))
             self.listed(news)
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -9,6 +9,7 @@
 from wickspring.net.runtime import Runtime
 
 MOST_HEAD = 16 * 1024
+MOST_AHEAD = MOST_HEAD + MOST_BODY  # bytes of the next request, taken in while an answer is owed
 LINGER_MS = 1000.0  # for the client to read the last answer and close
 
 
@@ -34,7 +35,10 @@
                 continue  # read and dropped, so that closing does not reset the answer
             self.heard_at = self.runtime.clock.now()
             self.http.receive_data(data)
-            self.advance()
+            if self.number is None:
+                self.advance()
+            elif len(self.http.trailing_data[0]) > MOST_AHEAD:
+                break  # it goes on sending while its answer is owed, and all of it would be held
         self.ending = True
 
     def drop(self) -> None:
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -9,6 +9,7 @@
 
 import errno
 import socket
+from contextlib import suppress
 
 import trio
 
@@ -23,7 +24,8 @@
 
     def __init__(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):  # the peer may have gone already; that shows with the first read
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock, self._nursery = sock, nursery
         self._unsent = bytearray()
         self._shut = False
