Test both fronts' parsers with random cuts and garbage

Until now only the parsers towards ticket servers, counter and discovery had such tests. Nothing was found; the reset after an oversized HTTP/2 body is now plainly tied to the client still sending.

--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+from typing import cast
 
+import h2.connection
 import h11
 import pytest
 from h2.exceptions import H2Error
@@ -13,10 +15,15 @@
 from tests.gateway import KIND, PLAN, make_settings
 from wickspring import interface as api
 from wickspring.net import counter, discovery
-from wickspring.net.calls import CallError, CallReader
+from wickspring.net.calls import CallError, CallReader, Client
+from wickspring.net.clock import Clock
+from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http1_link import AnswerReader
+from wickspring.net.http2_front import Http2Connection
 from wickspring.net.http2_wire import Frames
+from wickspring.net.link import Link
 from wickspring.net.reports import read_reply
+from wickspring.net.runtime import Runtime
 from wickspring.net.upstream import Job
 
 same = settings(derandomize=True, max_examples=60, deadline=None, database=None)
@@ -158,6 +165,112 @@
     assert all(byte in kept for byte in out)  # a subsequence: only GOAWAY frames are left out
 
 
+class Host:
+    """Stands in for runtime and link of one client connection."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, str, str, bytes]] = []
+        self.sent, self.ended = b"", False
+        self.clock, self.draining = Clock(), False
+
+    def ask(self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        self.asked.append((method, target, headers["x-call-id"], body))
+        client.answer(200, "", b"ok")
+
+    def later(self, delay: float, action: object) -> None:
+        assert delay > 0
+
+    def leave(self, number: int) -> None:
+        raise AssertionError("nothing was owed")
+
+    def send(self, data: bytes) -> None:
+        self.sent += data
+
+    def finish(self) -> None:
+        self.ended = True
+
+    def close(self) -> None:
+        self.ended = True
+
+
+def front1() -> tuple[Host, Http1Connection]:
+    host = Host()
+    return host, Http1Connection(cast(Link, host), cast(Runtime, host))
+
+
+def front2() -> tuple[Host, Http2Connection]:
+    host = Host()
+    return host, Http2Connection(cast(Link, host), cast(Runtime, host))
+
+
+ASKED = [("POST", f"/api?customer={n}", f"id{n}", b"body" * n) for n in range(3)]
+
+
+@same
+@given(cuts)
+def test_requests_of_http1_however_cut(sizes: list[int]) -> None:
+    host, front = front1()
+    head = "%s %s HTTP/1.1\r\nHost: a\r\nX-Call-Id: %s\r\nContent-Length: %d\r\n\r\n"
+    data = b"".join((head % (*ask[:3], len(ask[3]))).encode() + ask[3] for ask in ASKED)
+    for piece in pieces(data, sizes):
+        front.http.receive_data(piece)
+        front.advance()
+    assert host.asked == ASKED
+    assert host.sent.count(b"HTTP/1.1 200") == 3
+    assert not host.ended
+
+
+@same
+@given(st.binary(max_size=300), cuts)
+def test_garbage_of_http1_is_a_400_and_the_end(data: bytes, sizes: list[int]) -> None:
+    host, front = front1()
+    for piece in pieces(b"\xff" + data + b"\r\n\r\n", sizes):
+        if not front.ending:
+            front.http.receive_data(piece)
+            front.advance()
+    assert host.asked == []
+    assert host.sent.startswith(b"HTTP/1.1 400")
+    assert host.ended
+
+
+def three_streams() -> bytes:
+    client = h2.connection.H2Connection()
+    client.initiate_connection()
+    for method, target, call_id, body in ASKED:
+        stream = client.get_next_available_stream_id()
+        lines = [(":method", method), (":path", target), (":scheme", "http"), (":authority", "a")]
+        client.send_headers(stream, [*lines, ("x-call-id", call_id)])
+        client.send_data(stream, body, end_stream=True)
+    return client.data_to_send()
+
+
+@same
+@given(cuts)
+def test_requests_of_http2_however_cut(sizes: list[int]) -> None:
+    host, front = front2()
+    for piece in pieces(three_streams(), sizes):
+        front.feed(piece)
+    assert host.asked == ASKED
+    assert front.streams == {}
+    assert not host.ended
+
+
+@same
+@given(st.integers(24, 200), st.binary(min_size=1, max_size=60), cuts)
+def test_garbage_of_http2_raises_nothing(at: int, data: bytes, sizes: list[int]) -> None:
+    host, front = front2()
+    good = three_streams()
+    for piece in pieces(good[:at] + data + good[at:], sizes):
+        if not front.ending:
+            front.feed(piece)
+    assert all(asked[0] == "POST" for asked in host.asked)
+    assert host.ended == front.ending
+    wrong, broken = front2()
+    broken.feed(b"\xff" * 24)
+    assert wrong.ended
+    assert wrong.asked == []
+
+
 CALLS = CallReader(make_settings(kind={"name": "view"}, plan={"name": "team"}))
 GOOD = {
     "x-call-id": "9b1f", "x-call-class": "view", "api-plan": "team", "x-budget-ms": "480",
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -170,7 +170,7 @@
         stream.body += event.data
         if len(stream.body) > MOST_BODY:
             self.answer(stream, 413, "", b"body over 64 KiB\n")
-            if event.stream_id in self.streams or event.stream_ended is None:
+            if event.stream_ended is None:  # have the client stop sending the rest
                 self._reset_ours(event.stream_id, ErrorCodes.NO_ERROR)
 
     def _take(self, stream: Stream) -> None:
