--- a/example/toy.py
+++ b/example/toy.py
@@ -46,12 +46,13 @@
 
 @dataclass
 class Answer:
-    """What a ticket server says; `reset` is an HTTP/2 error code in place of an answer."""
+    """What a ticket server says; `reset` is an HTTP/2 error code in place of an answer, `raw` its bytes."""
 
     status: int = 200
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     reset: int | None = None
+    raw: bytes | None = None
 
 
 async def echo(seen: Seen) -> Answer:
@@ -117,6 +118,9 @@
             answer = await self.server.behave(seen)
             if answer.reset is not None:
                 return
+            if answer.raw is not None:  # a spoilt answer: the connection stays open and is of no further use
+                await self.stream.send_all(answer.raw)
+                await trio.sleep_forever()
             lines = [*answer.headers.items(), ("Content-Length", str(len(answer.body)))]
             out = self.http.send(h11.Response(status_code=answer.status, headers=lines)) or b""
             out += self.http.send(h11.Data(data=answer.body)) or b""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from tests.gateway import Gateway, every, make_settings, only
 from wickspring import interface as api
 from wickspring.interface import Effect, Group, Status
-from wickspring.policy import COLD_CARE, COLD_DRAWS, ROOM_START
+from wickspring.policy import ACCOUNT_LIFE, COLD_CARE, COLD_DRAWS, ROOM_START
 
 FLEET = 330
 
@@ -194,3 +194,15 @@
         front.count(only(front.feed(event), api.Count).name, 1.0)
         front.run(320)
     assert front.policy.room < ROOM_START * 20 / 2
+
+
+def test_customers_and_servers_that_are_gone_leave_nothing_behind() -> None:
+    gateway = Gateway(make_settings())
+    for number in range(200):
+        gateway.now += 1000.0
+        gateway.list_servers(Gateway.entry(number), kind=api.ListKind.CHANGES)
+        gateway.list_servers(Gateway.entry(number, readiness=api.Readiness.GONE), kind=api.ListKind.CHANGES)
+        gateway.request(customer=number)
+    assert gateway.policy.servers == {}
+    assert len(gateway.policy.accounts) <= ACCOUNT_LIFE / 1000.0 + 1
+    assert 199 in gateway.policy.accounts
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -44,13 +44,30 @@
 def test_counter_lines_however_cut(sizes: list[int]) -> None:
     reader = counter.LineReader()
     text = b"ok 12.5\r\nbusy\r\nerror\r\nok -3\r\npong\r\n"
-    lines = [line for piece in pieces(text, sizes) for line in reader.feed(piece)]
+    lines = []
+    for piece in pieces(text, sizes):
+        lines += reader.feed(piece)
+        reader.check()  # no beginning of a good line is taken for garbage
     assert lines == text.split(b"\r\n")[:-1]
     answers = [counter.decode(line) for line in lines[:-1]]
     full = (api.Status.FULL, 0.0)
     assert answers == [(api.Status.OK, 12.5), full, full, (api.Status.OK, -3.0)]
 
 
+@pytest.mark.parametrize("text", [b"ok \x81", b"\xff", b"ok 1x", b"okay", b"o" * 40, b"ok " + b"1" * 99])
+def test_counter_garbage_is_not_waited_out(text: bytes) -> None:
+    reader = counter.LineReader()
+    assert reader.feed(b"ok 1\r\n" + text) == [b"ok 1"]
+    with pytest.raises(counter.CounterError):
+        reader.check()
+
+
+@pytest.mark.parametrize("line", [b"ok", b"ok ", b"ok 1_0", b"ok inf", b"ok -", b"ok nan", b"ok  1"])
+def test_counter_answer_without_a_number(line: bytes) -> None:
+    with pytest.raises(counter.CounterError):
+        counter.decode(line)
+
+
 @same
 @given(st.binary(max_size=600))
 def test_counter_garbage(data: bytes) -> None:
@@ -271,7 +288,7 @@
     assert wrong.asked == []
 
 
-CALLS = CallReader(make_settings(kind={"name": "view"}, plan={"name": "team"}))
+CALLS = CallReader(make_settings(kind={"name": "view"}, plan={"name": "team"}, gateways=3))
 GOOD = {
     "x-call-id": "9b1f", "x-call-class": "view", "api-plan": "team", "x-budget-ms": "480",
     "api-terms": "units=2,spread=3,first=1",
@@ -290,6 +307,25 @@
         CALLS.read("GET", "/api?" + target + " ", GOOD, b"")
 
 
+@pytest.mark.parametrize(
+    "terms",
+    ["units=1_0,spread=1,first=0", "units=+1,spread=1,first=0", "units= 1,spread=1,first=0",
+     "units=1e0,spread=1,first=0", "units=0,spread=1,first=0", "units=1,spread=4,first=0",
+     "units=1,spread=0,first=0", "units=1,spread=1,first=3", "units=1,spread=+1,first=0",
+     "units=1,spread=1_0,first=0", "units=1,spread=1,first=-1", "units=1,units=1,spread=1,first=0"],
+)  # fmt: skip
+def test_terms_out_of_range_or_no_plain_numbers(terms: str) -> None:
+    with pytest.raises(CallError, match="Api-Terms"):
+        CALLS.read("GET", "/api?customer=00000000b4d65521", {**GOOD, "api-terms": terms}, b"")
+
+
+def test_budget_is_held_to_the_class_and_a_read_brings_no_body() -> None:
+    target = "/api?customer=00000000b4d65521"
+    assert CALLS.read("GET", target, {**GOOD, "x-budget-ms": "3600000"}, b"").budget == KIND.deadline
+    with pytest.raises(CallError, match="body"):
+        CALLS.read("GET", target, GOOD, b"x")
+
+
 def test_terms_of_a_good_call() -> None:
     call = CALLS.read("GET", "/api?customer=00000000b4d65521", {**GOOD, "x-again": "1"}, b"")
     assert (call.customer, call.units, call.spread, call.first) == (0xB4D65521, 2.0, 3, 1)
@@ -309,4 +345,7 @@
     report = {"x-load-report": '{"inflight":7,"qps":1.5}'}
     reply = read_reply(code, {**headers, **report}, b"", ("inflight", "qps"))
     assert (reply.status, reply.load) == (status, (7.0, 1.5))
-    assert read_reply(code, {"x-load-report": "{oops"}, b"", ("inflight",)).load == ()
+    for text in ("{oops", '{"inflight":-1}', '{"inflight":1e300}', '{"qps":1}', '{"inflight":"7"}'):
+        assert read_reply(code, {"x-load-report": text}, b"", ("inflight",)).load == ()
+    for use in ("-5", "x", "inf", "1e300"):
+        assert read_reply(code, {"api-usage": use}, b"", ()).fleet_use == 0
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -9,10 +9,12 @@
 
 from tests.gateway import KIND, Gateway, make_settings
 from wickspring import interface as api
+from wickspring.config import ListedServer, Listing
 from wickspring.core import effects as core
 from wickspring.core import invariants
 from wickspring.core.reducer import OVERDUE, Reducer
 from wickspring.interface import Effect, Group, Status
+from wickspring.net.discovery import Directory
 
 S = [Gateway.entry(n).server for n in range(4)]
 
@@ -125,6 +127,19 @@
     assert invariants.broken["nothing new to a draining server"] == 1
 
 
+def test_servers_that_are_gone_are_forgotten_with_their_addresses() -> None:
+    front, directory = Core(), Directory(("hall-a",))
+    for number in range(50):
+        for state in ("up", "removed"):
+            one = ListedServer(f"s{number}", "127.0.0.1:9", "hall-a", state=state)
+            front.feed(directory.apply(Listing(number, False, (one,))))
+    assert len(front.reducer.entries) == 4
+    assert directory.addresses == {}
+    directory.apply(Listing(60, False, (ListedServer("old", "127.0.0.1:9"),)))
+    directory.apply(Listing(61, True, (ListedServer("new", "127.0.0.1:9"),)))
+    assert list(directory.addresses) == [b"new"]
+
+
 def test_cancel_ends_an_attempt_once() -> None:
     front = Core()
     front.request(send(0))
--- a/wickspring/core/effects.py
+++ b/wickspring/core/effects.py
@@ -12,11 +12,12 @@
 
 
 class Verdict(Enum):
-    """The three kinds of final answer."""
+    """The kinds of final answer."""
 
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
+    REJECTED = "rejected"  # it should not have been asked: nothing was done for it
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickspring/core/reducer.py
+++ b/wickspring/core/reducer.py
@@ -67,6 +67,7 @@
         self.pending: dict[int, Pending] = {}
         self.entries: dict[api.ServerId, api.ServerEntry] = {}
         self.tally: Counter[str] = Counter()
+        self._open: dict[str, int] = {}  # call ids of pending requests
         self._unsafe: dict[str, float] = {}  # call ids that may have run and must not again, until when
         self._effects: list[Effect] = []
         self._queue: deque[api.Event] = deque()
@@ -121,6 +122,13 @@
         pending = Pending(request, self.settings.classes[request.class_index], call_id)
         self.pending[request.request] = pending
         self.tally["taken"] += 1
+        if call_id in self._open:
+            # Whoever says another's id: what was asked first goes on unharmed, and ticket servers, which know
+            # requests by their ids, never see two under one.
+            self._answer(pending, Verdict.REJECTED)
+            return None
+        if call_id:
+            self._open[call_id] = request.request
         if call_id in self._unsafe:
             # Every try of a client has an id of its own, so this is one request sent again on its way here,
             # as HTTP/2 libraries do after a reset. The first may have run, though nobody waits for it now.
@@ -134,6 +142,8 @@
             self.entries.clear()
         for entry in event.entries:
             self.entries[entry.server] = entry
+            if entry.readiness is api.Readiness.GONE:  # ids come and go all day: what is gone is not kept
+                del self.entries[entry.server]
 
     def _ended(self, now: float, event: AttemptEnded) -> api.Outcome | None:
         pending = self.pending.get(event.request)
@@ -258,3 +268,5 @@
     def _forget(self, pending: Pending) -> None:
         if pending.over and not pending.out:
             self.pending.pop(pending.request.request, None)
+            if self._open.get(pending.call_id) == pending.request.request:
+                del self._open[pending.call_id]
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import math
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 from urllib.parse import parse_qs
@@ -19,7 +18,23 @@
 # What is passed on unchanged must stay one token there too: HTTP/2 lets more through than HTTP/1.1 may say.
 _TOKEN = re.compile(r"[\x21-\x7e]{1,256}")
 _VISIBLE = re.compile(r"[\x21-\x7e]{1,8192}")
+_UNITS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
+_WHOLE = re.compile(r"[0-9]{1,4}")
+_CUSTOMER = re.compile(r"[0-9A-Fa-f]{16}")
+_LENGTH = re.compile(r"[0-9]{1,18}")
 MOST_BUDGET_MS = 3_600_000
+# Said twice, each of these could be read in two ways, here and further on.
+_ONCE = frozenset(
+    {
+        "host", "content-length", "transfer-encoding", "x-call-id", "x-call-class", "api-plan", "x-budget-ms",
+        "idempotency-key", "api-terms", "x-again", ":method", ":path",
+    }
+)  # fmt: skip
+# How long a client may take, in ms. None waits longer than 3 s; what is idle may end after 2 s, not sooner.
+SILENT_MS = 2200.0  # until a new connection says its first word
+WHOLE_MS = 2500.0  # from connecting, or from its first byte, until a request has come whole
+IDLE_MS = 5000.0  # between two requests
+IDLE_LEAST_MS = 2000.0  # the same where room is short
 
 
 class CallError(ValueError):
@@ -28,6 +43,12 @@
     status = 400
 
 
+class TooLargeError(CallError):
+    """A body over what any request may bring, by what its head says."""
+
+    status = 413
+
+
 class PlanError(CallError):
     """A customer that asks under another plan than the directory gives it."""
 
@@ -63,7 +84,7 @@
         """Give the final answer."""
 
 
-STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 429, Verdict.FAILED: 502}
+STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 429, Verdict.FAILED: 502, Verdict.REJECTED: 409}
 
 
 def retry_after(milliseconds: float) -> str:
@@ -71,6 +92,23 @@
     return f"{max(milliseconds, 1.0) / 1000.0:.3f}"
 
 
+def read_head(pairs: Iterable[tuple[str, str]]) -> dict[str, str]:
+    """Fold the headers of a request, checking all that says where its body ends before any of that comes."""
+    headers: dict[str, str] = {}
+    for name, value in pairs:
+        if name in _ONCE and name in headers:
+            raise CallError(name)
+        headers[name] = value
+    length = headers.get("content-length")
+    if length is not None:
+        # With both, whoever reads the one sees another request where the other still sees a body.
+        if "transfer-encoding" in headers or not _LENGTH.fullmatch(length):
+            raise CallError("content-length")
+        if int(length) > MOST_BODY:
+            raise TooLargeError("content-length: over 64 KiB")
+    return headers
+
+
 class CallReader:
     """Checks requests against the settings."""
 
@@ -97,8 +135,12 @@
             raise CallError("method")
         if (effect is api.Effect.KEYED) != bool(key) or (key and not _TOKEN.fullmatch(key)):
             raise CallError("Idempotency-Key")
+        if method == "GET" and body:
+            raise CallError("body")
         units, spread, first = self._terms(headers.get("api-terms", ""))
         budget, repeat = _budget(headers.get("x-budget-ms", "")), headers.get("x-again") == "1"
+        # No class waits longer than its deadline; a claim of an hour would hold its state for as long.
+        budget = min(budget, self.settings.classes[class_index].deadline or budget)
         customer = _customer(target)
         if self.book is not None:  # whom the directory does not name yet is taken at its word
             plan = self.settings.plans[plan_index].name
@@ -110,13 +152,17 @@
         )  # fmt: skip
 
     def _terms(self, text: str) -> tuple[float, int, int]:
-        terms = dict(part.strip().partition("=")[::2] for part in text.split(","))
-        try:
-            units, spread, first = float(terms["units"]), int(terms["spread"]), int(terms["first"])
-        except (KeyError, ValueError) as error:
-            raise CallError("Api-Terms") from error
-        units_fit = math.isfinite(units) and 0 < units <= self.settings.largest_units
-        if not units_fit or spread < 1 or first < 0:
+        parts = [part.strip(" \t").partition("=")[::2] for part in text.split(",")]
+        terms = dict(parts)
+        if len(terms) < len(parts) or not (
+            _UNITS.fullmatch(terms.get("units", ""))
+            and _WHOLE.fullmatch(terms.get("spread", ""))
+            and _WHOLE.fullmatch(terms.get("first", ""))
+        ):
+            raise CallError("Api-Terms")
+        units, spread, first = float(terms["units"]), int(terms["spread"]), int(terms["first"])
+        gateways = self.settings.gateways
+        if not (0 < units <= self.settings.largest_units and 1 <= spread <= gateways and first < gateways):
             raise CallError("Api-Terms")
         return units, spread, first
 
@@ -133,12 +179,6 @@
         texts = [query[9:]]
     else:
         texts = parse_qs(query).get("customer", [])
-    try:
-        if len(texts) != 1 or len(texts[0]) != 16 or not texts[0].isalnum():
-            raise ValueError
-        customer = int(texts[0], 16)
-    except ValueError as error:
-        raise CallError("customer") from error
-    if customer >= 2**33:
+    if len(texts) != 1 or not _CUSTOMER.fullmatch(texts[0]) or int(texts[0], 16) >= 2**33:
         raise CallError("customer")
-    return customer
+    return int(texts[0], 16)
--- a/wickspring/net/counter.py
+++ b/wickspring/net/counter.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-import math
+import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -28,7 +28,9 @@
 IDLE_MOST = 4000.0  # ms; the counter closes what is idle for about 10 s, so nothing older is written to
 SILENCE_MOST = 1000.0  # ms without an answer owed for so long: the connection is replaced
 LONGEST_LIFE = 60_000.0
-LONGEST_LINE = 256
+LONGEST_LINE = 64
+_ANSWER = re.compile(rb"ok -?[0-9]{1,18}(\.[0-9]{0,12})?(e[+-]?[0-9]{1,2})?", re.IGNORECASE)
+_BEGUN = re.compile(rb"(o|ok|ok [-+.0-9eE]*|b|bu|bus|busy|e|er|err|erro|error|p|po|pon|pong)\r?")
 
 
 class CounterError(ValueError):
@@ -46,13 +48,9 @@
     """Read one answer line without its end."""
     word, _, rest = line.partition(b" ")
     if word == b"ok":
-        try:
-            total = float(rest)
-        except ValueError as error:
-            raise CounterError(f"no total in {line!r}") from error
-        if not math.isfinite(total):  # it would poison the customer's account
+        if not _ANSWER.fullmatch(line):  # what is no number would poison the customer's account
             raise CounterError(f"no total in {line!r}")
-        return Status.OK, total
+        return Status.OK, float(rest)
     if word in (b"busy", b"error"):
         return Status.FULL, 0.0  # nothing has been added
     raise CounterError(f"not an answer: {line!r}")
@@ -67,10 +65,16 @@
     def feed(self, data: bytes) -> list[bytes]:
         """Take bytes in and return the lines that are whole."""
         *lines, self._rest = (self._rest + data).split(b"\r\n")
-        if len(self._rest) > LONGEST_LINE:
-            raise CounterError("a line without an end")
         return lines
 
+    def check(self) -> None:
+        """Raise where what has come of the next line can no longer become an answer.
+
+        Waited for, it would hold up every call on its connection.
+        """
+        if self._rest and (len(self._rest) > LONGEST_LINE or not _BEGUN.fullmatch(self._rest)):
+            raise CounterError(f"not an answer: {self._rest[:LONGEST_LINE]!r}")
+
 
 @dataclass(slots=True)
 class Waiting:
@@ -127,6 +131,7 @@
             while data := await link.receive() or b"":
                 for line in reader.feed(data):
                     self._answered(line)
+                reader.check()
         except CounterError as error:
             log.warning("counter_garbled", extra=kv(reason=error))
         except Exception as error:  # one connection's oddity must not end the ingress
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -68,7 +68,12 @@
                     raise ListError(str(error)) from error
         if kind is None:
             kind = api.ListKind.COMPLETE if listing.full else api.ListKind.CHANGES
+        if kind is not api.ListKind.CHANGES:
+            self.addresses.clear()
         self.addresses.update(addresses)
+        for entry in entries:
+            if entry.readiness is api.Readiness.GONE:  # its id does not come back, or comes with an address
+                self.addresses.pop(entry.server, None)
         self.version = listing.version
         return api.ServerList(kind, tuple(entries))
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -2,15 +2,26 @@
 
 from __future__ import annotations
 
+import re
+
 import h11
 
-from wickspring.net.calls import MOST_BODY
+from wickspring.net.calls import IDLE_MS, MOST_BODY, SILENT_MS, WHOLE_MS, CallError, read_head
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
 
 MOST_HEAD = 16 * 1024
 MOST_AHEAD = MOST_HEAD + MOST_BODY  # bytes of the next request, taken in while an answer is owed
 LINGER_MS = 1000.0  # for the client to read the last answer and close
+MOST_DROPPED = 256 * 1024  # bytes read and dropped meanwhile; who has more to send is cut off
+MOST_AT_ONCE = 8  # requests taken from one connection before others have their turn
+_LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
+
+
+def length_is_odd(head: bytes) -> bool:
+    """Tell whether a head gives its body's length twice, even as one number; h11 folds those into one."""
+    lengths = _LENGTH.findall(head)
+    return len(lengths) > 1 or any(not length.strip().isdigit() for length in lengths)
 
 
 class Http1Connection:
@@ -20,20 +31,27 @@
         self.link, self.runtime = link, runtime
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.number: int | None = None  # of the request that waits for its answer
-        self.heard_at = runtime.clock.now()
+        self.begun_at = self.heard_at = runtime.clock.now()  # begun: connecting, or a request's first byte
+        self.served = False  # a request has come whole
+        self.advancing = False
         self.ending = False
 
     async def run(self) -> None:
         """Read until the client leaves or this side has said its last."""
-        while True:
+        dropped = 0
+        while dropped < MOST_DROPPED:
             data = await self.link.receive()
             if not data:
                 break
             if self.ending:
-                continue  # read and dropped, so that closing does not reset the answer
+                dropped += len(data)  # read, so that closing does not reset the answer
+                continue
             self.heard_at = self.runtime.clock.now()
+            if self.served and self.idle():
+                self.begun_at = self.heard_at
             self.http.receive_data(data)
             if self.number is None:
                 self.advance()
@@ -55,15 +73,41 @@
         """Return when it was last heard of; None while an answer is owed on it."""
         return self.heard_at if self.number is None else None
 
+    def end_quiet(self) -> None:
+        """End it now, unless something has come that is not read yet."""
+        if self.link.peek() is None:
+            self.link.close()
+
+    def tidy(self, now: float) -> None:
+        """End the connection where it has been silent, or a request has been on its way, for too long."""
+        if self.number is not None or self.ending:
+            return
+        idle = self.idle()
+        since, most = (self.heard_at, IDLE_MS) if self.served else (self.begun_at, SILENT_MS)
+        if not idle:
+            since, most = self.begun_at, WHOLE_MS
+        if now - since < most or self.link.peek() is not None:
+            return  # what has come and is not read yet may be a whole request
+        if idle:
+            self.link.close()
+        else:
+            self.answer(408, "", b"the request did not come whole in time\n")
+
     def advance(self) -> None:
         """Take in what has been read, up to the end of one request."""
+        self.advancing, taken = True, 0
         try:
-            while not self.ending:
+            while not self.ending and self.number is None:
+                ahead = self.http.trailing_data[0] if self.request is None else b""
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
+                    if length_is_odd(ahead[: len(ahead) - len(self.http.trailing_data[0])]):
+                        raise CallError("content-length")
+                    pairs = ((k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers)
+                    self.headers = read_head(pairs)
                     if self.http.they_are_waiting_for_100_continue:
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         self.link.send(self.http.send(go_on) or b"")
@@ -74,15 +118,22 @@
                         return
                 elif isinstance(event, h11.EndOfMessage) and self.request is not None:
                     self._take(self.request)
-                    return
+                    taken += 1
+                    if taken == MOST_AT_ONCE and self.http.trailing_data[0]:
+                        self.runtime.later(0.0, self.advance)  # the others' turn comes first
+                        return
+        except CallError as error:  # the end: where the next request would begin is not certain
+            self.answer(error.status, "", f"bad {error}\n".encode())
         except h11.RemoteProtocolError as error:
             code = error.error_status_hint
             self.answer(code if code in (413, 431) else 400, "", f"{error}\n".encode())
+        finally:
+            self.advancing = False
 
     def _take(self, request: h11.Request) -> None:
         method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
-        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
-        self.runtime.ask(self, method, target, headers, bytes(self.body))
+        self.served = True
+        self.runtime.ask(self, method, target, self.headers, bytes(self.body))
 
     def accepted(self, number: int, budget: float) -> None:
         """Note that an answer is owed."""
@@ -94,7 +145,9 @@
         headers = [("Content-Length", str(len(body)))]
         if retry_after:
             headers.append(("Retry-After", retry_after))
-        if self.runtime.draining or self.http.their_state is not h11.DONE:
+        ahead = self.http.trailing_data[0]  # of requests sent without waiting for this answer
+        ends = bool(ahead) and 400 <= status < 500 and status != 429  # who errs is not heard on and on
+        if self.runtime.draining or ends or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             data = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
@@ -103,9 +156,10 @@
             data += self.http.send(h11.EndOfMessage()) or b""
             self.link.send(data)
         self.request = None
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        if self.http.our_state is self.http.their_state is h11.DONE and not ends:
             self.http.start_next_cycle()
-            if self.http.trailing_data[0]:
+            self.begun_at = self.heard_at = self.runtime.clock.now()
+            if ahead and not self.advancing:  # else the loop that brought this request goes on
                 self.advance()
         else:
             self.finish()
--- a/wickspring/net/http1_link.py
+++ b/wickspring/net/http1_link.py
@@ -10,6 +10,18 @@
 from wickspring.net.reports import read_reply
 from wickspring.net.upstream import MOST_ANSWER, Job, Reply, Upstream
 
+_FRAMING = (b"content-length", b"transfer-encoding")
+MOST_INTERIM = 8  # answers 1xx ahead of the one that counts
+
+
+def check_framing(response: h11.Response) -> None:
+    """Raise unless the end of an answer is certain; without a length, a cut one would pass for whole."""
+    framing = {name: value for name, value in response.headers if name in _FRAMING}
+    if response.status_code not in (204, 304) and len(framing) != 1:
+        raise h11.RemoteProtocolError("an answer without one clear length")
+    if int(framing.get(b"content-length", 0)) > MOST_ANSWER:
+        raise h11.RemoteProtocolError("an answer over 64 KiB")
+
 
 class AnswerReader:
     """Reads one answer after another from a connection's bytes."""
@@ -18,12 +30,14 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=16 * 1024)
         self._response: h11.Response | None = None
         self._body = bytearray()
+        self._interim = 0
 
     def request(self, job: Job) -> bytes:
         """Return the bytes of a request."""
         headers = [("Host", "app.svc"), *job.headers]
         if job.body or job.method == "POST":
             headers.append(("Content-Length", str(len(job.body))))
+        self._interim = 0
         request = h11.Request(method=job.method, target=job.target, headers=headers)
         data = self.http.send(request) or b""
         if job.body:
@@ -37,7 +51,12 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return None
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self._interim += 1
+                if self._interim > MOST_INTERIM:
+                    raise h11.RemoteProtocolError("1xx without an end")
+            elif isinstance(event, h11.Response):
+                check_framing(event)
                 self._response, self._body = event, bytearray()
             elif isinstance(event, h11.Data):
                 self._body += event.data
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -11,7 +11,7 @@
 from h2.exceptions import H2Error
 
 from wickspring.logs import kv
-from wickspring.net.calls import MOST_BODY
+from wickspring.net.calls import IDLE_MS, MOST_BODY, SILENT_MS, WHOLE_MS, CallError, read_head
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
@@ -26,9 +26,12 @@
 class Stream:
     """One request on a connection, and the place where its answer goes."""
 
-    def __init__(self, owner: Http2Connection, number: int, headers: dict[str, str]) -> None:
-        self.owner, self.id, self.headers = owner, number, headers
+    def __init__(self, owner: Http2Connection, number: int) -> None:
+        self.owner, self.id = owner, number
+        self.headers: dict[str, str] = {}
         self.body = bytearray()
+        self.begun_at = owner.runtime.clock.now()
+        self.whole = False  # its last byte has come
         self.request: int | None = None  # the core's number while an answer is owed
         self.budget = 0.0
         self.outgoing: bytearray | None = None  # what is left of the answer
@@ -118,6 +121,24 @@
         owed = any(stream.request is not None or stream.outgoing is not None for stream in streams)
         return None if owed else self.heard_at
 
+    def end_quiet(self) -> None:
+        """End it now, unless something has come that is not read yet."""
+        if self.link.peek() is None:
+            self.link.close()
+
+    def tidy(self, now: float) -> None:
+        """End the connection where it has been silent, or a request has been on its way, for too long."""
+        late = [s for s in self.streams.values() if not s.whole and now - s.begun_at > WHOLE_MS]
+        idle = not self.streams and now - self.heard_at > (IDLE_MS if self.last_stream else SILENT_MS)
+        if self.ending or not (late or idle) or self.link.peek() is not None:
+            return  # what has come and is not read yet may be what was waited for
+        for stream in late:
+            self.answer(stream, 408, "", b"the request did not come whole in time\n")
+            self._reset_ours(stream.id, ErrorCodes.NO_ERROR)
+        self.flush()
+        if idle:
+            self.finish()
+
     def finish(self) -> None:
         """Take no more streams, answer those there are, and end."""
         if not self.refusing:
@@ -159,8 +180,14 @@
             self.http.reset_stream(number, ErrorCodes.REFUSED_STREAM)
             return
         self.last_stream = max(self.last_stream, number)
-        headers = {str(name): str(value) for name, value in event.headers}
-        self.streams[number] = Stream(self, number, headers)
+        pairs = [(str(name), str(value)) for name, value in event.headers]
+        stream = self.streams[number] = Stream(self, number)
+        try:
+            stream.headers = read_head(pairs)
+        except CallError as error:
+            self.answer(stream, error.status, "", f"bad {error}\n".encode())
+            if event.stream_ended is None:
+                self._reset_ours(number, ErrorCodes.NO_ERROR)
 
     def _data(self, event: h2.events.DataReceived) -> None:
         self.http.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
@@ -174,7 +201,7 @@
                 self._reset_ours(event.stream_id, ErrorCodes.NO_ERROR)
 
     def _take(self, stream: Stream) -> None:
-        headers = stream.headers
+        headers, stream.whole = stream.headers, True
         method, target = headers.get(":method", ""), headers.get(":path", "")
         self.runtime.ask(stream, method, target, headers, bytes(stream.body))
 
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -129,7 +129,10 @@
 
 async def connect(address: tuple[str, int], timeout_ms: float) -> socket.socket | None:
     """Dial within a time-out of its own; None where the connection does not come up."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:  # no descriptor left: as good as not coming up, and no reason for the ingress to end
+        return None
     sock.setblocking(False)
     try:
         code = sock.connect_ex(address)
--- a/wickspring/net/reports.py
+++ b/wickspring/net/reports.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 import msgspec
@@ -10,6 +9,8 @@
 from wickspring.interface import Status
 from wickspring.net.upstream import Reply
 
+MOST_FIGURE = 1e9  # no load or use is above; what says so cannot be read
+
 _report = msgspec.json.Decoder(dict[str, float])
 
 
@@ -21,7 +22,9 @@
         values = _report.decode(text)
     except msgspec.DecodeError:
         return ()
-    return tuple(values.get(name, 0.0) for name in fields)
+    if not all(0 <= values.get(name, -1.0) <= MOST_FIGURE for name in fields):
+        return ()  # negative, huge or left out: it tells nothing, and not that there is no load
+    return tuple(values[name] for name in fields)
 
 
 def _number(text: str) -> float:
@@ -29,7 +32,7 @@
         value = float(text)
     except ValueError:
         return 0.0
-    return value if math.isfinite(value) and value > 0 else 0.0
+    return value if 0 < value <= MOST_FIGURE else 0.0
 
 
 def read_reply(code: int, headers: Mapping[str, str], body: bytes, fields: tuple[str, ...]) -> Reply:
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -20,6 +20,7 @@
 from wickspring.logs import kv
 from wickspring.net.calls import (
     CALL_PATH,
+    IDLE_LEAST_MS,
     READY_PATH,
     STATUS,
     Call,
@@ -34,6 +35,7 @@
 from wickspring.net.http1_link import Http1Link
 from wickspring.net.http2_link import Http2Link
 from wickspring.net.link import Link
+from wickspring.net.reports import read_load
 from wickspring.net.timers import Timers
 from wickspring.net.upstream import Carrier, Job, Reply, Upstream
 from wickspring.tenants import PlanBook, TenantsError
@@ -41,6 +43,8 @@
 log = logging.getLogger(__name__)
 
 SWEEP_MS = 100.0
+TIDY_MS = 200.0
+MAKE_ROOM = 8  # connections ended at a time, so that who knocks is let in at once
 REPORT_MS = 10_000.0
 PROBE_MS = 1000.0
 TENANTS_MS = 2000.0
@@ -62,6 +66,12 @@
     def quiet_since(self) -> float | None:
         """Return when it was last heard of; None while an answer is owed on it."""
 
+    def tidy(self, now: float) -> None:
+        """End it where the client has been silent, or has held a request half-sent, for too long."""
+
+    def end_quiet(self) -> None:
+        """End it now, unless something has come that is not read yet."""
+
     def drain(self) -> None:
         """Tell the client, where the protocol has words for it, that this ingress is about to end."""
 
@@ -97,6 +107,7 @@
         self._dispatching = False
         self._last_number = 0
         self.later(SWEEP_MS, self._sweep)
+        self.later(TIDY_MS, self._tidy)
         self.later(REPORT_MS, self._report)
         self._read_tenants()
 
@@ -159,12 +170,15 @@
         return len(self._clients)
 
     def make_room(self) -> None:
-        """End the client connection that has been quiet for longest, whether idle or stuck in a request."""
+        """End the client connections that have been quiet for longest, whether idle or stuck in a request.
+
+        None is ended before its time: a request may be on its way, and those who knock can wait outside.
+        """
+        latest = self.clock.now() - IDLE_LEAST_MS
         quiet = [(since, c) for c in self.connections if (since := c.quiet_since()) is not None]
-        if quiet:
-            connection = min(quiet, key=lambda pair: pair[0])[1]
-            self.connections.discard(connection)
-            connection.finish()
+        for since, connection in sorted(quiet, key=lambda pair: pair[0])[:MAKE_ROOM]:
+            if since < latest:
+                connection.end_quiet()
 
     # Events in, effects out.
 
@@ -238,9 +252,11 @@
 
         def ended(reply: Reply) -> None:
             elapsed = self.clock.now() - asked
-            self.dispatch(api.ProbeResult(probe.server, reply.status, elapsed, reply.load))
+            load = reply.load or read_load(reply.body, fields)
+            self.dispatch(api.ProbeResult(probe.server, reply.status, elapsed, load))
 
-        path = "/metrics/load" if self.instance.settings.load_fields else "/alive"
+        fields = self.instance.settings.load_fields
+        path = "/metrics/load" if fields else "/alive"
         job = Job(probe.server, "GET", path, [], b"", asked + PROBE_MS, ended, new_work=False)
         self.upstream.start(job, self.directory.addresses.get(probe.server))
 
@@ -250,6 +266,12 @@
         self.dispatch(core.Sweep())
         self.later(SWEEP_MS, self._sweep)
 
+    def _tidy(self) -> None:
+        self.later(TIDY_MS, self._tidy)
+        now = self.clock.now()
+        for connection in list(self.connections):
+            connection.tidy(now)
+
     def _read_tenants(self) -> None:
         if self.book is None:
             return
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -26,7 +26,7 @@
 BACKLOG = 1024
 FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
-SPARE_SOCKETS = 0.5  # of the descriptors are left to ticket servers, counter and discovery
+CLIENT_SOCKETS = 0.7  # of the descriptors; the rest is left to ticket servers, counter and discovery
 
 Serve = Callable[[Link, Runtime], Awaitable[None]]
 
@@ -47,8 +47,12 @@
 
 async def accept(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
     """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
-    most = int(runtime.instance.limits.sockets * SPARE_SOCKETS)
+    most = int(runtime.instance.limits.sockets * CLIENT_SOCKETS)
     while True:
+        while len(runtime.connections) >= most:
+            # Clients that hold connections and say nothing must not shut the others out.
+            runtime.make_room()
+            await trio.sleep(0.01)
         try:
             sock, _ = listener.accept()
         except BlockingIOError:
@@ -62,12 +66,8 @@
             log.warning("accept_failed", extra=kv(reason=error))
             await trio.sleep(0.01)
         else:
-            if len(runtime.connections) >= most:
-                # Clients that hold connections and say nothing must not shut the others out.
-                runtime.make_room()
-            while len(runtime.connections) >= most:
-                await trio.sleep(0.01)
             runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
+            await trio.lowlevel.checkpoint()  # a crowd at the door must not keep those inside waiting
 
 
 def close_listener(listener: socket.socket) -> None:
--- a/wickspring/net/upstream.py
+++ b/wickspring/net/upstream.py
@@ -194,7 +194,7 @@
     def _sweep(self) -> None:
         oldest = self.clock.now() - IDLE_SHARE * self.settings.idle_close
         for server, pool in list(self.pools.items()):
-            self._close_idle(pool, oldest)
+            self._close_idle(pool, oldest if self.may_send(server) else 0.0)
             if not pool.carriers and not self.may_send(server):
                 del self.pools[server]
         self.timers.at(self.clock.now() + SWEEP_MS, self._sweep)
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -16,6 +16,7 @@
 MARGIN = 20.0  # ms before a deadline at which the final answer is given; several ticks of any host
 WINDOW_BURSTS, WINDOW_SPREAD = 4.0, 8.0  # window in burst/rate: so many at most, or this over the spread
 WINDOW_LEAST, WINDOW_MOST = 500.0, 25_000.0  # ms, bounds of a window: two stay within the counter's memory
+ACCOUNT_LIFE = 60_000.0  # ms unused after which an account says no more than a new one would
 ALONE_CHANCE, ALONE_MOST = 0.3, 3.0  # own part without counter: a share and part of its deviation; most
 HEAT_LIFE, HEAT_ASKED = 10_000.0, 1.5  # ms that use over quota is remembered; times it still asked for
 ASK_CUT, ASK_GROW = 0.8, 0.02  # odds of a call: part kept after a miss, more after an answer; so a slow
@@ -79,12 +80,15 @@
     # Quota: one add per request to the customer's count of the window; refusal when the store is spent.
 
     def _request(self, request: api.Request) -> None:
-        account = self.accounts.get(request.customer) or self._open_account(request)
+        account = self.accounts.pop(request.customer, None) or self._open_account(request)
+        self.accounts[request.customer] = account  # the longest unused come first, and are dropped
         kind = self.settings.classes[request.class_index]
         held = self.held[request.request] = Held(request, kind, account, self.now)
         self.retries = min(self.retries + (RETRY_SHARE, RETRY_LEAST)[self.delay > ROOM_DELAY], RETRY_MOST)
         account.units = request.units
         self._refill(account)
+        while (oldest := next(iter(self.accounts.values()))).at < self.now - ACCOUNT_LIFE:
+            del self.accounts[oldest.customer]
         if request.deadline - self.now < 2 * MARGIN:
             self._refuse(held)  # nothing could be answered in what is left
             return
@@ -107,8 +111,7 @@
         # An earlier life may have sent a burst on, which the quota let pass: what is held beyond it.
         ceiling = max(plan.ceiling_slack / 2, plan.ceiling_burst - plan.burst) / spread
         stores = (plan.burst, plan.burst, ceiling)
-        account = Account(request.customer, plan, spread, length, bursts <= 1.0, self.now, *stores)
-        return self.accounts.setdefault(request.customer, account)
+        return Account(request.customer, plan, spread, length, bursts <= 1.0, self.now, *stores)
 
     def _refill(self, account: Account) -> None:  # bring an account's stores and window up to now
         plan, passed, account.at = account.plan, self.now - account.at, self.now
@@ -348,6 +351,8 @@
             start = entry.started_at if entry.started_at > 0 else LONG_AGO
             server = self.servers.setdefault(entry.server, Server(entry, start))
             server.entry, server.cold_from = entry, max(server.cold_from, start)
+        for gone in [k for k, s in self.servers.items() if s.entry.readiness is Readiness.GONE and not s.out]:
+            del self.servers[gone]
         self.ready = [s for s in self.servers.values() if s.entry.readiness is Readiness.READY]
         self._serve_line()
 
