--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -74,8 +74,47 @@
             front.count(call.name, 0.0, Status.FULL)
         front.run(60)
     front.run(400)
-    asked = sum(len(every(front.request(customer=100 + n), api.Count)) for n in range(20))
-    assert 1 <= asked <= 20 * 2 * ASK_LEAST
+    asked = sum(len(every(front.request(customer=100 + n), api.Count)) for n in range(100))
+    assert 1 <= asked <= 100 * 2 * ASK_LEAST
+
+
+def test_calls_fall_while_answers_are_late_and_their_units_go_with_the_next(gateway: Build) -> None:
+    # A counter with a standing line answers all, too late for most: its delay counts, not misses alone.
+    front = gateway(servers=20, plan={"rate": 0.04, "burst": 1000.0})
+
+    def added(elapsed: float) -> tuple[int, float, int]:
+        calls, units, sent = 0, 0.0, 0
+        for _ in range(200):
+            front.now += 60
+            actions = front.request()
+            for call in every(actions, api.Count):
+                calls, units = calls + 1, units + call.amount
+                total = front.policy.accounts[7].total + call.amount
+                actions = actions + front.feed(api.CountAnswer(call.name, Status.OK, total, elapsed))
+            for send in every(actions, api.Send):
+                sent += 1
+                front.outcome(send, Status.OK)
+        return calls, units, sent
+
+    calls, units, sent = added(0.9 * 50.0)
+    assert calls < 60
+    assert sent == 200
+    assert 0.8 * sent <= units <= sent
+    assert added(2.0)[0] > 120
+
+
+@pytest.mark.parametrize(("elsewhere", "least", "most"), [(0.0, 3, 4), (9.0, 1, 2)])
+def test_cap_on_attempts_out_goes_by_where_requests_come_in(
+    gateway: Build, elsewhere: float, least: int, most: int
+) -> None:
+    front = gateway(servers=20, plan={"rate": 0.02, "burst": 1000.0, "most_open": 4})
+    sent, total = 0, 0.0
+    for _ in range(30):
+        front.now += 50
+        call = only(front.request(), api.Count)
+        total += call.amount + elsewhere
+        sent += len(every(front.count(call.name, total), api.Send))
+    assert least <= sent <= most
 
 
 def test_ceiling_holds_with_a_lying_counter(gateway: Build) -> None:
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -16,11 +17,14 @@
 MARGIN = 20.0  # ms before a deadline at which the final answer is given; several ticks of any host
 WINDOW_BURSTS, WINDOW_SPREAD = 4.0, 8.0  # window in burst/rate: so many at most, or this over the spread
 WINDOW_LEAST, WINDOW_MOST = 500.0, 25_000.0  # ms, bounds of a window: two stay within the counter's memory
+SHARE_MEMORY, OUT_MEMORY = 0.9, 1000.0  # kept of use by place at each total; ms, mean of attempts out
+OUT_CARE = 1.3  # times that mean for each as much that comes in elsewhere: theirs come in heaps too
 ACCOUNT_LIFE = 60_000.0  # ms unused after which an account says no more than a new one would
 ALONE_CHANCE, ALONE_MOST = 0.3, 3.0  # own part without counter: a share and part of its deviation; most
 HEAT_LIFE, HEAT_ASKED = 10_000.0, 1.5  # ms that use over quota is remembered; times it still asked for
 ASK_CUT, ASK_GROW = 0.8, 0.02  # odds of a call: part kept after a miss, more after an answer; so a slow
-ASK_LEAST = 0.2  # or small counter is not drowned; so many requests of any fleet show its return
+ASK_LEAST = 0.1  # or small counter is not drowned; so many requests of any fleet show its return
+ASK_DELAY = 0.5  # of its time-out: an answer as late as this cuts as a miss does, before the line is too long
 RETRY_SHARE, RETRY_LEAST = 0.5, 0.1  # attempts more, earned per request; the less while answers are slow:
 RETRY_MOST = 5.0  # a brown-out is not fed; saved by one gateway at most, half of it at first
 QUIET_SHARE, QUIET_ANSWERS = 0.35, 3.0  # of the aim, and mean answer times, before an attempt is looked into
@@ -99,9 +103,9 @@
             self._refuse(held)  # known to be spent, or far over while calls are short: no call
         elif self.settings.may_count and self.random.random() < self.ask:
             held.asking, owed, account.owed = True, account.owed, 0.0
-            self._count(account, request.units / self.ask + owed, request.request)  # stands for those unasked
-        else:
-            self._decide_alone(held)
+            self._count(account, request.units + owed, request.request)
+        elif self._decide_alone(held):
+            account.owed += request.units  # told with the next call
 
     def _open_account(self, request: api.Request) -> Account:
         plan, spread = self.settings.plans[request.plan_index], max(1, request.spread)
@@ -111,7 +115,9 @@
         # An earlier life may have sent a burst on, which the quota let pass: what is held beyond it.
         ceiling = max(plan.ceiling_slack / 2, plan.ceiling_burst - plan.burst) / spread
         stores = (plan.burst, plan.burst, ceiling)
-        return Account(request.customer, plan, spread, length, bursts <= 1.0, self.now, *stores)
+        account = Account(request.customer, plan, spread, length, bursts <= 1.0, self.now, *stores)
+        account.elsewhere = spread - 1.0
+        return account
 
     def _refill(self, account: Account) -> None:  # bring an account's stores and window up to now
         plan, passed, account.at = account.plan, self.now - account.at, self.now
@@ -138,9 +144,10 @@
         if not calls:
             del self.calls[answer.name]
         self._refill(account)
-        if answer.status is Status.OK:
+        limit = self.settings.count_timeout
+        if answer.status is Status.OK and answer.elapsed < ASK_DELAY * limit:
             self.ask = min(1.0, self.ask + ASK_GROW)
-        elif self.now >= self.cut_at + self.settings.count_timeout:  # misses come in heaps: one cut for each
+        elif self.now >= self.cut_at + limit:  # misses and late answers come in heaps: one cut for each
             self.ask, self.cut_at = max(ASK_LEAST, ASK_CUT * self.ask), self.now
         if window == account.window and answer.status is Status.OK:
             self._learn(account, amount, answer.total)
@@ -164,6 +171,9 @@
     def _learn(self, account: Account, amount: float, total: float) -> None:
         """Charge what the others have added since the last total to the customer's store."""
         plan, others = account.plan, total - account.total - amount
+        if others >= 0.0 and amount > 0.0:
+            account.own = SHARE_MEMORY * account.own + amount
+            account.elsewhere = SHARE_MEMORY * account.elsewhere + others
         if account.flat or self.now - account.heat_at > plan.burst / plan.rate:
             # Not seen for as long as a store takes to fill: the window's count decides. Its limit: a burst
             # and, in a window of several, what the rate owes to a customer always past it.
@@ -182,23 +192,44 @@
         heat = account.heat if self.now - account.heat_at < HEAT_LIFE else 0.0
         return heat > times and self.random.random() > times / heat
 
-    def _decide_alone(self, held: Held) -> None:
+    def _decide_alone(self, held: Held) -> bool:
         """Without the counter's answer: own part of the quota, less for who was seen far over it."""
         account, units = held.account, held.request.units
-        if min(account.alone, account.store) >= units and not self._hot(account, 1.0):
-            self._admit(held)
-        else:
-            self._refuse(held)
+        known = self.now - account.heat_at < 0
+        if account.store >= units and (known or account.alone >= units) and not self._hot(account, 1.0):
+            return self._admit(held)
+        self._refuse(held)
+        return False
 
-    def _admit(self, held: Held) -> None:
+    def _admit(self, held: Held) -> bool:
         account, units, plan = held.account, held.request.units, held.account.plan
-        too_many = plan.most_open > 0 and account.out >= max(1, plan.most_open // account.spread)
+        too_many = plan.most_open > 0 and self._at_cap(account)
         if too_many or (plan.ceiling_rate > 0 and account.ceiling < units):
             self._refuse(held)  # own parts of what must hold whatever the counter says
-            return
+            return False
         account.ceiling -= units
         account.store, account.alone = max(0.0, account.store - units), max(0.0, account.alone - units)
         self._send(held)
+        return True
+
+    def _at_cap(self, account: Account) -> bool:
+        """Tell whether the customer has as many attempts out, at all its gateways, as its plan allows.
+
+        What is out elsewhere is taken to be in proportion to what comes in there: an even share for each
+        gateway refused every third try of a customer far below its cap.
+        """
+        most = account.plan.most_open
+        if account.plan.rate <= 0:  # no totals tell where requests come in
+            return account.out >= max(1, most // account.spread)
+        elsewhere = OUT_CARE * self._out_mean(account) * account.elsewhere / account.own
+        return account.out > 0 and account.out + 1 + elsewhere > most
+
+    def _out_mean(self, account: Account) -> float:
+        """Return the mean of the customer's own attempts out, up to now."""
+        part = 1.0 - math.exp(min(0.0, account.out_at - self.now) / OUT_MEMORY)
+        account.out_mean += (account.out - account.out_mean) * part
+        account.out_at = self.now
+        return account.out_mean
 
     # Choice of server.
 
@@ -262,6 +293,7 @@
         held.open[attempt], self.attempts[number, attempt] = server, (server, held.account)
         if held.ran is None:
             held.ran, held.ran_at = server, self.now
+        self._out_mean(held.account)
         server.out, held.account.out = server.out + 1, held.account.out + 1
         heappush(self.due, (self.now + self._patience(held), number))
         self.actions.append(api.Send(number, server.entry.server, 0.0))
@@ -275,6 +307,7 @@
         server, account = self.attempts.pop((outcome.request, outcome.attempt), (None, None))
         if server is None or account is None:
             return
+        self._out_mean(account)
         server.out, account.out = server.out - 1, account.out - 1
         self._judge(server, outcome.status)
         held = self.held.get(outcome.request)
--- a/wickspring/state.py
+++ b/wickspring/state.py
@@ -45,6 +45,10 @@
     heat: float = 1.0  # use of all in parts of the quota, by the last total
     heat_at: float = LONG_AGO
     out: int = 0  # own attempts out
+    own: float = 1.0  # units that came here and elsewhere of late, by the totals seen
+    elsewhere: float = 0.0
+    out_mean: float = 0.0  # of `out`, over the time since `out_at`
+    out_at: float = LONG_AGO
 
 
 @dataclass(slots=True)
