Take the own part of a quota by where requests come in; weigh half-sent bodies together

- _refill gave each gateway (1 + 0.3 sqrt(spread)) / spread of the quota when alone: 1.4 quotas for a customer of two gateways.
- A garbled answer closed its connection, and all that waited on it was told as timed out, which cut the odds of calls as a crowded counter does.
It is told as a reset now.
- Bodies and heads that never end are weighed together: 64 KiB on each of 180 connections is more than an instance of 32 MB has to spare.
- The agent has a reload command, which sends SIGHUP to instances that are up.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -62,6 +62,7 @@
     speak2: tuple[str, ...] = (),
     plan: api.PlanSettings = BIG_PLAN,
     sockets: int = 1024,
+    memory_mb: float = 192.0,
     reread: server.Reread | None = None,
     **changes: Any,
 ) -> AsyncIterator[Site]:
@@ -80,7 +81,7 @@
             places = [await toy.start(nursery, one.serve) for one in (discovery, counter)]
             found, counted = (parse_address("address", place) for place in places)
             http2 = Http2(enabled=True, servers=speak2)
-            limits = Limits(sockets=sockets)
+            limits = Limits(sockets=sockets, memory_mb=memory_mb)
             instance = Instance("n0", local, found, counted, limits, Listing(), settings, http2)
             up = trio.Event()
             got: list[tuple[Runtime, list[tuple[str, int]]]] = []
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -173,10 +173,16 @@
                 assert (drained.state, drained.last_exit, drained.pid) == ("stopped", 0, None)
                 assert "ldap" in (await ask("status", "ldap")).error
                 assert (await ask("dance")).error == "no such command: dance"
+                assert (await ask("reload", "n1")).error == "not up, and not reloaded: n1"
                 await ask("start", "n1")
                 await states(n0="ready", n1="ready")
                 assert (await ask("restart")).error == ""
                 await states(n0="ready", n1="ready")
+                before = [one.pid for one in (await ask("status")).instances]
+                (tmp_path / "n0.json").write_text(json.dumps(example(counter="127.0.0.1:6499")))
+                assert (await ask("reload")).error == ""
+                await trio.sleep(0.2)
+                assert [one.pid for one in (await ask("status")).instances] == before
                 held = (await ask("tenants")).tenants
                 assert held is not None
                 assert [tenant.customer for tenant in held.tenants] == [f"{7:016x}"]
@@ -187,7 +193,9 @@
 
     with LdapServer([firm(7)]) as ldap:
         trio.run(main, ldap)
-    assert "event=tenants count=1" in capfd.readouterr().err  # told by an instance: the copy reached it
+    told = capfd.readouterr().err
+    assert "event=tenants count=1" in told  # by an instance: the copy reached it
+    assert "event=reloaded discovery=127.0.0.1:8500 counter=127.0.0.1:6499" in told
 
 
 def test_pause_grows_to_its_most(tmp_path: Path) -> None:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -197,6 +197,9 @@
     def later(self, delay: float, action: object) -> None:
         assert delay > 0
 
+    def weigh(self, connection: object, size: int) -> bool:
+        return True
+
     def leave(self, number: int) -> None:
         raise AssertionError("nothing was owed")
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -35,6 +35,15 @@
     assert [type(action) for action in front.request()] == [api.Refuse]
 
 
+def test_heap_of_requests_at_once_costs_no_more_calls_than_the_store_has_units(gateway: Build) -> None:
+    front = gateway()
+    actions = [action for _ in range(300) for action in front.request()]
+    assert len(every(actions, api.Count)) == 8
+    assert len(every(actions, api.Refuse)) == 292
+    for number, call in enumerate(every(actions, api.Count)):
+        assert every(front.count(call.name, number + 1.0), api.Send)
+
+
 @pytest.mark.parametrize("status", [Status.TIMEOUT, Status.FULL, Status.CONNECT_FAILED])
 def test_without_the_counter_the_own_part_is_granted_and_no_more(gateway: Build, status: Status) -> None:
     front = gateway()
@@ -66,6 +75,36 @@
     assert asked(Status.OK, 60) > 0.9
 
 
+def test_spoilt_answers_tell_of_no_crowd(gateway: Build) -> None:
+    front = gateway(servers=20)
+    for customer in range(40):
+        front.now += 100
+        call = only(front.request(customer=customer), api.Count)
+        front.count(call.name, 0.0, Status.RESET)
+
+
+@pytest.mark.parametrize(("elsewhere", "least", "most"), [(0.0, 6, 8), (9.0, 1, 2)])
+def test_own_part_without_the_counter_goes_by_where_requests_come_in(
+    gateway: Build, elsewhere: float, least: int, most: int
+) -> None:
+    front = gateway(servers=20, plan={"rate": 0.0002, "burst": 8.0})
+    front.request()
+    account = front.policy.accounts[7]
+    for _ in range(40):
+        front.policy._learn(account, 1.0, account.total + 1.0 + elsewhere)
+    account.store, account.alone, account.heat = 8.0, 8.0, 0.0
+    sent = 0
+    for _ in range(20):
+        front.now += 100
+        actions = front.request()
+        for call in every(actions, api.Count):
+            actions = actions + front.count(call.name, 0.0, Status.TIMEOUT)
+        sent += len(every(actions, api.Send))
+        for send in every(actions, api.Send):
+            front.outcome(send, Status.OK)
+    assert least <= sent <= most
+
+
 def test_small_counter_is_asked_less_and_again_when_it_answers(gateway: Build) -> None:
     front = gateway(servers=20)
     front.run(200)
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -15,6 +15,7 @@
 from tests.test_http1 import never
 from wickspring.net import link
 from wickspring.net.http1_link import MOST_INTERIM, AnswerReader
+from wickspring.net.runtime import HELD_SHARE
 from wickspring.net.upstream import Job
 
 POST = b"POST /api?customer=0000000000000007 HTTP/1.1\r\nHost: a\r\n"
@@ -132,6 +133,47 @@
     trio.run(main)
 
 
+def test_half_sent_bodies_together_stay_within_a_share_of_the_memory() -> None:
+    async def main() -> None:
+        async with site(ToyServer("s0"), memory_mb=16.0) as here:
+            head = good() + b"Transfer-Encoding: chunked\r\n\r\n"
+            streams = [await trio.open_tcp_stream(*here.http1) for _ in range(40)]
+            for stream in streams:
+                await stream.send_all(head + b"ea60\r\n" + b"x" * 60000)
+            got = [await stream.receive_some(100) for stream in streams[-10:]]
+            assert all(b" 503 " in answer for answer in got)
+            assert here.runtime._held <= 16 * 2**20 * HELD_SHARE
+            usual = await client1(here.http1)
+            assert (await usual.ask(request("ticket-reply", body=b"b" * 3000)))[0] == 200
+            for stream in streams:
+                await stream.aclose()
+            while here.runtime._held:
+                await trio.sleep(0.01)
+            assert not here.runtime._weights
+
+    trio.run(main)
+
+
+def test_half_sent_streams_together_stay_within_a_share_of_the_memory() -> None:
+    async def main() -> None:
+        async with site(ToyServer("s0"), memory_mb=8.0) as here:
+            rude = await client2(here.http2)
+            lines = [(":method", "POST"), (":path", "/api"), (":scheme", "http"), (":authority", "a")]
+            with pytest.raises((trio.BrokenResourceError, AssertionError)):
+                for stream in range(1, 81, 2):
+                    rude.http.send_headers(stream, lines)
+                    for _ in range(3):
+                        rude.http.send_data(stream, b"x" * 16384)
+                    await rude.flush()
+                    with trio.move_on_after(0.02):
+                        assert await rude.read(), "the connection ended"
+            while here.runtime._held:
+                await trio.sleep(0.01)
+            assert (await (await client2(here.http2)).ask(request()))[0] == 200
+
+    trio.run(main)
+
+
 def test_id_of_an_open_request_is_turned_away_and_the_first_goes_on() -> None:
     async def main() -> None:
         gate = trio.Event()
--- a/wickspring/agent/agent.py
+++ b/wickspring/agent/agent.py
@@ -45,6 +45,9 @@
                 supervisor.drain()
             for supervisor in chosen:
                 await supervisor.wait_for(State.STOPPED)
+        elif command.do == "reload":
+            down = [one.managed.name for one in chosen if not one.reload()]
+            error = f"not up, and not reloaded: {', '.join(down)}" if down else ""
         elif command.do == "restart":
             error = await self._restart(chosen)
         elif command.do not in ("status", "tenants"):
--- a/wickspring/agent/control.py
+++ b/wickspring/agent/control.py
@@ -21,7 +21,7 @@
 class Command(msgspec.Struct, frozen=True):
     """What the agent is asked to do."""
 
-    do: str  # status, tenants, drain, start or restart
+    do: str  # status, tenants, drain, start, reload or restart
     names: tuple[str, ...] = ()  # instances; none means all
 
 
--- a/wickspring/agent/supervisor.py
+++ b/wickspring/agent/supervisor.py
@@ -4,6 +4,7 @@
 
 import logging
 import os
+import signal
 import subprocess
 import sys
 from collections.abc import Callable
@@ -99,6 +100,13 @@
         self.wanted, self.failures = True, 0
         self._set(self.state)
 
+    def reload(self) -> bool:
+        """Have it read its configuration again; False where it is not up, and would end by the signal."""
+        if self.process is None or self.state not in (State.READY, State.SILENT):
+            return False
+        self.process.send_signal(signal.SIGHUP)
+        return True
+
     def drain(self) -> None:
         """Have it finish what it has taken, and stop."""
         self.wanted = False
--- a/wickspring/cli.py
+++ b/wickspring/cli.py
@@ -146,6 +146,7 @@
         ("status", "tell how an agent's instances are; fails unless all are ready"),
         ("drain", "have instances finish what they have taken, and stop"),
         ("start", "start instances that are stopped, or waiting after a failure"),
+        ("reload", "have instances read their configuration again, for discovery and counter"),
         ("restart", "drain and start instances, one after another"),
     ):
         add = commands.add_parser(word, help=text)
--- a/wickspring/net/counter.py
+++ b/wickspring/net/counter.py
@@ -169,8 +169,8 @@
             self.link.close()
         for waiting, _ in self.unwritten:
             self.counter.finish(waiting, Status.CONNECT_FAILED)
-        for waiting in self.line:
-            self.counter.finish(waiting, Status.TIMEOUT)
+        for waiting in self.line:  # no time-outs, which would tell the module of a crowded counter
+            self.counter.finish(waiting, Status.RESET)
         self.unwritten.clear()
         self.line.clear()
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -55,8 +55,14 @@
             self.http.receive_data(data)
             if self.number is None:
                 self.advance()
-            elif len(self.http.trailing_data[0]) > MOST_AHEAD:
+            ahead = len(self.http.trailing_data[0])
+            if self.number is not None and ahead > MOST_AHEAD:
                 break  # it goes on sending while its answer is owed, and all of it would be held
+            size = ahead + (len(self.body) if self.request is not None else 0)
+            if not self.runtime.weigh(self, size) and not self.ending:
+                if self.number is not None:
+                    break
+                self.answer(503, "", b"too much is being sent at once\n")
         self.ending = True
 
     def drop(self) -> None:
@@ -170,6 +176,8 @@
     def finish(self) -> None:
         """End the connection after what has been written."""
         self.ending = True
+        self.body = bytearray()
+        self.runtime.weigh(self, 0)
         self.link.finish()
         self.runtime.later(LINGER_MS, self.link.close)
 
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -91,6 +91,13 @@
             self.flush()
             self.finish_now()
             return
+        if not self.runtime.weigh(self, sum(len(stream.body) for stream in self.streams.values())):
+            log.warning("client_holds_too_much", extra=kv(streams=len(self.streams)))
+            self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
+            self.drop()
+            self.flush()
+            self.finish_now()
+            return
         self.flush()
         if self.refusing and not self.streams:
             self.finish_now()
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -44,6 +44,8 @@
 
 SWEEP_MS = 100.0
 TIDY_MS = 200.0
+HELD_SHARE = 0.06  # of the memory, for unfinished requests; past it, who holds more than a little is ended
+LIGHT = 4096  # bytes; usual requests are smaller
 MAKE_ROOM = 8  # connections ended at a time, so that who knocks is let in at once
 REPORT_MS = 10_000.0
 PROBE_MS = 1000.0
@@ -101,6 +103,8 @@
         self.ready = False
         self.draining = False
         self.answers: Tally[str] = Tally()
+        self._weights: dict[Connection, int] = {}  # bytes of unfinished requests
+        self._held = 0  # their sum
         self._clients: dict[int, tuple[Call, Client]] = {}
         self._jobs: dict[tuple[int, int], Job] = {}
         self._news: deque[core.Event] = deque()
@@ -132,6 +136,7 @@
             log.exception("client_connection_failed", extra=kv(reason=error))
         finally:
             connection.drop()
+            self.weigh(connection, 0)
             link.close()
             self.connections.discard(connection)
 
@@ -180,6 +185,16 @@
             if since < latest:
                 connection.end_quiet()
 
+    def weigh(self, connection: Connection, size: int) -> bool:
+        """Note the bytes of unfinished requests that a connection holds; False where it has to let go.
+
+        Each alone is bounded, but hundreds of them at their bounds would be more than a small instance has.
+        """
+        self._held += size - self._weights.pop(connection, 0)
+        if size:
+            self._weights[connection] = size
+        return size <= LIGHT or self._held <= HELD_SHARE * self.instance.limits.memory_mb * 2**20
+
     # Events in, effects out.
 
     def dispatch(self, event: core.Event) -> None:
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -20,7 +20,7 @@
 SHARE_MEMORY, OUT_MEMORY = 0.9, 1000.0  # kept of use by place at each total; ms, mean of attempts out
 OUT_CARE = 1.3  # times that mean for each as much that comes in elsewhere: theirs come in heaps too
 ACCOUNT_LIFE = 60_000.0  # ms unused after which an account says no more than a new one would
-ALONE_CHANCE, ALONE_MOST = 0.3, 3.0  # own part without counter: a share and part of its deviation; most
+ALONE_PART = 0.85  # own part without counter, of what comes in here; the clients of many come again elsewhere
 HEAT_LIFE, HEAT_ASKED = 10_000.0, 1.5  # ms that use over quota is remembered; times it still asked for
 ASK_CUT, ASK_GROW = 0.8, 0.02  # odds of a call: part kept after a miss, more after an answer; so a slow
 ASK_LEAST = 0.1  # or small counter is not drowned; so many requests of any fleet show its return
@@ -56,7 +56,7 @@
         self.timer_at, self.timer_token = float("inf"), 0  # of the earliest timer that has been asked for
         self.random = Random(settings.seed)
         self.ready: list[Server] = []
-        self.calls: dict[int, deque[tuple[Account, int, float, int]]] = {}  # by name, in order of asking
+        self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
@@ -99,11 +99,15 @@
         heappush(self.due, (request.deadline - MARGIN, request.request))
         if account.plan.rate <= 0:
             self._admit(held)
-        elif account.store < request.units or (self.ask < 1.0 and self._hot(account, HEAT_ASKED)):
-            self._refuse(held)  # known to be spent, or far over while calls are short: no call
+        elif account.store - account.asked < request.units or (
+            self.ask < 1.0 and self._hot(account, HEAT_ASKED)
+        ):
+            # Known to be spent, if by what is being asked for (a heap of requests at once would drown the
+            # counter), or far over while calls are short: no call.
+            self._refuse(held)
         elif self.settings.may_count and self.random.random() < self.ask:
             held.asking, owed, account.owed = True, account.owed, 0.0
-            self._count(account, request.units + owed, request.request)
+            self._count(account, request.units + owed, request.request, request.units)
         elif self._decide_alone(held):
             account.owed += request.units  # told with the next call
 
@@ -121,7 +125,7 @@
 
     def _refill(self, account: Account) -> None:  # bring an account's stores and window up to now
         plan, passed, account.at = account.plan, self.now - account.at, self.now
-        part = min(1.0, (1.0 + min(ALONE_MOST - 1.0, ALONE_CHANCE * account.spread**0.5)) / account.spread)
+        part = ALONE_PART * account.own / (account.own + account.elsewhere)
         alone_most = min(plan.burst, max(plan.burst * part, account.units))  # one request each at least
         account.store = min(plan.burst, account.store + plan.rate * passed)
         account.alone = min(alone_most, account.alone + plan.rate * part * passed)
@@ -132,22 +136,25 @@
         if int(position) != account.window:
             account.window, account.total, account.owed = int(position), 0.0, 0.0
 
-    def _count(self, account: Account, amount: float, request: int) -> None:
+    def _count(self, account: Account, amount: float, request: int, asked: float = 0.0) -> None:
         name = (account.window % 2**31) << 33 | account.customer
-        self.calls.setdefault(name, deque()).append((account, account.window, amount, request))
+        self.calls.setdefault(name, deque()).append((account, account.window, amount, request, asked))
+        account.asked += asked
         self.actions.append(api.Count(name, amount, 2 * account.length))
 
     def _counted(self, answer: api.CountAnswer) -> None:
         if not (calls := self.calls.get(answer.name)):
             return
-        account, window, amount, number = calls.popleft()
+        account, window, amount, number, asked = calls.popleft()
+        account.asked = max(0.0, account.asked - asked)
         if not calls:
             del self.calls[answer.name]
         self._refill(account)
         limit = self.settings.count_timeout
         if answer.status is Status.OK and answer.elapsed < ASK_DELAY * limit:
             self.ask = min(1.0, self.ask + ASK_GROW)
-        elif self.now >= self.cut_at + limit:  # misses and late answers come in heaps: one cut for each
+        elif answer.status is not Status.RESET and self.now >= self.cut_at + limit:
+            # Misses and late answers come in heaps: one cut for each. A spoilt answer tells of no crowd.
             self.ask, self.cut_at = max(ASK_LEAST, ASK_CUT * self.ask), self.now
         if window == account.window and answer.status is Status.OK:
             self._learn(account, amount, answer.total)
--- a/wickspring/state.py
+++ b/wickspring/state.py
@@ -40,6 +40,7 @@
     window: int = -1
     window_left: float = 0.0  # ms to its end
     total: float = 0.0  # last total seen in this window
+    asked: float = 0.0  # units that calls are out for
     owed: float = 0.0  # units to be added or taken off with the next call
     units: float = 0.0  # of the last request
     heat: float = 1.0  # use of all in parts of the quota, by the last total
