--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -12,11 +12,11 @@
 
 from example.toy import Answer, Seen, ToyServer, echo
 from tests.loopback import BIG_PLAN, IDS, client1, client2, request, site
-from tests.test_http1 import never
+from tests.test_http1 import abort, never
 from wickspring.net import link
 from wickspring.net.http1_link import MOST_INTERIM, AnswerReader
 from wickspring.net.runtime import HELD_SHARE
-from wickspring.net.upstream import Job
+from wickspring.net.upstream import Job, Reuse
 
 POST = b"POST /api?customer=0000000000000007 HTTP/1.1\r\nHost: a\r\n"
 
@@ -287,6 +287,45 @@
     assert reader.reusable() == (not surplus)
 
 
+def test_connections_that_are_reset_after_a_short_idle_time_are_not_used_again() -> None:
+    async def main() -> None:
+        async def behave(seen: Seen) -> Answer:
+            side = seen.connection
+            now, last = trio.current_time(), getattr(side, "last", None)
+            if last is not None and now - last > 0.06:
+                abort(seen)
+                return Answer(reset=0)
+            side.last = now  # type: ignore[union-attr]
+            return await echo(seen)
+
+        async with site(ToyServer("s0", behave)) as here:
+            client, got = await client1(here.http1), list[int]()
+            for _ in range(30):
+                got.append((await client.ask(request("ticket-escalate")))[0])
+                await trio.sleep(0.08)
+            assert 200 not in got[1:2]  # the first use after a pause is lost,
+            assert got.count(502) <= 6  # and what was learnt holds for the rest
+
+    trio.run(main)
+
+
+def test_reuse_is_trusted_again_and_resets_of_any_age_are_no_sign() -> None:
+    reuse = Reuse()
+    for _ in range(20):
+        reuse.note(300.0, True)
+    assert not reuse.trusted(300.0)
+    assert reuse.trusted(20.0)
+    assert reuse.trusted(5000.0)
+    for _ in range(60):
+        reuse.forget()
+    assert reuse.trusted(300.0)
+    for _ in range(50):
+        for idle in (5.0, 300.0):
+            reuse.note(idle, True)
+            reuse.note(idle, False)
+    assert reuse.trusted(300.0)
+
+
 def test_cut_answer_is_none() -> None:
     reader = AnswerReader()
     reader.request(Job(b"s", "GET", "/", [], b"", 0.0, lambda _: None))
--- a/wickspring/net/http1_link.py
+++ b/wickspring/net/http1_link.py
@@ -86,6 +86,7 @@
         self.reader = AnswerReader()
         self.idle_since = upstream.clock.now()
         self.closed = False
+        self.idle: float | None = None  # ms idle before the present job; None on a new connection
         self.sent = False  # bytes of the present job have gone out
 
     def room(self) -> int:
@@ -104,6 +105,7 @@
         """Write the job now, or once the connection is up."""
         self.job = job
         if self.link is not None:
+            self.idle = self.upstream.clock.now() - self.idle_since
             self._write(job, self.link)
 
     def _write(self, job: Job, link: Link) -> None:
@@ -147,6 +149,8 @@
         # connection in no state to be used again.
         if not (self.link is not None and self.link.flushed and self.reader.reusable()):
             self.closed = True
+        if self.idle is not None:
+            self.upstream.reuse.note(self.idle, reset=False)
         reply = read_reply(*answer, self.upstream.settings.load_fields)
         self._end(reply)
 
@@ -172,4 +176,6 @@
         if self.link is not None:
             self.link.close()
         if self.job is not None:
+            if written and self.idle is not None:
+                self.upstream.reuse.note(self.idle, reset=True)
             self._end(Reply(Status.RESET if written else Status.CONNECT_FAILED))
--- a/wickspring/net/upstream.py
+++ b/wickspring/net/upstream.py
@@ -24,6 +24,8 @@
 
 IDLE_SHARE = 0.6  # of the servers' IdleClose: a connection idle for longer is closed, not written to
 SWEEP_MS = 1000.0
+OCTAVES, FIRST_OCTAVE = 12, 32.0  # of idle times, and ms that the first one lasts
+REMEMBERED, MORE_RESETS = 0.9, 0.1  # kept at each sweep; share of resets above the usual that is borne
 MOST_ANSWER = 64 * 1024
 
 
@@ -102,6 +104,38 @@
     carriers: list[Carrier] = field(default_factory=list)
 
 
+class Reuse:
+    """How long a connection may have been idle and still be used, learnt from requests reset on such ones.
+
+    Some ticket servers let go of idle connections far sooner than the settings say, and in a way that shows
+    with the next request alone; what was written then counts as possibly run.
+    """
+
+    def __init__(self) -> None:
+        self._used = [0.0] * OCTAVES  # by idle time, each octave twice as long as the one before
+        self._reset = [0.0] * OCTAVES
+
+    def _octave(self, idle: float) -> int:
+        return min(OCTAVES - 1, int(max(idle, 0.0) / FIRST_OCTAVE).bit_length())
+
+    def note(self, idle: float, reset: bool) -> None:
+        """Note how a request ended on a connection that had been idle for so many milliseconds."""
+        octave = self._octave(idle)
+        self._used[octave] += 1.0
+        self._reset[octave] += reset
+
+    def forget(self) -> None:
+        """Let go of a part, so that what is not trusted is tried again after some seconds."""
+        self._used = [REMEMBERED * used for used in self._used]
+        self._reset = [REMEMBERED * reset for reset in self._reset]
+
+    def trusted(self, idle: float) -> bool:
+        """Tell whether requests fare about as well as on connections that were hardly idle."""
+        octave = self._octave(idle)
+        usual = self._reset[0] / (self._used[0] + 1.0)
+        return octave == 0 or self._reset[octave] <= 1.0 + (usual + MORE_RESETS) * self._used[octave]
+
+
 class Upstream:
     """Starts and stops jobs; owns the pools."""
 
@@ -118,6 +152,7 @@
         self.may_send, self._make = may_send, make
         self.pools: dict[api.ServerId, Pool] = {}
         self.dials = 0
+        self.reuse = Reuse()
         self.timers.at(self.clock.now() + SWEEP_MS, self._sweep)
 
     def start(self, job: Job, address: tuple[str, int] | None) -> None:
@@ -151,12 +186,16 @@
 
     def _ready(self, pool: Pool) -> Carrier | None:
         """Return the connection used last of those with room, so that spare ones fall idle and go."""
-        oldest = self.clock.now() - IDLE_SHARE * self.settings.idle_close
+        now = self.clock.now()
+        oldest = now - IDLE_SHARE * self.settings.idle_close
         for carrier in reversed(pool.carriers):
             if carrier.room():
                 # A server closes what is idle; its close may have come and not been read yet, and work
                 # written after it would count as possibly run.
-                if not carrier.busy() and (carrier.idle_since < oldest or carrier.stale()):
+                since = carrier.idle_since
+                if not carrier.busy() and (
+                    since < oldest or not self.reuse.trusted(now - since) or carrier.stale()
+                ):
                     carrier.close()
                     continue
                 return carrier
@@ -192,6 +231,7 @@
             carrier.abandon(job)
 
     def _sweep(self) -> None:
+        self.reuse.forget()
         oldest = self.clock.now() - IDLE_SHARE * self.settings.idle_close
         for server, pool in list(self.pools.items()):
             self._close_idle(pool, oldest if self.may_send(server) else 0.0)
