Give connections to ticket servers pools that bound dials and learn what idle ones risk

Change: wickspring/connections holds the decisions, free of I/O and clock: pools as a reducer (a line per server, dials made for the line, bounds at once and a second, jittered pauses, retirement, opening ahead) and the hazards learnt per server by idle time and age. net/upstream carries them out. Limits are read from deploy/connections.toml.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -22,6 +22,7 @@
 from wickspring.net.http2_wire import Frames, GoAway
 from wickspring.net.http2_wire import settings as http2_settings
 from wickspring.net.runtime import Runtime
+from wickspring.net.upstream.carrier import Job
 
 IDS = count(1)
 KINDS = {
@@ -32,6 +33,14 @@
 BIG_PLAN = replace(PLAN, name="big", rate=1.0, burst=1000.0)
 
 
+def job(method: str, target: str, body: bytes = b"") -> Job:
+    """Make a job for a reader of answers alone."""
+    headers = [("X-Call-Id", "1")]
+    place = ("127.0.0.1", 1)
+    return Job(b"s", place, False, 0.0, method=method, target=target, headers=headers, body=body,
+               done=lambda _: None)  # fmt: skip
+
+
 @dataclass
 class Site:
     """A running ingress and what stands around it."""
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -13,18 +13,18 @@
 from hypothesis import strategies as st
 
 from tests.gateway import KIND, PLAN, make_settings
+from tests.loopback import job
 from wickspring import interface as api
 from wickspring.net import counter, discovery
 from wickspring.net.calls import CallError, CallReader, Client
 from wickspring.net.clock import Clock
 from wickspring.net.http1_front import Http1Connection
-from wickspring.net.http1_link import AnswerReader
+from wickspring.net.upstream.http1 import AnswerReader
 from wickspring.net.http2_front import Http2Connection
 from wickspring.net.http2_wire import Frames
 from wickspring.net.link import Link
-from wickspring.net.reports import read_reply
+from wickspring.net.upstream.reports import read_reply
 from wickspring.net.runtime import Runtime
-from wickspring.net.upstream import Job
 
 same = settings(derandomize=True, max_examples=60, deadline=None, database=None)
 cuts = st.lists(st.integers(1, 40), min_size=1, max_size=30)
@@ -139,7 +139,7 @@
 
 
 def ask(reader: AnswerReader) -> None:
-    reader.request(Job(b"s", "POST", "/api?customer=0", [("X-Call-Id", "1")], b"text", 0.0, lambda _: None))
+    reader.request(job("POST", "/api?customer=0", b"text"))
 
 
 @same
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -11,12 +11,11 @@
 import trio
 
 from example.toy import Answer, Seen, ToyServer, echo
-from tests.loopback import BIG_PLAN, IDS, client1, client2, request, site
+from tests.loopback import BIG_PLAN, IDS, client1, client2, job, request, site
 from tests.test_http1 import abort, never
 from wickspring.net import link
-from wickspring.net.http1_link import MOST_INTERIM, AnswerReader
+from wickspring.net.upstream.http1 import MOST_INTERIM, AnswerReader
 from wickspring.net.runtime import HELD_SHARE
-from wickspring.net.upstream import Job, Reuse
 
 POST = b"POST /api?customer=0000000000000007 HTTP/1.1\r\nHost: a\r\n"
 
@@ -279,7 +278,7 @@
     ahead: int, surplus: bytes
 ) -> None:
     reader = AnswerReader()
-    reader.request(Job(b"s", "GET", f"/{next(IDS)}", [], b"", 0.0, lambda _: None))
+    reader.request(job("GET", f"/{next(IDS)}"))
     raw = b"HTTP/1.1 103 Early Hints\r\n\r\n" * ahead + HEAD + b"Content-Length: 3\r\n\r\nabc"
     answer = reader.feed(raw + surplus)
     assert answer is not None
@@ -309,26 +308,9 @@
     trio.run(main)
 
 
-def test_reuse_is_trusted_again_and_resets_of_any_age_are_no_sign() -> None:
-    reuse = Reuse()
-    for _ in range(20):
-        reuse.note(300.0, True)
-    assert not reuse.trusted(300.0)
-    assert reuse.trusted(20.0)
-    assert reuse.trusted(5000.0)
-    for _ in range(60):
-        reuse.forget()
-    assert reuse.trusted(300.0)
-    for _ in range(50):
-        for idle in (5.0, 300.0):
-            reuse.note(idle, True)
-            reuse.note(idle, False)
-    assert reuse.trusted(300.0)
-
-
 def test_cut_answer_is_none() -> None:
     reader = AnswerReader()
-    reader.request(Job(b"s", "GET", "/", [], b"", 0.0, lambda _: None))
+    reader.request(job("GET", "/"))
     assert reader.feed(HEAD + b"Content-Length: 4\r\n\r\nabc") is None
     with pytest.raises(h11.RemoteProtocolError):
         reader.feed(b"")
--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -18,9 +18,11 @@
 import msgspec
 
 from wickspring import interface as api
+from wickspring.connections.limits import ConnectionLimits
 
 EFFECT = {"repeatable": api.Effect.SAFE, "by_key": api.Effect.KEYED, "once": api.Effect.UNSAFE}
-HTTP2_FILE = Path(__file__).parent.parent / "deploy" / "http2.toml"
+DEPLOY = Path(__file__).parent.parent / "deploy"
+HTTP2_FILE, CONNECTIONS_FILE = DEPLOY / "http2.toml", DEPLOY / "connections.toml"
 
 
 class ConfigError(ValueError):
@@ -87,6 +89,7 @@
     known: Listing
     settings: api.Settings
     http2: Http2
+    connections: ConnectionLimits = ConnectionLimits()  # to ticket servers
     tenants: Path | None = None  # the agent's copy of the directory, where there is one
 
 
@@ -248,6 +251,20 @@
     return http2
 
 
+def load_connections(path: Path) -> ConnectionLimits:
+    """Read the file that bounds connections to ticket servers; without a file the defaults hold."""
+    if not path.exists():
+        return ConnectionLimits()
+    try:
+        limits = msgspec.convert(tomllib.loads(path.read_text()), ConnectionLimits)
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        raise ConfigError(f"{path.name}: {error}") from error
+    fault = limits.faults()
+    if fault:
+        raise ConfigError(f"{path.name}: {fault}")
+    return limits
+
+
 def load_instance(path: Path, env: Mapping[str, str], http2_path: Path = HTTP2_FILE) -> Instance:
     """Read and check all that one ingress needs; the environment wins over the file."""
     try:
@@ -276,6 +293,7 @@
         known=file.known,
         settings=settings,
         http2=load_http2(http2_path),
+        connections=load_connections(Path(env.get("GW_CONNECTIONS") or CONNECTIONS_FILE)),
         tenants=Path(env["GW_TENANTS"]) if env.get("GW_TENANTS") else None,
     )
 
--- /dev/null
+++ b/wickspring/connections/hazard.py
@@ -0,0 +1,192 @@
+"""How likely a request is to be lost on a connection, learnt from how others fared.
+
+Two things can go wrong with a connection that has been idle. It may be dead already and say so with the next
+request alone (`direct`: the share of requests that were lost, by how long the connection had been idle). Or
+its server may just be closing it: the close is on its way, or decided and not carried out yet (`closing`: the
+hazard of a close by idle time, as in a life table, over the next `RACE_MS`). Age works like idle time, but
+only for closes that idle time does not explain: else every server that closes idle links would seem to close
+old ones too, since old ones have been idle most often.
+
+Each server has figures of its own, which count for more than the site's as they grow; all fade.
+Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from wickspring import interface as api
+
+BINS = 16
+FIRST_BIN_MS = 8.0  # the first bin's width; each further one is twice as wide as all before it
+AGE_FIRST_MS = 250.0
+RACE_MS = 40.0  # between a server's decision to close and the time that it shows here, at most
+PRIOR = 0.002  # chance of a loss where nothing is known, for short idle times
+LONG_MS, LONG_PRIOR = 4096.0, 0.02  # the same for idle times from here on: few are seen, many links are cut
+PRIOR_WEIGHT = 4.0  # requests that the prior counts for against the site's figures
+SITE_WEIGHT = 6.0  # requests that the site's figures count for against a server's own
+FADE_MS = 20_000.0  # time in which what was learnt falls to 1/e
+
+
+def bin_of(time: float, first: float = FIRST_BIN_MS) -> int:
+    """Return the bin of an idle time or an age."""
+    return min(BINS - 1, int(max(time, 0.0) / first).bit_length())
+
+
+def edges(index: int, first: float = FIRST_BIN_MS) -> tuple[float, float]:
+    """Return where a bin begins and ends; the last one never ends."""
+    low = 0.0 if index == 0 else first * 2.0 ** (index - 1)
+    return low, math.inf if index == BINS - 1 else first * 2.0**index
+
+
+def _zeros() -> list[float]:
+    return [0.0] * BINS
+
+
+@dataclass(slots=True)
+class Curve:
+    """Counts by idle time: requests and those lost; idle spells that reached a bin and those closed in it."""
+
+    written: list[float] = field(default_factory=_zeros)
+    lost: list[float] = field(default_factory=_zeros)
+    reached: list[float] = field(default_factory=_zeros)
+    closed: list[float] = field(default_factory=_zeros)
+
+    def fade(self, keep: float) -> None:
+        """Keep a share of everything."""
+        for figures in (self.written, self.lost, self.reached, self.closed):
+            for index, figure in enumerate(figures):
+                if figure:
+                    figures[index] = figure * keep if figure > 1e-3 else 0.0
+
+
+@dataclass(slots=True)
+class Ages:
+    """Closes by age, beyond what idle time explains, and the idle milliseconds spent at that age."""
+
+    excess: list[float] = field(default_factory=_zeros)
+    spent: list[float] = field(default_factory=_zeros)
+
+    def fade(self, keep: float) -> None:
+        """Keep a share of everything."""
+        self.excess = [figure * keep for figure in self.excess]
+        self.spent = [figure * keep for figure in self.spent]
+
+
+@dataclass(slots=True)
+class Own:
+    """One server's figures; connections that have carried a request, and those that have not."""
+
+    used: Curve = field(default_factory=Curve)
+    unused: Curve = field(default_factory=Curve)
+    ages: Ages = field(default_factory=Ages)
+
+    def curve(self, unused: bool) -> Curve:
+        """Return the curve of either kind of connection."""
+        return self.unused if unused else self.used
+
+
+class Hazards:
+    """What is known of all servers."""
+
+    def __init__(self) -> None:
+        self.site = Own()
+        self.servers: dict[api.ServerId, Own] = {}
+        self._faded_at: float | None = None
+
+    def _own(self, server: api.ServerId) -> Own:
+        own = self.servers.get(server)
+        if own is None:
+            own = self.servers[server] = Own()
+        return own
+
+    # What is seen.
+
+    def spell(self, server: api.ServerId, idle: float, age: float, unused: bool, closed: bool) -> None:
+        """Note the end of an idle spell, by a request or (`closed`) by the server."""
+        last = bin_of(idle)
+        expected = self._closed_by(server, idle, unused)
+        for own in (self.site, self._own(server)):
+            curve = own.curve(unused)
+            for index in range(last + 1):
+                curve.reached[index] += 1.0
+            curve.closed[last] += closed
+            at = bin_of(age, AGE_FIRST_MS)
+            own.ages.excess[at] += closed - expected
+            own.ages.spent[at] += idle
+
+    def fared(self, server: api.ServerId, idle: float, unused: bool, lost: bool) -> None:
+        """Note how a request fared that was written after so long an idle spell."""
+        index = bin_of(idle)
+        for own in (self.site, self._own(server)):
+            curve = own.curve(unused)
+            curve.written[index] += 1.0
+            curve.lost[index] += lost
+
+    def forget(self, server: api.ServerId) -> None:
+        """Drop a server's figures: it has gone, or begun anew."""
+        self.servers.pop(server, None)
+
+    def fade(self, now: float) -> None:
+        """Let what was learnt fade with time, so that what is not trusted is tried again."""
+        passed = 0.0 if self._faded_at is None else now - self._faded_at
+        self._faded_at = now
+        if passed <= 0.0:
+            return
+        keep = math.exp(-passed / FADE_MS)
+        for own in (self.site, *self.servers.values()):
+            own.used.fade(keep)
+            own.unused.fade(keep)
+            own.ages.fade(keep)
+
+    # What follows.
+
+    def risk(self, server: api.ServerId, idle: float, age: float, unused: bool) -> float:
+        """Return the chance that a request written now is lost to the connection's end."""
+        own, site = self.servers.get(server), self.site.curve(unused)
+        curve = own.curve(unused) if own is not None else None
+        index = bin_of(idle)
+        prior = PRIOR if idle < LONG_MS else LONG_PRIOR
+        chance = (site.lost[index] + prior * PRIOR_WEIGHT) / (site.written[index] + PRIOR_WEIGHT)
+        if curve is not None:
+            chance = (curve.lost[index] + chance * SITE_WEIGHT) / (curve.written[index] + SITE_WEIGHT)
+        return max(chance, self._closing(site, curve, index, idle), self._by_age(own, age))
+
+    def _hazard(self, site: Curve, curve: Curve | None, index: int) -> float:
+        chance = site.closed[index] / (site.reached[index] + PRIOR_WEIGHT)
+        if curve is not None:
+            chance = (curve.closed[index] + chance * SITE_WEIGHT) / (curve.reached[index] + SITE_WEIGHT)
+        return min(chance, 1.0)
+
+    def _closing(self, site: Curve, curve: Curve | None, index: int, idle: float) -> float:
+        """Return the chance of a close within `RACE_MS`, given so long an idle time."""
+        open_still, end = 1.0, idle + RACE_MS
+        while index < BINS:
+            low, high = edges(index)
+            share = (min(end, high) - max(idle, low)) / (high - low) if high < math.inf else RACE_MS / low
+            if site.closed[index]:
+                open_still *= 1.0 - self._hazard(site, curve, index) * share
+            if end <= high:
+                break
+            index += 1
+        return 1.0 - open_still
+
+    def _closed_by(self, server: api.ServerId, idle: float, unused: bool) -> float:
+        """Return the chance that a spell is over by a close before so long an idle time."""
+        site, own = self.site.curve(unused), self.servers.get(server)
+        curve, open_still = (own.curve(unused) if own is not None else None), 1.0
+        for index in range(bin_of(idle) + 1):
+            if site.closed[index]:
+                low, high = edges(index)
+                share = min(1.0, (idle - low) / (high - low)) if high < math.inf else 1.0
+                open_still *= 1.0 - self._hazard(site, curve, index) * share
+        return 1.0 - open_still
+
+    def _by_age(self, own: Own | None, age: float) -> float:
+        index, chance = bin_of(age, AGE_FIRST_MS), 0.0
+        for ages in (self.site.ages, own.ages if own is not None else None):
+            # Two closes more than expected may be chance; a server that ends old connections shows more.
+            if ages is not None and ages.excess[index] > 2.0 and ages.spent[index] > 0.0:
+                chance = max(chance, (ages.excess[index] - 2.0) / ages.spent[index] * RACE_MS)
+        return min(chance, 1.0)
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -14,6 +14,7 @@
 
 from wickspring import interface as api
 from wickspring.config import Instance
+from wickspring.connections.pools import Conn
 from wickspring.core import effects as core
 from wickspring.core.invariants import broken
 from wickspring.core.reducer import Reducer
@@ -32,12 +33,13 @@
 from wickspring.net.clock import Clock
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory, Discovery
-from wickspring.net.http1_link import Http1Link
-from wickspring.net.http2_link import Http2Link
 from wickspring.net.link import Link
-from wickspring.net.reports import read_load
 from wickspring.net.timers import Timers
-from wickspring.net.upstream import Carrier, Job, Reply, Upstream
+from wickspring.net.upstream.carrier import Carrier, Job, Reply
+from wickspring.net.upstream.http1 import Http1Link
+from wickspring.net.upstream.http2 import Http2Link
+from wickspring.net.upstream.manager import Upstream
+from wickspring.net.upstream.reports import read_load
 from wickspring.tenants import PlanBook, TenantsError
 
 log = logging.getLogger(__name__)
@@ -95,13 +97,14 @@
         self.calls = CallReader(settings, self.book)
         self.directory = Directory(settings.zones)
         self.discovery = Discovery(instance.discovery, self.directory, nursery, self.dispatch)
+        self.connections: set[Connection] = set()
         self.upstream = Upstream(
-            settings, self.clock, self.timers, nursery, self.reducer.may_send, self._make_carrier
-        )
+            settings, instance.connections, instance.limits.sockets, lambda: len(self.connections),
+            self.clock, self.timers, nursery, self.reducer.entries.get, self._make_carrier, self._expect,
+        )  # fmt: skip
         self.counter = Counter(
             instance.counter, settings, self.clock, self.timers, nursery, self.dispatch
         )
-        self.connections: set[Connection] = set()
         self.most_connections = int(instance.limits.sockets * CLIENT_SOCKETS)
         self.ready = False
         self.draining = False
@@ -118,11 +121,15 @@
         self.later(REPORT_MS, self._report)
         self._read_tenants()
 
-    def _make_carrier(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> Carrier:
+    def _speaks2(self, server: api.ServerId) -> bool:
         speakers = self.instance.http2.servers if self.instance.http2.enabled else ()
-        if "*" in speakers or server.decode() in speakers:
-            return Http2Link(upstream, server, address)
-        return Http1Link(upstream, server, address)
+        return "*" in speakers or server.decode() in speakers
+
+    def _make_carrier(self, upstream: Upstream, conn: Conn) -> Carrier:
+        return Http2Link(upstream, conn) if self._speaks2(conn.server) else Http1Link(upstream, conn)
+
+    def _expect(self, server: api.ServerId) -> int:
+        return self.instance.settings.streams_per_connection if self._speaks2(server) else 1
 
     def later(self, delay: float, action: Callable[[], None]) -> None:
         """Call `action` after so many milliseconds."""
@@ -263,9 +270,17 @@
         if call.key:
             headers.append(("Idempotency-Key", call.key))
         ended = partial(self._attempt_ended, start.request, start.attempt)
-        job = Job(start.server, call.method, call.target, headers, call.body, start.until, ended)
+        address = self.directory.addresses.get(start.server)
+        if address is None:
+            ended(Reply(api.Status.CONNECT_FAILED))
+            return
+        once = self.instance.settings.classes[call.class_index].effect is api.Effect.UNSAFE
+        job = Job(
+            start.server, address, once, start.until, method=call.method, target=call.target, headers=headers,
+            body=call.body, done=ended,
+        )  # fmt: skip
         self._jobs[start.request, start.attempt] = job
-        self.upstream.start(job, self.directory.addresses.get(start.server))
+        self.upstream.start(job)
 
     def _attempt_ended(self, request: int, attempt: int, reply: Reply) -> None:
         self._jobs.pop((request, attempt), None)
@@ -285,8 +300,16 @@
 
         fields = self.instance.settings.load_fields
         path = "/metrics/load" if fields else "/alive"
-        job = Job(probe.server, "GET", path, [], b"", asked + PROBE_MS, ended, new_work=False)
-        self.upstream.start(job, self.directory.addresses.get(probe.server))
+        address = self.directory.addresses.get(probe.server)
+        if address is None:
+            ended(Reply(api.Status.CONNECT_FAILED))
+            return
+        self.upstream.start(
+            Job(
+                probe.server, address, False, asked + PROBE_MS, work=False, method="GET", target=path, headers=[],
+                body=b"", done=ended,
+            )  # fmt: skip
+        )
 
     # Upkeep.
 
@@ -315,7 +338,7 @@
         return {
             "owed": self.owed,
             "connections": len(self.connections),
-            "dials": self.upstream.dials,
+            **self.upstream.report(),
             "cpu_s": time.process_time(),
             **self.reducer.tally,
             **{f"let_go[{reason}]": times for reason, times in self.let_go.items()},
--- /dev/null
+++ b/wickspring/net/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Ticket servers: jobs, and the connections that carry them."""
--- a/wickspring/net/http1_link.py
+++ b/wickspring/net/upstream/http1.py
@@ -4,11 +4,12 @@
 
 import h11
 
-from wickspring import interface as api
+from wickspring.connections.pools import Conn, End
 from wickspring.interface import Status
 from wickspring.net.link import Link, connect
-from wickspring.net.reports import read_reply
-from wickspring.net.upstream import MOST_ANSWER, Job, Reply, Upstream
+from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply
+from wickspring.net.upstream.manager import Upstream
+from wickspring.net.upstream.reports import read_reply
 
 _FRAMING = (b"content-length", b"transfer-encoding")
 MOST_INTERIM = 8  # answers 1xx ahead of the one that counts
@@ -79,61 +80,54 @@
 class Http1Link:
     """A connection in the pool."""
 
-    def __init__(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> None:
-        self.upstream, self.server, self.address = upstream, server, address
+    def __init__(self, upstream: Upstream, conn: Conn) -> None:
+        self.upstream, self.conn = upstream, conn
         self.job: Job | None = None
         self.link: Link | None = None
         self.reader = AnswerReader()
-        self.idle_since = upstream.clock.now()
         self.closed = False
-        self.idle: float | None = None  # ms idle before the present job; None on a new connection
         self.sent = False  # bytes of the present job have gone out
-
-    def room(self) -> int:
-        """Take one job when up and idle."""
-        return int(not self.closed and self.job is None and self.link is not None)
-
-    def busy(self) -> bool:
-        """Tell whether a job, or a dial, is on."""
-        return self.job is not None or (self.link is None and not self.closed)
+        self._heard = False  # and bytes have come since
 
     def stale(self) -> bool:
         """Tell whether the peer has closed, or has said something unasked."""
         return self.link is None or self.link.peek() is not None
 
-    def begin(self, job: Job) -> None:
-        """Write the job now, or once the connection is up."""
-        self.job = job
-        if self.link is not None:
-            self.idle = self.upstream.clock.now() - self.idle_since
-            self._write(job, self.link)
+    def heard(self, job: Job) -> bool:
+        """Tell whether anything has come since the job began."""
+        return self.job is job and self._heard
 
-    def _write(self, job: Job, link: Link) -> None:
-        if job.new_work and not self.upstream.may_send(self.server):
+    def begin(self, job: Job) -> None:
+        """Write the job."""
+        self.job, self._heard = job, False
+        if self.link is None:
+            self.close()
+        elif job.work and not self.upstream.may_send(self.conn.server):
             # Told of its drain while the connection was on its way: nothing new may go there.
             self._end(Reply(Status.CONNECT_FAILED))
-            return
-        self.sent = True
-        link.send(self.reader.request(job))
-        if link.broken:
-            self.close()
+        else:
+            self.sent = True
+            self.link.send(self.reader.request(job))
+            if self.link.broken:
+                self.close(End.PEER)
 
     async def run(self) -> None:
         """Dial, then read answers until either side ends the connection."""
-        sock = await connect(self.address, self.upstream.settings.dial_timeout)
+        sock = await connect(self.conn.address, self.upstream.settings.dial_timeout)
         if sock is None or self.closed:
             if sock is not None:
                 sock.close()
-            self.close()
+            if not self.closed:
+                self.closed = True
+                self.upstream.dial_failed(self.conn)
             return
         self.link = link = Link(sock, self.upstream.nursery)
-        self.idle_since = self.upstream.clock.now()
-        if self.job is not None:
-            self._write(self.job, link)
+        self.upstream.up(self.conn, 1)
         while not self.closed:
             data = await link.receive()
             if data is None or self.job is None:
                 break  # broken, or something said unasked, a close most of all
+            self._heard |= bool(data)
             try:
                 answer = self.reader.feed(data)
             except h11.RemoteProtocolError:
@@ -142,40 +136,35 @@
                 self._answered(answer)
             elif not data:
                 break
-        self.close()
+        self.close(End.PEER)
 
     def _answered(self, answer: tuple[int, dict[str, str], bytes]) -> None:
         # An answer before the request is out (a server that turns work away early) leaves the
         # connection in no state to be used again.
         if not (self.link is not None and self.link.flushed and self.reader.reusable()):
             self.closed = True
-        if self.idle is not None:
-            self.upstream.reuse.note(self.idle, reset=False)
-        reply = read_reply(*answer, self.upstream.settings.load_fields)
-        self._end(reply)
+            self.upstream.room(self.conn, 0)
+            if self.link is not None:
+                self.link.close()
+        self._end(read_reply(*answer, self.upstream.settings.load_fields))
 
     def _end(self, reply: Reply) -> None:
         job, self.job, self.sent = self.job, None, False
-        self.idle_since = self.upstream.clock.now()
-        if not self.closed:
-            self.upstream.freed(self.server, self)
         if job is not None:
-            job.end(reply)
+            self.upstream.finish(job, reply)
 
     def abandon(self, job: Job) -> None:
-        """Giving up a written job closes the connection; one not written leaves it to be used."""
+        """Giving up a written job closes the connection."""
         if self.job is job:
             self.job = None
-            if self.sent:
-                self.close()
+            self.close()
 
-    def close(self) -> None:
+    def close(self, end: End = End.HERE) -> None:
         """Close; whether the last byte was written decides what may have run."""
         written = self.sent and self.link is not None and self.link.flushed
-        self.closed = True
+        self.closed, self.sent = True, False
         if self.link is not None:
             self.link.close()
-        if self.job is not None:
-            if written and self.idle is not None:
-                self.upstream.reuse.note(self.idle, reset=True)
-            self._end(Reply(Status.RESET if written else Status.CONNECT_FAILED))
+        job, self.job = self.job, None
+        lost = [(job, Reply(Status.RESET if written else Status.CONNECT_FAILED))] if job is not None else []
+        self.upstream.closed(self.conn, end, lost)
--- a/wickspring/net/http2_link.py
+++ b/wickspring/net/upstream/http2.py
@@ -10,12 +10,13 @@
 from h2.errors import ErrorCodes
 from h2.exceptions import H2Error
 
-from wickspring import interface as api
+from wickspring.connections.pools import Conn, End
 from wickspring.interface import Status
 from wickspring.net.http2_wire import Frames, GoAway, pump, settings
 from wickspring.net.link import Link, connect
-from wickspring.net.reports import read_reply
-from wickspring.net.upstream import MOST_ANSWER, Job, Reply, Upstream
+from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply
+from wickspring.net.upstream.manager import Upstream
+from wickspring.net.upstream.reports import read_reply
 
 WINDOW = 1 << 20
 MOST_STREAM_ID = 1 << 30  # a connection that has come so far is left for a new one
@@ -43,16 +44,15 @@
 class Http2Link:
     """A connection in the pool."""
 
-    def __init__(self, upstream: Upstream, server: api.ServerId, address: tuple[str, int]) -> None:
-        self.upstream, self.server, self.address = upstream, server, address
+    def __init__(self, upstream: Upstream, conn: Conn) -> None:
+        self.upstream, self.conn = upstream, conn
         config = h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
         self.http = h2.connection.H2Connection(config)
         self.frames = Frames()
         self.link: Link | None = None
-        self.waiting: list[Job] = []  # for the connection to come up
         self.streams: dict[int, Exchange] = {}
         self._whole: list[Exchange] = []  # whose last byte goes out with the next flush
-        self.idle_since = self.heard_at = upstream.clock.now()
+        self.heard_at = upstream.clock.now()
         self.last_stream: int | None = None  # of a GOAWAY
         self.suspect = False  # a job got no answer and nothing else was heard: no new work
         self.up = False  # its settings have come, and with them how many streams it takes
@@ -63,29 +63,27 @@
         spent = (self.http.highest_outbound_stream_id or 0) > MOST_STREAM_ID
         if self.closed or self.suspect or spent or self.last_stream is not None:
             return 0
-        most = self.upstream.settings.streams_per_connection
-        if self.up:
-            most = min(most, self.http.remote_settings.max_concurrent_streams)
-        return max(0, most - len(self.streams) - len(self.waiting))
-
-    def busy(self) -> bool:
-        """Tell whether a job, or a dial, is on."""
-        return bool(self.streams or self.waiting) or (self.link is None and not self.closed)
+        ours = self.upstream.settings.streams_per_connection
+        return int(min(ours, self.http.remote_settings.max_concurrent_streams))
 
     def stale(self) -> bool:
         """Tell whether the peer has closed; frames not read yet are no sign of that."""
         return self.link is None or self.link.peek() == b""
 
+    def heard(self, job: Job) -> bool:
+        """Tell whether anything has come since the job began."""
+        return self.heard_at >= job.began
+
     def begin(self, job: Job) -> None:
-        """Open a stream for a job now, or once the connection is up."""
-        if self.up:
-            self._open(job)
-        else:
-            self.waiting.append(job)
+        """Open a stream for a job."""
+        self._open(job)
 
     def _open(self, job: Job) -> None:
-        if job.new_work and not self.upstream.may_send(self.server):
-            job.end(Reply(Status.CONNECT_FAILED))  # told of its drain while the connection was coming up
+        if self.closed or self.last_stream is not None:
+            self.upstream.finish(job, Reply(Status.CONNECT_FAILED))  # it began to go while this was on its way
+            return
+        if job.work and not self.upstream.may_send(self.conn.server):
+            self.upstream.finish(job, Reply(Status.CONNECT_FAILED))  # told of its drain meanwhile
             return
         stream = self.http.get_next_available_stream_id()
         headers = [
@@ -104,8 +102,9 @@
             self._whole.append(exchange)
         self._pump(stream, exchange)
         self._flush()
+        self.upstream.room(self.conn, self.room())
         if self.link is not None and self.link.broken:
-            self.close()
+            self.close(End.PEER)
 
     def _pump(self, stream: int, exchange: Exchange) -> None:
         if not exchange.written and pump(self.http, stream, exchange.outgoing):
@@ -123,14 +122,16 @@
     async def run(self) -> None:
         """Dial, then read until either side ends the connection."""
         asked = self.upstream.clock.now()
-        sock = await connect(self.address, self.upstream.settings.dial_timeout)
+        sock = await connect(self.conn.address, self.upstream.settings.dial_timeout)
         if sock is None or self.closed:
             if sock is not None:
                 sock.close()
-            self.close()
+            if not self.closed:
+                self.closed = True
+                self.upstream.dial_failed(self.conn)
             return
         self.link = Link(sock, self.upstream.nursery)
-        self.idle_since = self.heard_at = self.upstream.clock.now()
+        self.heard_at = self.upstream.clock.now()
         self.http.local_settings = settings(client=True, streams=0)
         self.http.initiate_connection()
         self.http.increment_flow_control_window(WINDOW)
@@ -153,29 +154,25 @@
                 break
             self._flush()
             self._end_if_done()
-        self.close()
+        self.close(End.PEER)
 
     def _not_up(self) -> None:
         if not self.up:
             self.close()
 
     def _come_up(self) -> None:
-        """Open what waits, as far as the peer's limit goes; the rest is placed elsewhere, still unsent."""
+        """Take what waits, as far as the peer's limit goes; a peer that takes none at all is of no use."""
         self.up = True
-        waiting, self.waiting = self.waiting, []
-        for job in waiting:
-            if job.ended:
-                continue
-            if self.room():
-                self._open(job)
-            elif not self.http.remote_settings.max_concurrent_streams:
-                job.end(Reply(Status.FULL))  # it takes none at all; another connection would not either
-            else:
-                self.upstream.place(job, self.address)
+        if self.room():
+            self.upstream.up(self.conn, self.room())
+        else:
+            self.close()
 
     def _going(self, goaway: GoAway) -> None:
         """Streams above the last one named never ran; the others may have, and may yet be answered."""
         self.last_stream = min(goaway.last_stream, self.last_stream or goaway.last_stream)
+        if self.up:
+            self.upstream.room(self.conn, 0)
         for stream in [number for number in self.streams if number > self.last_stream]:
             self._end(stream, Reply(Status.CONNECT_FAILED))
 
@@ -187,6 +184,7 @@
         elif isinstance(event, h2.events.WindowUpdated | h2.events.RemoteSettingsChanged):
             for number, other in list(self.streams.items()):
                 self._pump(number, other)
+            self.upstream.room(self.conn, self.room())
         elif isinstance(event, h2.events.DataReceived):
             self.http.acknowledge_received_data(event.flow_controlled_length, stream)
             if exchange is not None:
@@ -213,9 +211,8 @@
 
     def _end(self, stream: int, reply: Reply) -> None:
         exchange = self.streams.pop(stream, None)
-        self.idle_since = self.upstream.clock.now()
         if exchange is not None:
-            exchange.job.end(reply)
+            self.upstream.finish(exchange.job, reply)
 
     def _cancel(self, stream: int) -> None:
         try:
@@ -225,32 +222,28 @@
 
     def abandon(self, job: Job) -> None:
         """Reset the stream of one job; the others on the connection go on."""
-        if job in self.waiting:
-            self.waiting.remove(job)
-            return
         for stream, exchange in list(self.streams.items()):
             if exchange.job is job:
                 # A machine that has vanished keeps its connections open and silent for ever.
                 self.suspect |= self.heard_at < exchange.began
                 del self.streams[stream]
-                self.idle_since = self.upstream.clock.now()
                 self._cancel(stream)
                 self._flush()
+                self.upstream.room(self.conn, self.room())
+                self.upstream.left(job)
         self._end_if_done()
 
     def _end_if_done(self) -> None:
-        if not self.room() and not self.streams and not self.waiting:
+        if self.up and not self.room() and not self.streams:
             self.close()
 
-    def close(self) -> None:
+    def close(self, end: End = End.HERE) -> None:
         """Close; each job ends by whether its last byte was written."""
-        self.closed = True
+        first, self.closed = not self.closed, True
         taken = self.link.taken if self.link is not None else 0
         if self.link is not None:
             self.link.close()
         streams, self.streams = list(self.streams.values()), {}
-        waiting, self.waiting = self.waiting, []
-        for exchange in streams:
-            exchange.job.end(exchange.lost(taken))
-        for job in waiting:
-            job.end(Reply(Status.CONNECT_FAILED))
+        if first and not self.up:
+            self.upstream.dial_failed(self.conn)  # it was accepted and never said its settings
+        self.upstream.closed(self.conn, end, [(one.job, one.lost(taken)) for one in streams])
--- a/wickspring/net/reports.py
+++ b/wickspring/net/upstream/reports.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from wickspring.interface import Status
-from wickspring.net.upstream import Reply
+from wickspring.net.upstream.carrier import Reply
 
 MOST_FIGURE = 1e9  # no load or use is above; what says so cannot be read
 
