Take a connection that has just come up, whatever was learnt of unused ones

Change: a connection is taken for 10 ms after it came up. The laboratory's emulator and checker are begun.

--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -24,6 +24,7 @@
 Address = tuple[str, int]
 GOOD = 0.004  # risk below which connections are taken for alike, and the last used goes first
 RETRY_LINE_MS = 10.0  # until a line that could not be served is looked at again
+FRESH_MS = 10.0  # after coming up a connection is as good as any dial could bring, whatever was learnt
 AHEAD_S = 0.1  # misses (requests that had to wait for a dial) of so many seconds are opened ahead
 MISS_MEMORY_MS = 2000.0
 LOOK_AHEAD_MS = 1000.0  # a connection that is not trusted now nor after so long is retired
@@ -380,6 +381,8 @@
                 return conn  # it carries others, so it is alive
             if conn.idle_since < oldest or now >= conn.ends_at:
                 continue
+            if not conn.uses and now - conn.idle_since <= FRESH_MS:
+                return conn  # else who finds it not good enough would dial for another, and another
             risk = self.hazards.risk(pool.server, now - conn.idle_since, now - conn.born, not conn.uses)
             if risk <= GOOD:
                 return conn
--- /dev/null
+++ b/wickspring/lab/result.py
@@ -0,0 +1,101 @@
+"""The figures of a run, as `result.json` holds them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+
+class ResultError(ValueError):
+    """A result that cannot be read; the message names the file."""
+
+
+class Series(msgspec.Struct, forbid_unknown_fields=True):
+    """Figures over time, one for each bin of `bin_ms`."""
+
+    bin_ms: float = 250.0
+    offered: list[int] = []
+    served: list[int] = []
+    refused: list[int] = []
+    failed: list[int] = []
+    latency_ms: list[float] = []  # median of what was served
+    dials: list[int] = []
+    ends: list[int] = []
+    open: list[int] = []
+    dead_writes: list[int] = []
+
+
+class Result(msgspec.Struct, forbid_unknown_fields=True):
+    """What a run came to. Shares are of 1, times are milliseconds; -1 stands for what was not measured."""
+
+    scenario: str
+    seed: int
+    seconds: float
+    requests: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    served_share: float = 0.0
+    served_in_aim_share: float = 0.0
+    latency_p50_ms: float = 0.0
+    latency_p99_ms: float = 0.0
+    answers_lost: int = 0
+    answers_doubled: int = 0
+    answers_late: int = 0
+    answers_foreign: int = 0
+    forbidden_copies: int = 0
+    drains_broken: int = 0
+    drain_ms_most: float = 0.0
+    cold_broken: int = 0
+    cold_load_most: float = 0.0  # of what makes a cold server fall
+    rules_broken: int = 0
+    dials: int = 0
+    dials_per_s_peak: int = 0  # in any second, to all servers
+    dials_per_s_peak_server: int = 0  # in any second, to one
+    dials_refused: int = 0
+    reuses: int = 0
+    reuse_share: float = 0.0
+    sent_on_dead: int = 0
+    sent_on_dead_per_1000: float = 0.0
+    attempts: int = 0
+    escalates: int = 0
+    escalate_failed: int = 0
+    escalate_failed_share: float = 0.0
+    connections_peak: int = 0
+    beyond_quota_share: float = 0.0
+    beyond_quota_worst: float = 0.0
+    counter_calls_per_request: float = 0.0
+    cpu_ms_per_request: float = -1.0
+    peak_rss_mb: float = -1.0
+    instances: int = 0
+    violations: list[str] = []  # the first few, in words
+    gateway: dict[str, float] = {}  # what the gateways themselves count, summed
+    series: Series = msgspec.field(default_factory=Series)
+
+
+def save(result: Result, folder: Path) -> None:
+    """Write `result.json`."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
+
+
+def load(folder: Path) -> Result:
+    """Read the result of a run's folder."""
+    path = folder / "result.json"
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Result)
+    except OSError as error:
+        raise ResultError(f"{path} cannot be read: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise ResultError(f"{path}: {error}") from error
+
+
+def load_all(folder: Path) -> list[Result]:
+    """Read a run's folder, or all runs in a folder of runs."""
+    if (folder / "result.json").exists():
+        return [load(folder)]
+    results = [load(path.parent) for path in sorted(folder.glob("*/result.json"))]
+    if not results:
+        raise ResultError(f"{folder}: there is no result.json in it or in its folders")
+    return results
--- /dev/null
+++ b/wickspring/lab/scenario.py
@@ -0,0 +1,160 @@
+"""Scenarios: what site is emulated, what is asked of it, and what goes wrong when.
+
+A scenario is a TOML file; the shipped ones lie in `scenarios/`. Times are seconds or milliseconds, as each
+key's ending says. A fault in a file is reported with the key at fault.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+SHIPPED = Path(__file__).parent / "scenarios"
+FaultKind = Literal[
+    "reset-all", "restart", "slow", "drain", "half-open", "accept-silent", "spoilt", "replace",
+    "counter-silent", "counter-slow", "counter-spoilt", "discovery-silent",
+]  # fmt: skip
+
+
+class ScenarioError(ValueError):
+    """A scenario that cannot be used; the message names the file and the key."""
+
+
+class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The ticket servers."""
+
+    count: int = 8
+    cores: int = 2
+    halls: int = 3
+    queue: int = 40  # requests that wait, beyond those in work
+    table: int = 0  # connections that one holds before it refuses more; 0: any number
+    open_ms: float = 1.0  # of core time that a new connection costs
+    cold_share: float = 0.2
+    warm_s: float = 18.0
+    idle_close_ms: float = 30_000.0  # told in the settings; a connection idle for so long is closed
+    hop_ms: float = 0.0  # one way, between gateway and server
+
+
+class Closing(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the ticket servers end connections that have just answered, or stand idle."""
+
+    mode: Literal["never", "fixed", "random", "race", "at-write", "silent"] = "never"
+    share: float = 0.2  # of the answers after which it happens; of the writes for `at-write`
+    within_ms: float = 30.0  # fixed: idle time; random: mean of it; race: at most; silent: idle time
+
+
+class Clients(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who asks."""
+
+    rate: float = 200.0  # requests a second, first tries
+    firms: int = 60
+    heavy: float = 0.0  # share of the firms that ask for `heavy_x` times their quota
+    heavy_x: float = 3.0
+    most_units: int = 4
+    retry: Literal["never", "at-once", "advised"] = "never"
+    work_ms: tuple[float, float, float] = (40.0, 60.0, 60.0)  # mean, by class
+    quota_x: float = 4.0  # quotas in all, over what the usual firms ask for
+
+
+class Counter(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The quota counter."""
+
+    ms: float = 0.5
+    per_s: float = 2000.0
+
+
+class Discovery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The list of ticket servers."""
+
+    late_ms: float = 500.0
+
+
+class Ingresses(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The gateways."""
+
+    count: int = 1
+    sockets: int = 256
+    memory_mb: float = 64.0
+    connections: dict[str, float] = {}  # in place of deploy/connections.toml's keys
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One thing that goes wrong."""
+
+    at_s: float
+    kind: FaultKind
+    for_s: float = 1.0
+    servers: tuple[int, ...] = ()  # none: all
+    size: float = 1.0  # slow, counter-slow: times; spoilt: share of the answers
+
+
+class Virtual(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What only a run in virtual time has."""
+
+    bounded: bool = True  # False: the same storm without limits on dials, to compare
+    reset_hold_ms: float = 200.0  # over which the connections break after a reset of all
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole scenario."""
+
+    name: str
+    about: str
+    seconds: float = 20.0
+    kind: Literal["sockets", "virtual"] = "sockets"
+    servers: Servers = Servers()
+    closing: Closing = Closing()
+    clients: Clients = Clients()
+    counter: Counter = Counter()
+    discovery: Discovery = Discovery()
+    ingresses: Ingresses = Ingresses()
+    virtual: Virtual = Virtual()
+    fault: tuple[Fault, ...] = ()
+
+
+def shipped() -> dict[str, Path]:
+    """Return the shipped scenarios by name."""
+    return {path.stem: path for path in sorted(SHIPPED.glob("*.toml"))}
+
+
+def load(word: str) -> Scenario:
+    """Read a shipped scenario by its name, or a TOML file by its path."""
+    path = shipped().get(word) or Path(word)
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise ScenarioError(f"{word} is no shipped scenario and no file: {error.strerror}") from error
+    return parse(text, path.name)
+
+
+def parse(text: str, file: str) -> Scenario:
+    """Check the text of a scenario."""
+    try:
+        scenario = msgspec.convert(tomllib.loads(text), Scenario)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise ScenarioError(f"{file}: {error}") from error
+    for key, value, least in (
+        ("seconds", scenario.seconds, 0.5),
+        ("servers.count", scenario.servers.count, 1),
+        ("servers.cores", scenario.servers.cores, 1),
+        ("servers.halls", scenario.servers.halls, 1),
+        ("clients.rate", scenario.clients.rate, 0.1),
+        ("clients.firms", scenario.clients.firms, 1),
+        ("ingresses.count", scenario.ingresses.count, 1),
+        ("ingresses.sockets", scenario.ingresses.sockets, 32),
+        ("counter.per_s", scenario.counter.per_s, 1),
+    ):
+        if not least <= value < 1e7:
+            raise ScenarioError(f"{file}: {key} must be {least} or more: {value}")
+    for index, fault in enumerate(scenario.fault):
+        if not 0 <= fault.at_s < scenario.seconds:
+            raise ScenarioError(f"{file}: fault[{index}].at_s lies outside the run: {fault.at_s}")
+        for server in fault.servers:
+            if not 0 <= server < scenario.servers.count:
+                raise ScenarioError(f"{file}: fault[{index}].servers: there is no server {server}")
+    if not 0 <= scenario.closing.share <= 1:
+        raise ScenarioError(f"{file}: closing.share must lie between 0 and 1: {scenario.closing.share}")
+    return scenario
