Begin the fleet: operations, agents and a command line that roll many instances

Need: the agent of one machine forgets all when it dies, two operators' commands cross unseen, and nothing rolls instances over several machines. Change: wickspring/fleet holds the protocol (claims, wants by compare-and-set, leave to be down, operations, gossip views) free of I/O; wickspring/agent keeps it in SQLite, starts and adopts processes, and speaks a versioned protocol over local sockets or mutual TLS; the command line is on click and loads lazily. An ingress may share its port with its successor and tells its supervisor how it is in the form of sd_notify; at its drain it first accepts what waits in the kernel's line, which closing used to reset.

--- /dev/null
+++ b/wickspring/agent/store.py
@@ -0,0 +1,153 @@
+"""What an agent keeps: its instances, the operations it coordinates, and a history, in SQLite with WAL.
+
+Every change is one transaction that is on disk (synchronous=FULL) before anybody is told of it. A store that
+cannot keep a change (a full disk) says so, and the change has not happened.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from wickspring.fleet.model import Operation, Record, Slot
+
+FORM = 1  # of the tables; a later one is not read by an earlier program
+MOST_HISTORY = 10_000
+_TABLES = """
+create table if not exists meta (key text primary key, value text not null) without rowid;
+create table if not exists record (name text primary key, body blob not null) without rowid;
+create table if not exists slot (key text primary key, body blob not null) without rowid;
+create table if not exists operation (id text primary key, at real not null, body blob not null)
+    without rowid;
+create table if not exists process (token text primary key, name text not null, pid integer not null,
+    born integer not null, build text not null, generation integer not null) without rowid;
+create table if not exists history (number integer primary key autoincrement, at real not null,
+    text not null);
+"""
+
+
+class StoreError(Exception):
+    """A change that could not be kept, or a store that can't be read."""
+
+
+class Process(msgspec.Struct, frozen=True):
+    """A process that was started for an instance; pid 0 while it was about to be."""
+
+    name: str
+    token: str
+    pid: int
+    born: int  # its start, in clock ticks since the machine's
+    build: str
+    generation: int
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One line of the history."""
+
+    number: int
+    at: float
+    text: str
+
+
+class Store:
+    """One agent's database."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        try:
+            self._db = sqlite3.connect(path, isolation_level=None)
+            self._db.execute("pragma journal_mode=wal")
+            self._db.execute("pragma synchronous=full")
+            self._db.executescript(_TABLES)
+            row = self._db.execute("select value from meta where key='form'").fetchone()
+            if row is None:
+                self._db.execute("insert into meta values ('form', ?)", (str(FORM),))
+            elif int(row[0]) > FORM:
+                raise StoreError(
+                    f"{path} was written by a later program (form {row[0]}, this one reads {FORM})"
+                )
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from error
+
+    def close(self) -> None:
+        """Close it."""
+        self._db.close()
+
+    # Reading.
+
+    def records(self) -> list[Record]:
+        """Return all instances."""
+        return [msgspec.json.decode(row[0], type=Record) for row in self._rows("select body from record")]
+
+    def slots(self) -> dict[str, Slot]:
+        """Return the slots given."""
+        rows = self._rows("select key, body from slot")
+        return {str(key): msgspec.json.decode(body, type=Slot) for key, body in rows}
+
+    def operations(self) -> list[Operation]:
+        """Return the operations coordinated here, the latest last."""
+        rows = self._rows("select body from operation order by at")
+        return [msgspec.json.decode(row[0], type=Operation) for row in rows]
+
+    def processes(self) -> list[Process]:
+        """Return the processes started, in no order."""
+        rows = self._rows("select name, token, pid, born, build, generation from process")
+        return [Process(*row) for row in rows]  # type: ignore[arg-type]
+
+    def history(self, most: int = 100) -> list[Event]:
+        """Return the latest events, the latest last."""
+        rows = self._rows(f"select number, at, text from history order by number desc limit {int(most)}")
+        return [Event(*row) for row in reversed(list(rows))]  # type: ignore[arg-type]
+
+    def _rows(self, sql: str) -> list[tuple[bytes, ...]]:
+        try:
+            return self._db.execute(sql).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from error
+
+    # Changing.
+
+    def keep(
+        self, *, records: Iterable[Record] = (), gone: Iterable[str] = (),
+        slots: dict[str, Slot | None] | None = None, operations: Iterable[Operation] = (),
+        processes: Iterable[Process] = (), ended: Iterable[str] = (),
+        events: Iterable[tuple[float, str]] = (),
+    ) -> None:  # fmt: skip
+        """Keep all of these in one transaction, or none."""
+        db = self._db
+        try:
+            db.execute("begin immediate")
+            for record in records:
+                db.execute("insert or replace into record values (?, ?)", (record.name, _json(record)))
+            for name in gone:
+                db.execute("delete from record where name=?", (name,))
+            for key, slot in (slots or {}).items():
+                if slot is None:
+                    db.execute("delete from slot where key=?", (key,))
+                else:
+                    db.execute("insert or replace into slot values (?, ?)", (key, _json(slot)))
+            for operation in operations:
+                row = (operation.id, operation.at, _json(operation))
+                db.execute("insert or replace into operation values (?, ?, ?)", row)
+            for one in processes:
+                row2 = (one.token, one.name, one.pid, one.born, one.build, one.generation)
+                db.execute("insert or replace into process values (?, ?, ?, ?, ?, ?)", row2)
+            for token in ended:
+                db.execute("delete from process where token=?", (token,))
+            for event in events:
+                db.execute("insert into history (at, text) values (?, ?)", event)
+            db.execute(
+                "delete from history where number <= (select max(number) from history) - ?", (MOST_HISTORY,)
+            )
+            db.execute("commit")
+        except sqlite3.Error as error:
+            if db.in_transaction:
+                db.execute("rollback")
+            raise StoreError(f"{self.path}: cannot keep the change: {error}") from error
+
+
+def _json(value: msgspec.Struct) -> bytes:
+    return msgspec.json.encode(value)
--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -90,6 +90,9 @@
     settings: api.Settings
     http2: Http2
     connections: ConnectionLimits = ConnectionLimits()  # to ticket servers
+    share_port: bool = False  # with the process that follows this one
+    notify: str = ""  # path of the supervisor's socket, in the form of sd_notify
+    token: str = ""  # by which the supervisor knows this process
     tenants: Path | None = None  # the agent's copy of the directory, where there is one
 
 
@@ -294,6 +297,9 @@
         settings=settings,
         http2=load_http2(http2_path),
         connections=load_connections(Path(env.get("GW_CONNECTIONS") or CONNECTIONS_FILE)),
+        share_port=env.get("GW_SHARE_PORT") == "1",
+        notify=env.get("NOTIFY_SOCKET", ""),
+        token=env.get("GW_TOKEN", ""),
         tenants=Path(env["GW_TENANTS"]) if env.get("GW_TENANTS") else None,
     )
 
--- a/wickspring/lab/backing.py
+++ b/wickspring/lab/backing.py
@@ -72,19 +72,21 @@
         self.entries: dict[str, dict[str, Any]] = {}
         self.silent = False
         self._news: list[tuple[float, dict[str, Any]]] = []  # when it may be told, and what
+        self._log: list[dict[str, Any]] = []  # all that may be told, in order
 
     def set(self, entry: dict[str, Any], late_ms: float = 0.0) -> None:
         """Have an entry told after some time."""
         self._news.append((self.clock.now() + late_ms, entry))
 
-    def _turn(self) -> list[dict[str, Any]]:
+    def _turn(self) -> None:
+        """Take what may be told by now into the log that every watch reads."""
         now = self.clock.now()
         due = [entry for at, entry in self._news if at <= now]
         self._news = [pair for pair in self._news if pair[0] > now]
         for entry in due:
             self.version += 1
             self.entries[entry["id"]] = entry
-        return due
+            self._log.append(entry)
 
     def _line(self, full: bool, entries: list[dict[str, Any]]) -> bytes:
         for entry in entries:
@@ -99,14 +101,17 @@
                 await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 self._turn()
                 alive = [entry for entry in self.entries.values() if entry["state"] != "removed"]
-                line, said_at = self._line(True, alive), self.clock.now()
+                line, said_at, told = self._line(True, alive), self.clock.now(), len(self._log)
                 while True:
                     if line:
                         await stream.send_all(b"%x\r\n%s\r\n" % (len(line), line))
                         said_at = self.clock.now()
                     await trio.sleep(0.02)
-                    due = [] if self.silent else self._turn()
-                    line = self._line(False, due) if due else b""
+                    line = b""
+                    if not self.silent:
+                        self._turn()
+                        if told < len(self._log):
+                            line, told = self._line(False, self._log[told:]), len(self._log)
                     if not line and not self.silent and self.clock.now() - said_at > 2000.0:
                         line = b"\n"
             except (trio.BrokenResourceError, trio.ClosedResourceError):
--- /dev/null
+++ b/wickspring/lab/large_fleet.py
@@ -0,0 +1,253 @@
+"""A large fleet in virtual time: the agents' real reducers, views and operations, and no process.
+
+Messages take a while and are counted; instances start, drain and prove themselves as real ones do. Agents may
+be killed for good: their instances serve on, unheard.
+"""
+
+from __future__ import annotations
+
+import resource
+import time
+from functools import partial
+from random import Random
+
+import msgspec
+
+from wickspring.fleet import home, rollout
+from wickspring.fleet.model import FLEET, Kind, Operation, Record, Rules, Seen, Step, Want, scope_of
+from wickspring.fleet.views import Content, View
+from wickspring.lab.record import Record as Sights
+from wickspring.lab.result import Result
+from wickspring.lab.run import Progress
+from wickspring.lab.scenario import FleetPart, Scenario
+from wickspring.lab.virtual import Timeline
+
+BASE = 1_000_000.0  # seconds; the agents' clock at the beginning
+HOP_MS = (0.5, 3.0)
+START_MS = (900.0, 2500.0)
+TURN_MS = 100.0
+SAMPLE_MS = 500.0
+HALLS = 10
+
+
+class VirtualAgent:
+    """One agent: home, view, and the operations that it coordinates."""
+
+    def __init__(self, fleet: LargeFleet, name: str, hall: str, names: list[str]) -> None:
+        self.fleet, self.name, self.hall = fleet, name, hall
+        self.home = home.Home(name)
+        self.alive = True
+        for instance in names:
+            seen = Seen("ready", "1", version=1, ready_at=BASE)
+            self.home = home.register(
+                self.home, Record(instance, hall, name, want=Want(True, "1", 1), seen=seen)
+            )
+        self.operation: Operation | None = None
+        self.busy: set[str] = set()
+
+    def begin(self, agents: list[str]) -> None:
+        """Start gossip and turns."""
+        fleet = self.fleet
+        self.view = View(self.name, agents, fleet.now, fleet.rules, fleet.random.getrandbits(32))
+        fleet.every(1000.0 * fleet.rules.gossip_s, self._gossip)
+
+    def records(self) -> rollout.Records:
+        """Return the fleet as heard of, and the own instances as they are."""
+        records = self.view.records()
+        for record in self.home.records.values():
+            records = records.insert(record.name, record)
+        return records
+
+    def _gossip(self) -> None:
+        if not self.alive:
+            return
+        operations = (self.operation,) if self.operation is not None else ()
+        self.view.tick(Content(tuple(self.home.records.values()), operations, "virtual"))
+        for peer in self.view.peers():
+            other = self.fleet.agents[peer]
+            self.fleet.send(other, partial(self._round, other, self.view.digest()))
+
+    def _round(self, other: VirtualAgent, digest: object) -> None:
+        news = other.view.answer(digest)  # type: ignore[arg-type]
+
+        def back() -> None:
+            self.view.learn(news, self.fleet.now)
+            if news.wants:
+                follow = self.view.follow(self.view.digest(), news.wants)
+                self.fleet.send(other, lambda: other.view.learn(follow, self.fleet.now))
+
+        self.fleet.send(self, back)
+
+    # Requests.
+
+    def request(self, request: home.Request) -> home.Reply:
+        """Carry out a coordinator's request."""
+        now = self.fleet.now
+        around = home.Around(self.records(), self.view.quorum(now), self.view.dead(now))
+        after, reply = home.reduce(self.home, now, request, self.fleet.rules, around)
+        for name, record in after.records.items():
+            if record.want != self.home.records[name].want:
+                self.fleet.timeline.at(
+                    self.fleet.timeline.now + 10.0, partial(self._replace, name, record.want)
+                )
+        self.home = after
+        return reply
+
+    def _replace(self, name: str, want: Want) -> None:
+        """Have the successor come up beside its predecessor, as real agents do."""
+        record = self.home.records[name]
+        self.home = home.observe(self.home, name, msgspec.structs.replace(record.seen, version=want.version))
+        took = self.fleet.random.uniform(*START_MS)
+
+        def ready() -> None:
+            seen = Seen(
+                "ready",
+                want.build,
+                want.generation,
+                want.version,
+                ready_at=self.fleet.now,
+                requests=0,
+                starts=2,
+            )
+            if self.home.records[name].want.version == want.version:
+                self.home = home.observe(self.home, name, seen)
+
+        self.fleet.timeline.at(self.fleet.timeline.now + took, ready)
+
+    # Coordinating.
+
+    def turn(self) -> None:
+        """Take the operation a step further."""
+        operation, fleet = self.operation, self.fleet
+        if operation is None or operation.phase.ended or not self.alive:
+            return
+        now = fleet.now
+        setting = rollout.Setting(
+            self.records(), fleet.wardens, fleet.rules, self.view.dead(now), self.view.quorum(now)
+        )
+        self.operation, asks = rollout.advance(operation, now, setting)
+        for ask in asks:
+            key = f"{ask.agent} {type(ask.request).__name__} {getattr(ask.request, 'instance', '')}"
+            if key not in self.busy:
+                self.busy.add(key)
+                fleet.timeline.at(fleet.timeline.now + 2000.0, partial(self.busy.discard, key))
+                other = fleet.agents[ask.agent]
+                fleet.send(other, partial(self._asked, other, ask, key))
+
+    def _asked(self, other: VirtualAgent, ask: rollout.Ask, key: str) -> None:
+        reply = other.request(ask.request)
+
+        def back() -> None:
+            self.busy.discard(key)
+            if self.operation is not None:
+                self.operation = rollout.heard(self.operation, self.fleet.now, ask.agent, ask.request, reply)
+
+        self.fleet.send(self, back)
+
+
+class LargeFleet:
+    """All agents of a run."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        part = scenario.fleet or FleetPart()
+        self.timeline, self.random = Timeline(), Random(f"fleet {seed}")
+        self.rules = Rules(hold_s=part.hold_s, ready_within_s=part.ready_within_s, gossip_s=0.5)
+        self.messages = 0
+        names = [f"a{number:02d}" for number in range(part.agents)]
+        per = scenario.ingresses.count // part.agents
+        self.agents: dict[str, VirtualAgent] = {}
+        self.wardens = {FLEET: names[0]}
+        for number, name in enumerate(names):
+            hall = f"h{number % HALLS}"
+            self.wardens.setdefault(scope_of(hall), name)
+            instances = [f"n{number * per + index:04d}" for index in range(per)]
+            self.agents[name] = VirtualAgent(self, name, hall, instances)
+        for agent in self.agents.values():
+            agent.begin(names)
+        self.floor_broken = self.samples = 0
+
+    @property
+    def now(self) -> float:
+        """Return the agents' time, s."""
+        return BASE + self.timeline.now / 1000.0
+
+    def every(self, ms: float, action: object) -> None:
+        """Do something again and again, from a moment drawn."""
+
+        def again() -> None:
+            action()  # type: ignore[operator]
+            self.timeline.at(self.timeline.now + ms, again)
+
+        self.timeline.at(self.timeline.now + ms * self.random.random(), again)
+
+    def send(self, to: VirtualAgent, action: object) -> None:
+        """Send a message; one to a dead agent is lost."""
+        self.messages += 1
+
+        def arrive() -> None:
+            if to.alive:
+                action()  # type: ignore[operator]
+
+        self.timeline.at(self.timeline.now + self.random.uniform(*HOP_MS), arrive)
+
+    def sample(self) -> None:
+        """Hold every hall to its floor, by how its instances really are."""
+        down, size = dict[str, int](), dict[str, int]()
+        for agent in self.agents.values():
+            for record in agent.home.records.values():
+                size[record.hall] = size.get(record.hall, 0) + 1
+                down[record.hall] = down.get(record.hall, 0) + (not record.seen.ready)
+        self.samples += 1
+        self.floor_broken += any(
+            down[hall] > home.down_most(size[hall], self.rules.down_share_hall) for hall in size
+        )
+
+
+def run(scenario: Scenario, seed: int, progress: Progress | None = None) -> Result:
+    """Roll a large fleet to a new build; agents named in `fleet.kill` die for good."""
+    part, used = scenario.fleet or FleetPart(), time.process_time()
+    fleet = LargeFleet(scenario, seed)
+    timeline = fleet.timeline
+    coordinator = fleet.agents["a01"]
+    fleet.every(TURN_MS, coordinator.turn)
+    fleet.every(SAMPLE_MS, fleet.sample)
+
+    def begin() -> None:
+        records = tuple(coordinator.records().values())
+        coordinator.operation = rollout.plan(
+            Kind.UPGRADE, records, id="upgrade", by="operator", coordinator="a01", now=fleet.now, build="2",
+            batch=max(1, len(records) // 10),
+        )  # fmt: skip
+
+    def kill(number: int) -> None:
+        list(fleet.agents.values())[number].alive = False
+
+    timeline.at(3000.0, begin)
+    for fault in part.kill:
+        timeline.at(1000.0 * fault.at_s, partial(kill, fault.agent))
+    end = 1000.0 * scenario.seconds
+    while timeline.now < end and not (
+        coordinator.operation is not None and coordinator.operation.phase.ended
+    ):
+        timeline.run(min(end, timeline.now + 500.0))
+        if progress is not None:
+            progress(timeline.now / 1000.0, Sights())
+    operation = coordinator.operation
+    result = Result(scenario.name, seed, scenario.seconds)
+    result.instances = scenario.ingresses.count
+    result.messages = fleet.messages
+    result.hall_floor_broken = result.rules_broken = fleet.floor_broken
+    result.peak_rss_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024.0
+    if operation is None or not operation.phase.ended:
+        result.rules_broken += 1
+        result.violations.append("the operation has not ended")
+    else:
+        result.roll_s = operation.ended_at - operation.at
+        result.operations = {operation.id: f"{operation.phase.value} {operation.reason}".strip()}
+        result.rolled = sum(one.step is Step.DONE for one in operation.instances)
+        result.did_not_follow = len(operation.did_not_follow)
+    result.gateway = {
+        "cpu_s": time.process_time() - used,
+        "messages_per_instance": fleet.messages / max(1, result.instances),
+    }
+    return result
--- a/wickspring/lab/result.py
+++ b/wickspring/lab/result.py
@@ -69,6 +69,12 @@
     cpu_ms_per_request: float = -1.0
     peak_rss_mb: float = -1.0
     instances: int = 0
+    rolled: int = 0  # instances that an upgrade brought to its build
+    did_not_follow: int = 0
+    hall_floor_broken: int = 0  # samples in which a hall had more down than the rules allow
+    operations: dict[str, str] = {}  # how each ended, and why
+    roll_s: float = -1.0  # from an upgrade's begin to its end
+    messages: int = 0  # between agents, in virtual time
     violations: list[str] = []  # the first few, in words
     gateway: dict[str, float] = {}  # what the gateways themselves count, summed
     series: Series = msgspec.field(default_factory=Series)
--- a/wickspring/lab/run.py
+++ b/wickspring/lab/run.py
@@ -292,6 +292,14 @@
 
 def run(scenario: Scenario, seed: int, program: Path = ROOT, progress: Progress | None = None) -> Result:
     """Run a scenario; `program` is the folder of the build whose gateways are to serve."""
+    if scenario.kind == "fleet":
+        from wickspring.lab.fleet import run as run_fleet
+
+        return run_fleet(scenario, seed, program, progress)
+    if scenario.kind == "virtual-fleet":
+        from wickspring.lab.large_fleet import run as run_large_fleet
+
+        return run_large_fleet(scenario, seed, progress)
     if scenario.kind == "virtual":
         from wickspring.lab.virtual import run as run_virtual
 
--- a/wickspring/lab/scenario.py
+++ b/wickspring/lab/scenario.py
@@ -93,6 +93,34 @@
     size: float = 1.0  # slow, counter-slow: times; spoilt: share of the answers
 
 
+class Command(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator's command to the fleet, given at a time."""
+
+    at_s: float
+    words: tuple[str, ...]  # after `fleet`: drain hall=hall-a
+
+
+class AgentFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An agent that is killed, and begins again after a time."""
+
+    at_s: float
+    agent: int
+    for_s: float = 3.0
+
+
+class FleetPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A fleet in place of single gateways: instances dealt to agents, one agent a hall."""
+
+    agents: int = 3
+    hold_s: float = 1.0
+    ready_within_s: float = 10.0
+    overlap: bool = True
+    bad: Literal["", "never-ready", "fails"] = ""  # what is wrong with build 2
+    command: tuple[Command, ...] = ()
+    kill: tuple[AgentFault, ...] = ()
+    extra_s: float = 40.0  # after the load, for commands that go on
+
+
 class Virtual(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What only a run in virtual time has."""
 
@@ -107,7 +135,7 @@
     name: str
     about: str
     seconds: float = 20.0
-    kind: Literal["sockets", "virtual"] = "sockets"
+    kind: Literal["sockets", "virtual", "fleet", "virtual-fleet"] = "sockets"
     servers: Servers = Servers()
     closing: Closing = Closing()
     clients: Clients = Clients()
@@ -115,6 +143,7 @@
     discovery: Discovery = Discovery()
     ingresses: Ingresses = Ingresses()
     virtual: Virtual = Virtual()
+    fleet: FleetPart | None = None
     fault: tuple[Fault, ...] = ()
 
 
--- a/wickspring/lab/virtual.py
+++ b/wickspring/lab/virtual.py
@@ -1,7 +1,7 @@
 """A large site in virtual time: the real decision module, reducer and pools, and no socket.
 
-Gateways are told of a subset of the servers each, as sites of this size do. A dial costs the server a piece of
-a core's time and comes up when that has been done, or not at all within the dial's time-out; so a storm of
+Gateways are told of a subset of the servers each, as sites of this size do. A dial costs the server a piece
+of a core's time and comes up when that has been done, or not at all within the dial's time-out; so a storm of
 dials takes the very capacity that requests need. What is seen is recorded as in a run on sockets and held to
 the rules by the same checker.
 """
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -31,11 +31,13 @@
 Serve = Callable[[Link, Runtime], Awaitable[None]]
 
 
-def listen(address: tuple[str, int]) -> socket.socket:
-    """Open a listening socket on this address only."""
+def listen(address: tuple[str, int], *, share: bool = False) -> socket.socket:
+    """Open a listening socket on this address only; shared, the process's successor may listen there too."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if share:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setblocking(False)
         if DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
             # A crowd that connects and says nothing waits in the kernel and takes no descriptors.
@@ -79,6 +81,16 @@
     listener.close()
 
 
+def take_rest(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
+    """Accept what waits in the kernel's line: closing the listener would reset it."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:  # none left, most of all
+            return
+        runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
+
+
 def start_known(runtime: Runtime, directory: Directory) -> None:
     """Begin with the list that the configuration gives; it may be old."""
     try:
@@ -95,6 +107,7 @@
         connection.drain()
     await trio.sleep(ACCEPT_ON_S)
     for listener in listeners:
+        take_rest(listener, runtime, http1_front.serve if listener is listeners[0] else http2_front.serve)
         close_listener(listener)
     for connection in list(runtime.connections):
         if connection.idle():
@@ -135,7 +148,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             runtime = Runtime(instance, nursery)
-            listener = listen(instance.listen)
+            listener = listen(instance.listen, share=instance.share_port)
             nursery.start_soon(runtime.timers.run)
             start_known(runtime, runtime.directory)
             nursery.start_soon(runtime.discovery.run)
@@ -143,7 +156,7 @@
             listeners = [listener]
             if instance.http2.enabled:
                 place = parse_address("http2.toml: listen", instance.http2.listen, any_port=True)
-                listeners.append(listen(place))
+                listeners.append(listen(place, share=instance.share_port))
                 nursery.start_soon(accept, listeners[1], runtime, http2_front.serve)
             with trio.move_on_after(FIRST_LIST_S):
                 await runtime.discovery.heard.wait()
@@ -154,6 +167,11 @@
             log.info("ready", extra=kv(name=instance.name, listen=" ".join(f"{h}:{p}" for h, p in places)))
             if started is not None:
                 started(runtime, places)
+            if instance.notify:
+                from wickspring.net.notify import Notifier  # paid for only where somebody listens
+
+                notifier, state = Notifier(instance.notify, instance.token), {"READY": "1"}
+                nursery.start_soon(notifier.repeat, runtime.reducer.tally, state)
 
             async def end() -> None:
                 await drain(runtime, listeners)
@@ -163,6 +181,8 @@
             async for signum in signals:  # to the very end: one left unread would end the process in its way
                 if signum != signal.SIGHUP:
                     if not ending:
+                        if instance.notify:
+                            state.update(READY="0", STOPPING="1")
                         nursery.start_soon(end)
                     ending = True
                 elif not ending and reread is not None:
