Test the fleet's parts and real fleets; tell lost agents from failed builds

Cause: an agent that died made an upgrade go back everywhere, as its instances counted as failed; a dead warden left an operation waiting for ever. Change: instances of an unheard agent are lost, not failed, and are taken up again if it comes back while the operation runs; leave to be down is asked for at most twice a second and not for ever; the unheard count as down. Views judge their agents a few times a round.

--- a/tests/test_fleet_protocol.py
+++ b/tests/test_fleet_protocol.py
@@ -20,7 +20,9 @@
 from wickspring.fleet.model import FLEET, Kind, Operation, Phase, Record, Rules, Seen, Step, Want, scope_of
 
 NOW = 1000.0
-RULES = Rules(hold_s=0.0, down_share_hall=0.34, down_share_fleet=0.34, lease_s=1e6, failed_least=1)
+RULES = Rules(
+    hold_s=0.0, down_share_hall=0.34, down_share_fleet=0.34, lease_s=1e6, ask_again_s=0.0, failed_least=1
+)
 HOMES = {"a": ("n0", "n1"), "b": ("n2",)}
 WARDENS = {scope_of("h"): "a", FLEET: "b"}
 BAD = "bad"
--- a/wickspring/fleet/model.py
+++ b/wickspring/fleet/model.py
@@ -126,6 +126,7 @@
     failed_share_most: float = 0.05  # of its answers in that time
     failed_least: int = 5  # answers that say nothing yet
     lease_s: float = 15.0
+    ask_again_s: float = 0.5  # after leave to be down was not given
     suspect_phi: float = 3.0
     dead_phi: float = 8.0
     gossip_s: float = 0.5
@@ -144,6 +145,7 @@
     expect: int = -1  # version of the want that is to be changed; -1: not decided yet
     version: int = -1  # of the want that this operation has set; -1: none
     moved: bool = False  # a want was set at some time: it has to go back where the build fails
+    denied_at: float = -1e12  # when leave was last not given
     granted: tuple[str, ...] = ()  # scopes whose leave it was given since it began to ask
     slots: tuple[str, ...] = ()  # scopes whose leave it may still hold: to be given back
     seen_requests: int = 0  # when it began to prove itself
--- a/wickspring/fleet/rollout.py
+++ b/wickspring/fleet/rollout.py
@@ -35,6 +35,7 @@
 
 ACTIVE = (Step.ASKING, Step.MOVING, Step.PROVING)
 CRASHES = 3  # failures in a row of what was moved that say that it will not come up
+LEAVE_TIMES = 20.0  # the time to become ready, for which leave to be down is waited for
 RENEW_SHARE = 1 / 3  # of the lease
 
 Records: TypeAlias = "HashTrieMap[str, Record]"
@@ -138,7 +139,8 @@
         if one is None or one.step is not Step.ASKING:
             return operation
         if reply.reason:
-            return _put(operation, msgspec.structs.replace(one, note=reply.reason), now, moved=False)
+            denied = msgspec.structs.replace(one, note=reply.reason, denied_at=now)
+            return _put(operation, denied, now, moved=False)
         granted, slots = {*one.granted, request.scope}, {*one.slots, request.scope}
         after = msgspec.structs.replace(
             one, granted=tuple(sorted(granted)), slots=tuple(sorted(slots)), note=""
@@ -280,6 +282,8 @@
         return []
     until = now + rules.lease_s
     if one.step is Step.ASKING:
+        if now < one.denied_at + rules.ask_again_s:
+            return []
         missing = [scope for scope in _needs(operation, one, record) if scope not in one.granted]
         # One after another, in the same order everywhere, so that two never hold one scope each.
         return [
@@ -326,13 +330,13 @@
 def _look(operation: Operation, now: float, setting: Setting) -> Operation:
     """Judge every instance by what is heard of it, and the operation by its instances."""
     for one in operation.instances:
-        record, dead = setting.records.get(one.instance), one.agent in setting.dead
+        record, unheard = setting.records.get(one.instance), _unheard(one, setting)
         if record is None:
             if one.step in ACTIVE:
                 operation = _put(operation, _to(one, Step.FAILED, now, "no agent tells of it"), now)
-        elif dead and one.step in (Step.PENDING, *ACTIVE):
-            operation = _put(operation, _to(one, Step.LOST, now, f"agent {one.agent} is not heard"), now)
-        elif one.step is Step.LOST and not dead and operation.phase in (Phase.RUNNING, Phase.REVERTING):
+        elif unheard and one.step in (Step.PENDING, *ACTIVE):
+            operation = _put(operation, _to(one, Step.LOST, now, f"agent {unheard} is not heard"), now)
+        elif one.step is Step.LOST and not unheard and operation.phase in (Phase.RUNNING, Phase.REVERTING):
             # It is back while the operation goes on: from the beginning, with what is wanted there by now.
             again = msgspec.structs.replace(one, expect=-1, version=-1, granted=())
             operation = _put(operation, _to(again, Step.PENDING, now), now)
@@ -362,11 +366,23 @@
     return operation
 
 
+def _unheard(one: Progress, setting: Setting) -> str:
+    """Return a dead agent without which an instance cannot go on: its own, or before it moves a warden."""
+    if one.agent in setting.dead:
+        return one.agent
+    if one.step in (Step.MOVING, Step.PROVING):
+        return ""
+    wardens = (setting.wardens[scope] for scope in (scope_of(one.hall), FLEET))
+    return next((warden for warden in wardens if warden in setting.dead), "")
+
+
 def _judge(operation: Operation, one: Progress, record: Record, now: float, rules: Rules) -> Progress:
     seen = record.seen
     if one.step is Step.ASKING:
         if all(scope in one.granted for scope in _needs(operation, one, record)):
             return msgspec.structs.replace(_to(one, Step.MOVING, now), expect=record.want.version, version=-1)
+        if now - one.since > LEAVE_TIMES * rules.ready_within_s:
+            return _to(one, Step.FAILED, now, f"no leave to be down: {one.note}")
         return one
     if one.step is Step.MOVING:
         if one.version < 0 or seen.version < one.version:
--- a/wickspring/fleet/views.py
+++ b/wickspring/fleet/views.py
@@ -27,6 +27,7 @@
 
 PAUSES = 20  # pauses between beats that the judgement remembers
 LEAST_DEVIATION = 0.25  # of the mean pause: beats over a calm network come too evenly to judge by
+JUDGED_SHARE = 0.2  # of a round, for which a judgement holds
 SLOW_TIMES = 3.0  # the mean pause over the usual one from which an agent is called slow
 
 
@@ -85,20 +86,21 @@
 
     last: float
     pauses: deque[float] = field(default_factory=lambda: deque(maxlen=PAUSES))
+    mean: float = 0.0
+    deviation: float = 0.0
 
     def beat(self, now: float) -> None:
         """Note a beat."""
         self.pauses.append(max(0.0, now - self.last))
         self.last = now
+        self.mean = sum(self.pauses) / len(self.pauses)
+        variance = sum((pause - self.mean) ** 2 for pause in self.pauses) / len(self.pauses)
+        self.deviation = math.sqrt(variance)
 
     def phi(self, now: float, usual: float) -> float:
         """Return -log10 of the chance that the next beat is still to come after so long a pause."""
-        mean = self._mean(usual)
-        if self.pauses:
-            variance = sum((pause - mean) ** 2 for pause in self.pauses) / len(self.pauses)
-            deviation = max(math.sqrt(variance), LEAST_DEVIATION * mean)
-        else:
-            deviation = mean
+        mean = max(usual, self.mean)
+        deviation = max(self.deviation, LEAST_DEVIATION * mean) if self.pauses else mean
         late = (now - self.last - mean) / deviation
         if late <= 0.0:
             return 0.0
@@ -106,12 +108,9 @@
         power = late * (1.5976 + 0.070565 * late * late)
         return power / math.log(10.0) if power > 30.0 else math.log10(1.0 + math.exp(power))
 
-    def _mean(self, usual: float) -> float:
-        return max(usual, sum(self.pauses) / len(self.pauses)) if self.pauses else usual
-
     def slow(self, usual: float) -> bool:
         """Tell whether its beats have been coming late."""
-        return len(self.pauses) >= 3 and self._mean(usual) > SLOW_TIMES * usual
+        return len(self.pauses) >= 3 and self.mean > SLOW_TIMES * usual
 
 
 class View:
@@ -124,6 +123,8 @@
         self._pulses: dict[str, Pulse] = {}
         self._began = now
         self._records: HashTrieMap[str, Record] | None = None
+        self._judged_at, self._heard = -math.inf, 0
+        self._dead: frozenset[str] = frozenset()
 
     # Rounds.
 
@@ -209,14 +210,22 @@
 
     def dead(self, now: float) -> frozenset[str]:
         """Return the agents that were heard of once and are not any more."""
-        return frozenset(agent for agent in self.agents if self.health(agent, now) is Health.DEAD)
+        self._judge(now)
+        return self._dead
 
     def quorum(self, now: float) -> bool:
         """Tell whether this agent hears more than half of all; one that does not begins nothing new."""
-        well = sum(
-            self.health(agent, now) in (Health.ALIVE, Health.SLOW, Health.SUSPECT) for agent in self.agents
-        )
-        return 2 * well > len(self.agents)
+        self._judge(now)
+        return 2 * self._heard > len(self.agents)
+
+    def _judge(self, now: float) -> None:
+        """Judge all agents, a few times a round: everything that is asked for needs it."""
+        if 0.0 <= now - self._judged_at < JUDGED_SHARE * self.rules.gossip_s:
+            return
+        healths = {agent: self.health(agent, now) for agent in self.agents}
+        self._judged_at = now
+        self._dead = frozenset(agent for agent, health in healths.items() if health is Health.DEAD)
+        self._heard = sum(health not in (Health.DEAD, Health.UNHEARD) for health in healths.values())
 
     def records(self) -> HashTrieMap[str, Record]:
         """Return all instances as last told by their own agents."""
--- a/wickspring/lab/fleet.py
+++ b/wickspring/lab/fleet.py
@@ -29,7 +29,7 @@
 from wickspring.lab.load import Load
 from wickspring.lab.result import Result
 from wickspring.lab.run import ROOT, LabError, Progress, Site, _listen, _tell, limits_text
-from wickspring.lab.scenario import AgentFault, Command, FleetPart, Scenario
+from wickspring.lab.scenario import AgentFault, Command, FleetPart, InstanceFault, Scenario
 
 UP_WITHIN_S = 40.0
 SAMPLE_S = 0.2
@@ -188,6 +188,13 @@
         await trio.sleep(fault.for_s)
         self.start_agent(fault.agent)
 
+    async def lose(self, fault: InstanceFault) -> None:
+        """Kill an instance's process."""
+        await trio.sleep(max(0.0, 1000.0 * fault.at_s - self.site.clock.now()) / 1000.0)
+        for record in (await self.show(fault.instance % self.part.agents)).records:
+            if record.name == f"n{fault.instance}" and record.seen.pid:
+                os.kill(record.seen.pid, signal.SIGKILL)
+
     async def sample(self) -> None:
         """Ask every instance again and again whether it serves, and hold each hall to its floor."""
         while True:
@@ -264,6 +271,8 @@
                         given.start_soon(fleet.command, command, nursery)
                     for fault in part.kill:
                         given.start_soon(fleet.kill, fault)
+                    for loss in part.lose:
+                        given.start_soon(fleet.lose, loss)
                     await load.run(script.tries, nursery)
                     given.cancel_scope.deadline = trio.current_time() + part.extra_s
                 with trio.move_on_after(max(scripts.DEADLINES_MS) / 1000.0 + 1.0):
--- a/wickspring/lab/scenario.py
+++ b/wickspring/lab/scenario.py
@@ -108,6 +108,13 @@
     for_s: float = 3.0
 
 
+class InstanceFault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An instance whose process is killed outright."""
+
+    at_s: float
+    instance: int
+
+
 class FleetPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A fleet in place of single gateways: instances dealt to agents, one agent a hall."""
 
@@ -118,6 +125,7 @@
     bad: Literal["", "never-ready", "fails"] = ""  # what is wrong with build 2
     command: tuple[Command, ...] = ()
     kill: tuple[AgentFault, ...] = ()
+    lose: tuple[InstanceFault, ...] = ()
     extra_s: float = 40.0  # after the load, for commands that go on
 
 
