Take a reset of all connections for one outage, and learn nothing of each from it

Change: closes and losses are kept for 100 ms, and dropped where they are most of the connections; a loss later than 60 ms after its write is the server's end, not the connection's; opening ahead needs five misses a second. Where nothing bad was seen of late, little is worked out per request.

--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -231,7 +231,7 @@
             if conn is None:
                 conn = rig.up()
             if lost:
-                rig.pools.lost(want, heard=False)
+                rig.pools.lost(rig.now, want, heard=False)
                 rig.take(rig.pools.closed(rig.now, conn, End.PEER))
             else:
                 rig.done(want)
@@ -269,7 +269,7 @@
         conn = rig.served(wait=5.0)
         want = rig.want()
         assert want.conn is conn
-        rig.pools.lost(want, heard=True)
+        rig.pools.lost(rig.now, want, heard=True)
         rig.take(rig.pools.closed(rig.now, conn, End.PEER))
     conn = rig.served(wait=5.0)
     assert rig.want(once=True).conn is conn
@@ -285,7 +285,7 @@
         conn = want.conn
         assert conn is not None
         if number % 3 == 0 and want.idle <= 10.0:
-            rig.pools.lost(want, heard=False)
+            rig.pools.lost(rig.now, want, heard=False)
             rig.take(rig.pools.closed(rig.now, conn, End.PEER))
         else:
             rig.done(want)
--- a/wickspring/connections/hazard.py
+++ b/wickspring/connections/hazard.py
@@ -32,6 +32,7 @@
 FADE_MS = 20_000.0  # time in which what was learnt falls to 1/e
 
 
+QUIET = 0.05  # faded closes and losses under which there is nothing to be careful of
 RACE_WEIGHT = 1.0  # foretold losses that the first guess (all of them come true) counts for
 RACE_LEAST = 0.01  # foretold risk from which a request says something of the race
 
@@ -125,6 +126,7 @@
     def __init__(self) -> None:
         self.site = Own()
         self.servers: dict[api.ServerId, Own] = {}
+        self.bad = 0.0  # closes and losses of late: while there are none, little need be worked out
         self._faded_at: float | None = None
 
     def _noted(self, server: api.ServerId, bad: bool) -> tuple[Own, ...]:
@@ -132,6 +134,7 @@
 
         At a thousand servers figures for all of them would be megabytes, and most servers do no harm.
         """
+        self.bad += bad
         own = self.servers.get(server)
         if own is None:
             if not bad:
@@ -154,10 +157,24 @@
             own.ages.excess[at] += closed - expected
             own.ages.spent[at] += idle
 
+    def begun(self, server: api.ServerId, idle: float, age: float, unused: bool) -> float:
+        """Note the end of an idle spell by a request; return the foretold risk for it."""
+        if self.bad < QUIET:  # as on nearly every day, for nearly every request
+            site = self.site
+            (site.unused if unused else site.used).ended[bin_of(idle)] += 1.0
+            site.ages.spent[bin_of(age, AGE_FIRST_MS)] += idle
+            return 0.0
+        foretold = self.foretold(server, idle, age, unused)
+        self.spell(server, idle, age, unused, closed=False)
+        return foretold
+
     def fared(
         self, server: api.ServerId, idle: float, unused: bool, lost: bool, foretold: float = 0.0
     ) -> None:
         """Note how a request fared that was written after so long an idle spell, at this foretold risk."""
+        if self.bad < QUIET and not lost:
+            (self.site.unused if unused else self.site.used).written[bin_of(idle)] += 1.0
+            return
         index = bin_of(idle)
         for own in self._noted(server, lost):
             curve = own.curve(unused)
@@ -184,6 +201,9 @@
         if passed <= 0.0:
             return
         keep = math.exp(-passed / FADE_MS)
+        self.bad *= keep
+        if self.bad < QUIET:
+            self.servers.clear()  # what is left of them says nothing
         for own in (self.site, *self.servers.values()):
             own.used.fade(keep)
             own.unused.fade(keep)
@@ -195,6 +215,8 @@
 
     def risk(self, server: api.ServerId, idle: float, age: float, unused: bool) -> float:
         """Return the chance that a request written now is lost, beyond that on a fresh connection."""
+        if self.bad < QUIET and idle < LONG_MS:
+            return PRIOR
         own, site = self.servers.get(server), self.site.curve(unused)
         curve = own.curve(unused) if own is not None else None
         index = bin_of(idle)
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 from random import Random
 
 from wickspring import interface as api
@@ -23,9 +24,15 @@
 
 Address = tuple[str, int]
 GOOD = 0.004  # risk below which connections are taken for alike, and the last used goes first
+BURST_MS, BURST_LEAST, BURST_SHARE = (
+    100.0,
+    6,
+    0.4,
+)  # closes within so long that are one outage, not many closes
+LOSS_MS = 60.0  # after its write within which a request's loss says that the connection was closing
 RETRY_LINE_MS = 10.0  # until a line that could not be served is looked at again
 FRESH_MS = 10.0  # after coming up a connection is as good as any dial could bring, whatever was learnt
-AHEAD_S = 0.1  # misses (requests that had to wait for a dial) of so many seconds are opened ahead
+AHEAD_S = 0.1  # misses (requests that had to wait for a dial) of so many seconds are opened ahead, rounded
 MISS_MEMORY_MS = 2000.0
 LOOK_AHEAD_MS = 1000.0  # a connection that is not trusted now nor after so long is retired
 
@@ -163,11 +170,15 @@
         self._bucket = Bucket(limits.dials_per_s)
         self.hungry: dict[Pool, None] = {}  # those with a line that dials may be made for, in order of coming
         self._actions: list[Action] = []
+        self._ends: list[Callable[[], None]] = []  # closes and losses, to be learnt from
+        self._ends_from, self._ends_of = 0.0, 0  # when the first of them came, and connections at that time
 
     # Facts.
 
     def want(self, now: float, want: Want, expect: int = 1) -> list[Action]:
         """Find a connection for a request, or put it in the line."""
+        if self._ends:
+            self._settle(now)
         pool = self._pool(now, want, expect)
         conn = self._pick(now, pool, want)
         if conn is not None:
@@ -235,7 +246,7 @@
             conn.idle_since = now
         if conn.state is not State.UP:
             return []
-        if pool is None or conn not in pool.conns or not self.look(conn.server, now).takes:
+        if pool is None or conn.address != pool.address:
             if not conn.load:
                 self._close(conn, "left")
         elif conn.room <= 0 or conn.uses >= conn.last_use or now >= conn.ends_at:
@@ -251,14 +262,17 @@
                 self._serve(now, pool)
         return self._take()
 
-    def lost(self, want: Want, heard: bool) -> None:
+    def lost(self, now: float, want: Want, heard: bool) -> None:
         """Learn that a request was written and then lost with its connection.
 
         Where bytes had been `heard` meanwhile the connection lived: a spoilt or cut answer is no sign of a
         close that crossed the request.
         """
-        self._fared(want, lost=not heard)
-        self.tally["sent_on_dead"] += want.idle >= 0.0 and not heard
+        if heard:
+            self._fared(want, lost=False)
+        elif now - want.began <= LOSS_MS:  # later, the server was at work on it, and ended
+            self.tally["sent_on_dead"] += want.idle >= 0.0
+            self._learn(now, partial(self._fared, want, lost=True))
         want.conn = None
 
     def silent(self, want: Want) -> None:
@@ -278,7 +292,8 @@
         conn, want.conn = want.conn, None
         if conn is not None:
             conn.load -= 1
-            self.hazards.spell(conn.server, max(want.idle, 0.0), now - conn.born, want.unused, closed=True)
+            idle, age = max(want.idle, 0.0), now - conn.born
+            self._learn(now, partial(self.hazards.spell, conn.server, idle, age, want.unused, closed=True))
             self.tally["found_closed"] += 1
             self._gone(conn)
         return self.want(now, want)
@@ -298,9 +313,9 @@
         if conn.state is State.CLOSED:
             return []
         if end is End.PEER and not conn.load and conn.room:
-            self.hazards.spell(
-                conn.server, now - conn.idle_since, now - conn.born, not conn.uses, closed=True
-            )
+            idle, age = now - conn.idle_since, now - conn.born
+            spell = partial(self.hazards.spell, conn.server, idle, age, not conn.uses, closed=True)
+            self._learn(now, spell)
             self.tally["closed_idle"] += 1
         if conn.state is State.DIALING:
             self._dialed(conn)
@@ -330,6 +345,7 @@
     def sweep(self, now: float) -> list[Action]:
         """Retire, forget servers that have gone, and open ahead of need; call it a few times a second."""
         self.hazards.fade(now)
+        self._settle(now)
         for server, pool in list(self.pools.items()):
             standing = self.look(server, now)
             self._retire(now, pool, standing)
@@ -344,6 +360,25 @@
             self.hazards.forget(server)
         return self._take()
 
+    # What is learnt.
+
+    def _learn(self, now: float, lesson: Callable[[], None]) -> None:
+        """Keep a close or loss for a moment: where most connections end at once, none tells of itself."""
+        self._settle(now)
+        if not self._ends:
+            self._ends_from, self._ends_of = now, self.total
+        self._ends.append(lesson)
+
+    def _settle(self, now: float) -> None:
+        if not self._ends or now - self._ends_from < BURST_MS:
+            return
+        ends, self._ends = self._ends, []
+        if len(ends) >= max(BURST_LEAST, BURST_SHARE * self._ends_of):
+            self.tally["outages"] += 1
+            return
+        for lesson in ends:
+            lesson()
+
     # What is decided.
 
     def _take(self) -> list[Action]:
@@ -407,9 +442,9 @@
         want.idle, want.unused = -1.0, not conn.uses
         if not conn.load:
             want.idle = now - conn.idle_since
-            want.foretold = self.hazards.foretold(pool.server, want.idle, now - conn.born, want.unused)
             if conn.uses or conn.ahead or want.idle > 0.0:
-                self.hazards.spell(pool.server, want.idle, now - conn.born, want.unused, closed=False)
+                age = now - conn.born
+                want.foretold = self.hazards.begun(pool.server, want.idle, age, want.unused)
         self.tally["reuses" if conn.uses else "firsts"] += 1
         conn.load += 1
         conn.uses += 1
@@ -528,7 +563,7 @@
     def _open_ahead(self, now: float, pool: Pool, standing: Standing) -> None:
         """Have as many good idle connections as were missed of late; a cold server gets its share at most."""
         misses = pool.misses * math.exp((pool.missed_at - now) / MISS_MEMORY_MS)
-        target = min(self.limits.ahead_most, math.ceil(misses * AHEAD_S - 0.05))
+        target = min(self.limits.ahead_most, int(misses * AHEAD_S + 0.5))
         if target <= 0 or pool.line:
             return
         limits = self.limits
--- a/wickspring/lab/virtual.py
+++ b/wickspring/lab/virtual.py
@@ -290,7 +290,7 @@
         self.site.record.ends.append((self.site.timeline.now, conn.server.decode()))
         for wish in wishes:
             if not wish.over:
-                self.pools.lost(wish, heard=False)
+                self.pools.lost(self.now, wish, heard=False)
         self._perform(self.pools.closed(self.now, conn, end))
         for wish in wishes:
             self._end(wish, api.Status.RESET)
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -128,7 +128,7 @@
         self._carriers.pop(conn, None)
         for job, reply, heard in lost:
             if reply.status is Status.RESET:
-                self.pools.lost(job, heard)
+                self.pools.lost(self.clock.now(), job, heard)
         self._perform(self.pools.closed(self.clock.now(), conn, end))
         for job, reply, _ in lost:
             job.end(reply)
