Let a connection know its pool, so that a request may outlive its server's new start

Whose pool a connection is in was looked up by server and address, which both stay. Change: a connection holds the pool it was dialled for; server and address are read from it, and the three look-ups beside it go. Measured: the new test raised ValueError before and passes; tests of the pools and of the sockets pass.

--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -534,3 +534,18 @@
 )
 def test_limits_that_make_no_sense_are_named(key: str, value: float) -> None:
     assert key in msgspec.structs.replace(ConnectionLimits(), **{key: value}).faults()
+
+
+def test_a_request_that_outlives_its_servers_new_start_ends_as_usual() -> None:
+    rig = Rig()
+    want = rig.want()
+    conn = rig.up()
+    rig.standing[A] = Standing(True, 0.2, started=5.0)  # told late: the connection is to the new process
+    other = rig.want()
+    fresh = rig.up()
+    assert other.conn is fresh
+    rig.done(want)
+    assert conn in rig.closes
+    rig.done(other)
+    assert rig.want().conn is fresh
+    assert rig.pools.total == 1
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -56,8 +56,7 @@
 class Conn:
     """One connection, of either protocol; an HTTP/1.1 one has room for one request."""
 
-    server: api.ServerId
-    address: Address
+    pool: Pool  # that it was dialled for; a server that moves or starts anew has another one
     born: float
     state: State = State.DIALING
     room: int = 0  # requests that it may carry at once; 0 once it takes no more
@@ -68,6 +67,16 @@
     last_use: int = 0  # the number of requests, at which it is retired
     ahead: bool = False  # opened ahead of need
 
+    @property
+    def server(self) -> api.ServerId:
+        """Whose connection it is."""
+        return self.pool.server
+
+    @property
+    def address(self) -> Address:
+        """Where it leads."""
+        return self.pool.address
+
     @property
     def free(self) -> int:
         """How many more requests it takes."""
@@ -246,7 +255,7 @@
             conn.idle_since = now
         if conn.state is not State.UP:
             return []
-        if pool is None or conn.address != pool.address:
+        if pool is not conn.pool:  # its pool has been replaced meanwhile, or is gone
             if not conn.load:
                 self._close(conn, "left")
         elif conn.room <= 0 or conn.uses >= conn.last_use or now >= conn.ends_at:
@@ -400,10 +409,8 @@
                 if conn.state is State.UP and not conn.load:
                     self._close(conn, "moved")
                 elif conn.state is State.DIALING:
-                    self.dialing -= 1
-                    pool.dialing -= 1
-                    self._gone(conn)
-                    self._actions.append(Close(conn))
+                    self._dialed(conn)
+                    self._close(conn, "moved")
             self.hazards.forget(want.server)
         bucket = Bucket(self.limits.dials_per_s_per_server)
         fresh = Pool(want.server, want.address, bucket, expect, started=started, missed_at=now)
@@ -521,7 +528,7 @@
     def _open(self, now: float, pool: Pool, ahead: bool) -> None:
         pool.bucket.take(now)
         self._bucket.take(now)
-        conn = Conn(pool.server, pool.address, now, ahead=ahead)
+        conn = Conn(pool, now, ahead=ahead)
         pool.conns.append(conn)
         pool.dialing += 1
         self.dialing += 1
@@ -546,14 +553,11 @@
 
     def _dialed(self, conn: Conn) -> Pool | None:
         """Note the end of a dial; None where the connection's pool is no more."""
-        pool = self.pools.get(conn.server)
         if conn.state is not State.DIALING:
             return None
         self.dialing -= 1
-        if pool is None or conn not in pool.conns:
-            return None
-        pool.dialing -= 1
-        return pool
+        conn.pool.dialing -= 1
+        return conn.pool if self.pools.get(conn.server) is conn.pool else None
 
     def _miss(self, now: float, pool: Pool) -> None:
         keep = math.exp((pool.missed_at - now) / MISS_MEMORY_MS)
@@ -624,6 +628,4 @@
             return
         conn.state, conn.room = State.CLOSED, 0
         self.total -= 1
-        pool = self.pools.get(conn.server)
-        if pool is not None and conn in pool.conns:
-            pool.conns.remove(conn)
+        conn.pool.conns.remove(conn)
