Keep an agent up through a changed fleet file and a status that cannot be read

One that ran on and was no longer named had no keeper after the agent's restart, and could not be drained. Change: keepers follow the records; a scope without a warden counts as unheard, and an unknown agent as unreachable, where all others are judged already; figures that are none are nought. A life is ended by force through the same step as by request.

--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -4,6 +4,7 @@
 
 import datetime
 import json
+import socket
 import sqlite3
 import ssl
 import subprocess
@@ -13,6 +14,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 import trustme
 from rpds import HashTrieMap
 
@@ -493,6 +495,72 @@
     assert sorted(node.home.records) == ["n0", "n1", "n2"]
 
 
+def test_an_instance_taken_from_the_file_is_kept_no_more_once_it_is_stopped(tmp_path: Path) -> None:
+    async def main() -> None:
+        path = fleet_file(tmp_path, instances=2, extra="first_run = false")
+        node = Node(load_fleet(path), "a0")
+        text = path.read_text()
+        async with trio.open_nursery() as nursery:
+            node._nursery = nursery
+            for keeper in node.keepers.values():
+                nursery.start_soon(keeper.run)
+            await trio.testing.wait_all_tasks_blocked()
+            path.write_text(text[: text.index('[[instance]]\nname = "n1"')])
+            node.reread()
+            assert sorted(node.keepers) == sorted(node.home.records) == ["n0"]
+            await trio.sleep(1.2)  # past the next look of every keeper
+            nursery.cancel_scope.cancel()
+        node.store.close()
+        path.write_text(text)
+        held = Node(load_fleet(path), "a0")
+        held.request(TakeClaims("op", "x", "a0", "drain", ("n1",), 9e9))
+        held.store.close()
+        path.write_text(text[: text.index('[[instance]]\nname = "n1"')])
+        again = Node(load_fleet(path), "a0")  # a new agent, and the file has changed meanwhile
+        assert sorted(again.keepers) == sorted(again.home.records) == ["n0", "n1"]
+        with pytest.raises(wire.WireError, match="no agent is called a9"):
+            await again.exchange("a9", wire.Show())
+
+    trio.run(main)
+
+
+def test_a_hall_that_the_file_no_longer_names_loses_its_instances_and_ends_the_operation() -> None:
+    records = homes(record("n0")).records
+    planned = rollout.plan(Kind.RESTART, tuple(records.values()), id="op", by="x", coordinator="a0", now=NOW)
+    running = msgspec.structs.replace(planned, phase=Phase.RUNNING)
+    after, asks = rollout.advance(running, NOW, rollout.Setting(records, {FLEET: "a0"}, RULES))
+    assert asks == []
+    assert after.phase is Phase.FAILED
+    assert "hall:hall-a" in after.instances[0].note
+
+
+def test_a_status_that_cannot_be_read_does_no_harm(tmp_path: Path) -> None:
+    async def main() -> None:
+        node = Node(load_fleet(fleet_file(tmp_path)), "a0")
+        told = list[tuple[str, bool, int, int]]()
+        node.keepers["n0"].told = lambda *words: told.append(words)  # type: ignore[method-assign]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node._listen_notify)
+            with trio.fail_after(10):
+                while not node.notify.exists():
+                    await trio.sleep(0.01)
+            with trio.socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as sock:
+                for data in (
+                    b"STATUS=served=x failed=-1",
+                    b"\xff\x00=",
+                    b"READY=1\nX_TOKEN=t\nSTATUS=served=3 failed=1",
+                ):
+                    await sock.sendto(data, str(node.notify))
+            with trio.fail_after(10):
+                while len(told) < 3:
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        assert told[0][2:] == (0, 0)
+        assert told[2] == ("t", True, 4, 1)
+
+    trio.run(main)
+
+
 # Processes.
 
 
--- a/wickspring/agent/keeper.py
+++ b/wickspring/agent/keeper.py
@@ -52,6 +52,7 @@
         self.pause_until = 0.0
         self.ready_at = 0.0
         self.changed = trio.Event()
+        self.scope = trio.CancelScope()  # cancelled, it keeps the instance no more; its processes go on
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -65,6 +66,10 @@
 
     async def run(self) -> None:
         """Keep the instance for ever; cancelled, its processes go on."""
+        with self.scope:
+            await self._run()
+
+    async def _run(self) -> None:
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             for life in self.lives:
@@ -170,10 +175,10 @@
                 due = min(due, over)
         return due
 
-    def _retire(self, life: Life | None, now: float) -> None:
+    def _retire(self, life: Life | None, now: float, hard: bool = False) -> None:
         if life is not None and life not in self.leaving:
             life.draining_since = now
-            processes.end(life)
+            processes.end(life, hard)
             self.leaving.append(life)
 
     def _serve(self, now: float, record: Record) -> float:
@@ -208,9 +213,7 @@
             over = life.began_at + rules.ready_within_s if life is not None else math.inf
             if life is not None and not life.told_ready and now >= over and not life.adopted:
                 self._failed(now, f"not ready after {rules.ready_within_s:g} s")
-                processes.end(life, hard=True)
-                self.leaving.append(life)
-                life.draining_since = now
+                self._retire(life, now, hard=True)
                 if life is self.current:
                     self.current = None
                 else:
--- a/wickspring/agent/node.py
+++ b/wickspring/agent/node.py
@@ -22,9 +22,9 @@
 from wickspring.agent.wire import Answer, Peer
 from wickspring.config import ConfigError, parse_address
 from wickspring.fleet import home, rollout
-from wickspring.fleet.file import Fleet, load_fleet
+from wickspring.fleet.file import Fleet, FleetInstance, load_fleet
 from wickspring.fleet.model import Kind, Operation, Record, Seen, Slot, Want
-from wickspring.fleet.views import Content, Health, View
+from wickspring.fleet.views import Content, View
 from wickspring.logs import kv
 
 log = logging.getLogger(__name__)
@@ -75,13 +75,22 @@
         file = self.fleet.file
         build = file.first_build or file.build[0].name
         own = {one.name: one for one in file.instance if one.agent == self.me.name}
-        kept = self.store.processes()
         for name, one in own.items():
             want = Want(file.first_run, build, 1, by="fleet file", at=self.now())
             fresh = Record(name, self.me.hall, self.me.name, dict(one.labels), want)
             self._put(home.register(self.home, fresh))
+        for name in [name for name in self.home.records if name not in own]:
+            self._put(home.forget(self.home, name))
+            if name in self.home.records:
+                log.warning("not_in_the_file", extra=kv(name=name, reason="it runs on; drain it first"))
+        for name in [name for name in self.keepers if name not in self.home.records]:
+            self.keepers.pop(name).scope.cancel()
+        kept = self.store.processes()
+        for name in self.home.records:
             keeper = self.keepers.get(name)
             if keeper is None:
+                # One that the file names no more is kept as well: what runs must be there to be drained.
+                one = own.get(name, FleetInstance(name, self.me.name, config=""))
                 keeper = self.keepers[name] = Keeper(
                     self.fleet, one, self.folder, self.store, self.notify,
                     record=partial(self._record, name), report=partial(self._seen, name), now=self.now,
@@ -89,12 +98,8 @@
                 keeper.adopt([process for process in kept if process.name == name])
                 if self._nursery is not None:
                     self._nursery.start_soon(keeper.run)
-            keeper.fleet, keeper.instance = self.fleet, one
+            keeper.fleet, keeper.instance = self.fleet, own.get(name, keeper.instance)
             keeper.poke()
-        for name in [name for name in self.home.records if name not in own]:
-            self._put(home.forget(self.home, name))
-            if name in self.home.records:
-                log.warning("not_in_the_file", extra=kv(name=name, reason="it runs on; drain it first"))
 
     def _record(self, name: str) -> Record:
         return self.home.records[name]
@@ -291,7 +296,10 @@
 
     async def exchange(self, agent: str, message: wire.Message) -> Answer:
         """Ask another agent."""
-        address = self.fleet.agent(agent).address
+        try:
+            address = self.fleet.agent(agent).address
+        except ConfigError as error:  # the fleet file has changed since it was heard of
+            raise wire.WireError(str(error)) from error
         tls = self.certificates.client() if self.certificates is not None else None
         answer = await wire.exchange(address, f"agent {agent}", message, tls, agent, ASK_WITHIN_S)
         if answer.error:
@@ -325,7 +333,7 @@
             if news.wants:
                 digest = self.view.digest()
                 await self.exchange(peer, wire.Push(self.view.follow(digest, news.wants)))
-        except (wire.WireError, ConfigError):
+        except wire.WireError:
             return  # its silence is what the view judges it by
 
     # Sockets.
@@ -338,7 +346,8 @@
                 data = await sock.recv(4096)
                 pairs = dict(line.partition("=")[::2] for line in data.decode("utf-8", "replace").split("\n"))
                 figures = dict(word.partition("=")[::2] for word in pairs.get("STATUS", "").split())
-                ends = [int(figures.get(key, 0) or 0) for key in ("served", "refused", "failed")]
+                said = [figures.get(key, "") for key in ("served", "refused", "failed")]
+                ends = [int(text) if text.isascii() and text.isdigit() else 0 for text in said]
                 for keeper in self.keepers.values():
                     ready = pairs.get("READY") == "1"
                     keeper.told(pairs.get("X_TOKEN", ""), ready, sum(ends), ends[2])
@@ -417,7 +426,3 @@
             log.error("reread_failed", extra=kv(reason=error))
             return
         log.info("reread", extra=kv(instances=len(self.keepers)))
-
-    def heard(self, agent: str) -> Health:
-        """Return how another agent is."""
-        return self.view.health(agent, self.now())
--- a/wickspring/fleet/rollout.py
+++ b/wickspring/fleet/rollout.py
@@ -312,7 +312,9 @@
     if one.step in ACTIVE or one.step is Step.PENDING or not record.seen.ready:
         return []
     return [
-        Ask(setting.wardens[scope], home.GiveSlot(operation.id, one.instance, scope)) for scope in one.slots
+        Ask(setting.wardens[scope], home.GiveSlot(operation.id, one.instance, scope))
+        for scope in one.slots
+        if scope in setting.wardens
     ]
 
 
@@ -372,8 +374,11 @@
         return one.agent
     if one.step in (Step.MOVING, Step.PROVING):
         return ""
-    wardens = (setting.wardens[scope] for scope in (scope_of(one.hall), FLEET))
-    return next((warden for warden in wardens if warden in setting.dead), "")
+    for scope in (scope_of(one.hall), FLEET):
+        warden = setting.wardens.get(scope)
+        if warden is None or warden in setting.dead:
+            return warden or f"for {scope}"  # a fleet file that has changed may name no hall of that kind
+    return ""
 
 
 def _judge(operation: Operation, one: Progress, record: Record, now: float, rules: Rules) -> Progress:
