Write once what stood twice: TOML, dials, a look at a socket, the end of a command

Need: the same steps stood in several places, and some pieces had no use. Change: TOML is read by one function (it stood four times), both protocols dial through the pools' manager, the laboratory looks at a socket in one way, commands end by one function, tests take ports from one place. Gone, as nothing used them: when a bucket has one again, a refused dial's figure that was always nought, an agent's view of another, unused parameters. Behaviour is as it was, but that an HTTP/2 or connections file that cannot be read is told like any other.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 from pathlib import Path
 
 import pytest
@@ -18,6 +17,7 @@
 from wickspring.agent import agent, control, directory
 from wickspring.agent.control import Command
 from wickspring.agent.supervisor import State, Supervisor
+from wickspring.lab.fleet import free_port
 from wickspring.net.calls import CallReader, PlanError
 from wickspring.tenants import PlanBook, Tenant, Tenants, TenantsError, load_copy, save_copy
 
@@ -120,13 +120,6 @@
     assert book.plans == {0xB4D65521: "other"}
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def agent_file(folder: Path, names: tuple[str, ...], extra: str = "", ldap: str = "") -> Path:
     lines = ['control = "agent.sock"', "backoff_first_s = 0.1", "drain_s = 6.0", extra]
     for name in names:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -349,7 +349,7 @@
                     continue
                 news = other.answer(view.digest())
                 view.learn(news, now)
-                other.learn(view.follow(view.digest(), news.wants), now)
+                other.learn(view.follow(news.wants), now)
     return now
 
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -518,9 +517,6 @@
     assert window.size == 64.0
 
 
-Change = Callable[[ConnectionLimits], ConnectionLimits]
-
-
 @pytest.mark.parametrize(
     ("key", "value"),
     [
--- a/wickspring/agent/node.py
+++ b/wickspring/agent/node.py
@@ -331,8 +331,7 @@
                 return
             self.view.learn(news, self.now())
             if news.wants:
-                digest = self.view.digest()
-                await self.exchange(peer, wire.Push(self.view.follow(digest, news.wants)))
+                await self.exchange(peer, wire.Push(self.view.follow(news.wants)))
         except wire.WireError:
             return  # its silence is what the view judges it by
 
--- a/wickspring/agent/wire.py
+++ b/wickspring/agent/wire.py
@@ -36,7 +36,6 @@
     lowest: int = LOWEST
     highest: int = HIGHEST
     program: str = __version__
-    name: str = ""
     use: int = 0  # in the answer: the number to be spoken
     error: str = ""
 
--- a/wickspring/commands/__init__.py
+++ b/wickspring/commands/__init__.py
@@ -22,6 +22,12 @@
 }
 
 
+def fail(error: object, code: int = 1) -> SystemExit:
+    """Say what is wrong, and make the exit for it."""
+    click.echo(error, err=True)
+    return SystemExit(code)
+
+
 class Lazy(click.Group):
     """A group whose commands are loaded by name."""
 
--- a/wickspring/commands/fleet.py
+++ b/wickspring/commands/fleet.py
@@ -20,6 +20,7 @@
 
 from wickspring import logs
 from wickspring.agent import wire
+from wickspring.commands import fail
 from wickspring.config import ConfigError
 from wickspring.fleet.file import Fleet, load_fleet
 from wickspring.fleet.model import Kind, Operation, Phase, Record, Step
@@ -35,8 +36,8 @@
 class Way:
     """How agents are reached: the local sockets first, then by address."""
 
-    def __init__(self, fleet: Fleet, via: str | None, as_operator: str) -> None:
-        self.fleet, self.by = fleet, as_operator
+    def __init__(self, fleet: Fleet, via: str | None) -> None:
+        self.fleet = fleet
         self.agents = [fleet.agent(via)] if via else list(fleet.file.agent)
         self.tls = None
         tls = fleet.file.tls
@@ -68,12 +69,6 @@
         raise wire.WireError("; ".join(faults) or f"no agent is called {only}")
 
 
-def fail(error: object, code: int = 1) -> SystemExit:
-    """Say what is wrong, and make the exit for it."""
-    click.echo(error, err=True)
-    return SystemExit(code)
-
-
 def common(command: Callable[..., None]) -> Callable[..., None]:
     """Add the options that every command has."""
     for option in (
@@ -111,10 +106,10 @@
     return common(command)
 
 
-def open_way(file: Path, via: str | None, by: str = "") -> Way:
+def open_way(file: Path, via: str | None) -> Way:
     """Read the fleet file."""
     try:
-        return Way(load_fleet(file, configs=False), via, by)
+        return Way(load_fleet(file, configs=False), via)
     except ConfigError as error:
         raise fail(error, 2) from error
 
@@ -249,7 +244,7 @@
     batch: int, below_floor: bool, no_wait: bool, by: str, build: str = "",
 ) -> None:  # fmt: skip
     """Begin an operation, and follow it to its end."""
-    way = open_way(file, via, by)
+    way = open_way(file, via)
     if build and way.fleet.build(build) is None:
         raise fail(f"{file.name}: there is no build {build!r}", 2)
     answer = ask(way, wire.Show())
@@ -257,7 +252,7 @@
     if not records:
         raise fail("no instance is chosen", 2)
     if dry_run:
-        show_plan(kind, records, build, batch, way.fleet, as_json)
+        show_plan(kind, records, build, batch, as_json)
         return
     names = tuple(one.name for one in records)
     number = f"{kind.value}-{secrets.token_hex(3)}"
@@ -277,9 +272,7 @@
     follow_to_end(way, number, as_json)
 
 
-def show_plan(
-    kind: Kind, records: tuple[Record, ...], build: str, batch: int, of: Fleet, as_json: bool
-) -> None:  # fmt: skip
+def show_plan(kind: Kind, records: tuple[Record, ...], build: str, batch: int, as_json: bool) -> None:
     """Print what an operation would do, batch by batch."""
     from wickspring.fleet import rollout
 
@@ -408,7 +401,7 @@
 @common
 def cancel(operation: str, by: str, file: Path, via: str | None, as_json: bool) -> None:
     """Have an operation begin nothing more."""
-    way = open_way(file, via, by)
+    way = open_way(file, via)
     try:
         found = find(way, operation)
     except wire.WireError as error:
--- a/wickspring/commands/local.py
+++ b/wickspring/commands/local.py
@@ -9,6 +9,7 @@
 import trio
 
 from wickspring import __version__, cli, config, logs
+from wickspring.commands import fail
 from wickspring.tenants import Tenants
 
 log = logging.getLogger(__name__)
@@ -17,12 +18,6 @@
 NAMES = click.argument("names", nargs=-1)
 
 
-def stop(error: object, code: int) -> SystemExit:
-    """Say what is wrong, and make the exit for it."""
-    click.echo(error, err=True)
-    return SystemExit(code)
-
-
 @click.command()
 def serve() -> None:
     """Run one ingress; GW_CONFIG names its configuration."""
@@ -41,7 +36,7 @@
             return
         instance = config.load_instance(file, {}, http2)
     except config.ConfigError as error:
-        raise stop(error, 2) from error
+        raise fail(error, 2) from error
     settings = instance.settings
     click.echo(f"{instance.name}: {len(settings.classes)} classes, {len(settings.plans)} plans, "
                f"{len(instance.known.servers)} ticket servers known")  # fmt: skip
@@ -72,9 +67,9 @@
         path = config.load_agent(file).control
         result = trio.run(control.ask, path, control.Command(do, names))
     except config.ConfigError as error:
-        raise stop(error, 2) from error
+        raise fail(error, 2) from error
     except control.ControlError as error:
-        raise stop(error, 1) from error
+        raise fail(error, 1) from error
     for one in result.instances:
         last_exit = "-" if one.last_exit is None else one.last_exit
         click.echo(f"{one.name:<16} {one.state:<9} {one.listen:<21} pid={one.pid or '-'} starts={one.starts} "
@@ -147,9 +142,9 @@
             if result.directory_error:
                 click.echo(f"directory: {result.directory_error}", err=True)
     except config.ConfigError as error:
-        raise stop(error, 2) from error
+        raise fail(error, 2) from error
     except (control.ControlError, directory.DirectoryError) as error:
-        raise stop(error, 1) from error
+        raise fail(error, 1) from error
     for tenant in held.tenants:
         click.echo(f"{tenant.customer} {tenant.plan} {tenant.name}".rstrip())
     for fault in held.faults:
--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -13,7 +13,7 @@
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -25,10 +25,32 @@
 HTTP2_FILE, CONNECTIONS_FILE = DEPLOY / "http2.toml", DEPLOY / "connections.toml"
 
 
+T = TypeVar("T")
+
+
 class ConfigError(ValueError):
     """A configuration that cannot be used; the message names the key."""
 
 
+def decode_toml(name: str, text: str, kind: type[T]) -> T:
+    """Read TOML of a kind; the error says where, by this name."""
+    try:
+        return msgspec.convert(tomllib.loads(text), kind)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise ConfigError(f"{name}: {error}") from error
+
+
+def read_toml(path: Path, kind: type[T]) -> T:
+    """Read a TOML file of a kind."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        raise ConfigError(f"{path} cannot be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise ConfigError(f"{path.name}: {error}") from error
+    return decode_toml(path.name, text, kind)
+
+
 class Limits(msgspec.Struct, frozen=True):
     """What the process may use."""
 
@@ -246,10 +268,7 @@
     """Read the file that says where the HTTP/2 front listens; without a file it is off."""
     if not path.exists():
         return Http2()
-    try:
-        http2 = msgspec.convert(tomllib.loads(path.read_text()), Http2)
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
-        raise ConfigError(f"{path.name}: {error}") from error
+    http2 = read_toml(path, Http2)
     parse_address(f"{path.name}: listen", http2.listen, any_port=True)
     return http2
 
@@ -258,10 +277,7 @@
     """Read the file that bounds connections to ticket servers; without a file the defaults hold."""
     if not path.exists():
         return ConnectionLimits()
-    try:
-        limits = msgspec.convert(tomllib.loads(path.read_text()), ConnectionLimits)
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
-        raise ConfigError(f"{path.name}: {error}") from error
+    limits = read_toml(path, ConnectionLimits)
     fault = limits.faults()
     if fault:
         raise ConfigError(f"{path.name}: {fault}")
@@ -385,12 +401,7 @@
 
 def load_agent(path: Path) -> Agent:
     """Read and check the agent's file and all that it names."""
-    try:
-        file = msgspec.convert(tomllib.loads(path.read_text()), AgentFile)
-    except OSError as error:
-        raise ConfigError(f"{path} cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
-        raise ConfigError(f"{path.name}: {error}") from error
+    file = read_toml(path, AgentFile)
     for key in ("backoff_first_s", "backoff_most_s", "steady_s", "drain_s"):
         if not 0 < getattr(file, key) < 3600:
             raise ConfigError(f"{path.name}: {key} must lie between 0 and 3600")
--- a/wickspring/connections/hazard.py
+++ b/wickspring/connections/hazard.py
@@ -30,8 +30,6 @@
 PRIOR_WEIGHT = 4.0  # requests that the prior counts for against the site's figures
 SITE_WEIGHT = 6.0  # requests that the site's figures count for against a server's own
 FADE_MS = 20_000.0  # time in which what was learnt falls to 1/e
-
-
 QUIET = 0.05  # faded closes and losses under which there is nothing to be careful of
 RACE_WEIGHT = 1.0  # foretold losses that the first guess (all of them come true) counts for
 RACE_LEAST = 0.01  # foretold risk from which a request says something of the race
--- a/wickspring/connections/limits.py
+++ b/wickspring/connections/limits.py
@@ -81,11 +81,6 @@
         self._fill(now)
         self.level -= 1.0
 
-    def next(self, now: float) -> float:
-        """Return when one may be taken."""
-        self._fill(now)
-        return now + max(0.0, 1.0 - self.level) / self.rate
-
 
 def pause(limits: ConnectionLimits, failures: int, random: Random) -> float:
     """Return the milliseconds to stay away after so many failed dials in a row."""
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -24,11 +24,8 @@
 
 Address = tuple[str, int]
 GOOD = 0.004  # risk below which connections are taken for alike, and the last used goes first
-BURST_MS, BURST_LEAST, BURST_SHARE = (
-    100.0,
-    6,
-    0.4,
-)  # closes within so long that are one outage, not many closes
+BURST_MS = 100.0  # closes within so long are one outage,
+BURST_LEAST, BURST_SHARE = 6, 0.4  # where they are so many, and such a share of all connections
 LOSS_MS = 60.0  # after its write within which a request's loss says that the connection was closing
 RETRY_LINE_MS = 10.0  # until a line that could not be served is looked at again
 FRESH_MS = 10.0  # after coming up a connection is as good as any dial could bring, whatever was learnt
@@ -391,10 +388,8 @@
     # What is decided.
 
     def _take(self) -> list[Action]:
-        actions = self._actions
-        if actions:
-            self._actions = []
-        return actions if actions else []
+        actions, self._actions = self._actions, []
+        return actions
 
     def _cut(self) -> float:
         return 1.0 - self.limits.jitter * self.random.random()
@@ -517,13 +512,10 @@
         at_once = max(1, math.floor(warmth * limits.dials_at_once_per_server))
         if now < pool.paused_until or len(pool.conns) >= limits.most_per_server:
             return False
-        if pool.dialing >= at_once or self.dialing >= self.window.size:
-            self.tally["dials_held"] += 1
-            return False
-        if not pool.bucket.has(now) or not self._bucket.has(now):
-            self.tally["dials_held"] += 1
-            return False
-        return True
+        full = pool.dialing >= at_once or self.dialing >= self.window.size
+        held = full or not pool.bucket.has(now) or not self._bucket.has(now)
+        self.tally["dials_held"] += held
+        return not held
 
     def _open(self, now: float, pool: Pool, ahead: bool) -> None:
         pool.bucket.take(now)
--- a/wickspring/fleet/file.py
+++ b/wickspring/fleet/file.py
@@ -6,12 +6,11 @@
 from __future__ import annotations
 
 import re
-import tomllib
 from pathlib import Path
 
 import msgspec
 
-from wickspring.config import HTTP2_FILE, ConfigError, load_instance, parse_address
+from wickspring.config import HTTP2_FILE, ConfigError, load_instance, parse_address, read_toml
 from wickspring.fleet.model import FLEET, Rules, scope_of
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
@@ -112,12 +111,7 @@
 
 def load_fleet(path: Path, *, configs: bool = True) -> Fleet:
     """Read and check a fleet file; with `configs`, what its instances are configured by as well."""
-    try:
-        file = msgspec.convert(tomllib.loads(path.read_text()), FleetFile)
-    except OSError as error:
-        raise ConfigError(f"{path} cannot be read: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
-        raise ConfigError(f"{path.name}: {error}") from error
+    file = read_toml(path, FleetFile)
     fleet, name = Fleet(path, file), path.name
     for key, names in (
         ("agent", [one.name for one in file.agent]),
--- a/wickspring/fleet/views.py
+++ b/wickspring/fleet/views.py
@@ -157,8 +157,8 @@
                 wants.append(name)
         return News(tuple(news), tuple(wants))
 
-    def follow(self, digest: Digest, wants: Iterable[str]) -> News:
-        """Send what the other wants, by what it was told to have."""
+    def follow(self, wants: Iterable[str]) -> News:
+        """Send what the other wants."""
         entries = (self.entries.get(name) for name in wants)
         return News(tuple(one for one in entries if one is not None))
 
--- a/wickspring/lab/fleet.py
+++ b/wickspring/lab/fleet.py
@@ -28,7 +28,7 @@
 from wickspring.lab.evaluate import evaluate
 from wickspring.lab.load import Load
 from wickspring.lab.result import Result
-from wickspring.lab.run import ROOT, LabError, Progress, Site, _listen, _tell, limits_text
+from wickspring.lab.run import ROOT, LabError, Progress, Site, limits_text, listen, tell
 from wickspring.lab.scenario import AgentFault, Command, FleetPart, InstanceFault, Scenario
 
 UP_WITHIN_S = 40.0
@@ -260,8 +260,8 @@
             for server in site.servers:
                 await server.start(nursery)
                 site.tell(server, late_ms=0.0)
-            counter = await _listen(nursery, site.counter.serve)
-            discoveries = [await _listen(nursery, one.serve) for one in site.discoveries]
+            counter = await listen(nursery, site.counter.serve)
+            discoveries = [await listen(nursery, one.serve) for one in site.discoveries]
             fleet.write(discoveries, counter, script)
             try:
                 for number in range(part.agents):
@@ -276,7 +276,7 @@
                 await site.faults(nursery)
                 nursery.start_soon(fleet.sample)
                 if progress is not None:
-                    nursery.start_soon(_tell, scenario, site, progress)
+                    nursery.start_soon(tell, scenario, site, progress)
                 async with trio.open_nursery() as given:
                     for command in part.command:
                         given.start_soon(fleet.command, command, nursery)
--- a/wickspring/lab/large_fleet.py
+++ b/wickspring/lab/large_fleet.py
@@ -73,7 +73,7 @@
         def back() -> None:
             self.view.learn(news, self.fleet.now)
             if news.wants:
-                follow = self.view.follow(self.view.digest(), news.wants)
+                follow = self.view.follow(news.wants)
                 self.fleet.send(other, lambda: other.view.learn(follow, self.fleet.now))
 
         self.fleet.send(self, back)
--- a/wickspring/lab/load.py
+++ b/wickspring/lab/load.py
@@ -18,6 +18,7 @@
 from wickspring.lab.record import Asked, Record
 from wickspring.lab.scenario import Scenario
 from wickspring.lab.script import CLASSES, PLANS, Try
+from wickspring.lab.sockets import peek
 
 LATE_MS = 400.0  # past its budget for which an answer is still watched for: a late one breaks a rule
 RETRY_SHARE = 0.7  # of the refused or failed tries that are retried, where clients retry
@@ -31,18 +32,7 @@
 
     def idle_dead(self) -> bool:
         """Tell whether the gateway has closed it, or sent something unasked."""
-        sock = self.stream.socket
-        import socket as plain
-
-        try:
-            with plain.fromfd(sock.fileno(), plain.AF_INET, plain.SOCK_STREAM) as twin:
-                twin.setblocking(False)
-                twin.recv(1, plain.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return peek(self.stream.socket) is not None
 
     async def ask(self, data: bytes, sent: Callable[[], None]) -> tuple[int, dict[str, str], bytes] | None:
         """Send a request and read its answer; None where the connection ended without one."""
@@ -125,16 +115,15 @@
             place = others[one.number % len(others)]
         left = one.at_ms + one.budget_ms + LATE_MS - self.clock.now()
         with trio.move_on_after(max(left, 1.0) / 1000.0):
-            got = await self._exchange(asked, place, fresh=False)
-            if got is None and not asked.answers:
+            if not await self._exchange(asked, place, fresh=False):
                 asked.resent = True
                 asked.broken = -1.0
                 await self._exchange(asked, place, fresh=True)
         self.ended += 1
         self._retry(asked, nursery)
 
-    async def _exchange(self, asked: Asked, place: int, *, fresh: bool) -> ClientConnection | None:
-        """Ask once on one connection; return it where it may be used again, or was of no blame."""
+    async def _exchange(self, asked: Asked, place: int, *, fresh: bool) -> bool:
+        """Ask once on one connection; tell whether an answer came."""
         pool, connection = self.idle[place], None
         while pool and not fresh and connection is None:
             connection = pool.pop()
@@ -146,7 +135,7 @@
             try:
                 connection = ClientConnection(await trio.open_tcp_stream(host, int(port)))
             except OSError:
-                return None
+                return False
         keep = False
         try:
             data = connection.encode(asked.plan)
@@ -157,7 +146,7 @@
             answer = await connection.ask(data, sent)
             if answer is None:
                 asked.broken = self.clock.now()
-                return None
+                return False
             status, headers, body = answer
             asked.answers.append((self.clock.now(), status, body))
             if "retry-after" in headers:
@@ -166,7 +155,7 @@
             if keep:
                 connection.http.start_next_cycle()
                 pool.append(connection)
-            return connection
+            return True
         finally:
             if not keep:
                 await trio.aclose_forcefully(connection.stream)
--- a/wickspring/lab/record.py
+++ b/wickspring/lab/record.py
@@ -65,7 +65,6 @@
     cold: list[Load] = field(default_factory=list)
     made: dict[str, set[bytes]] = field(default_factory=dict)  # bodies that servers made, by call id
     dials: list[tuple[float, str]] = field(default_factory=list)  # connections that came up, by server
-    refused_dials: list[float] = field(default_factory=list)
     ends: list[tuple[float, str]] = field(default_factory=list)  # connections that ended
     dead_writes: list[tuple[float, str]] = field(default_factory=list)  # written to what was closing
     counted: Counter[str] = field(default_factory=Counter)
--- a/wickspring/lab/result.py
+++ b/wickspring/lab/result.py
@@ -53,7 +53,6 @@
     dials: int = 0
     dials_per_s_peak: int = 0  # in any second, to all servers
     dials_per_s_peak_server: int = 0  # in any second, to one
-    dials_refused: int = 0
     reuses: int = 0
     reuse_share: float = 0.0
     sent_on_dead: int = 0
--- a/wickspring/lab/run.py
+++ b/wickspring/lab/run.py
@@ -201,7 +201,8 @@
                 discovery.silent = on
 
 
-async def _listen(nursery: trio.Nursery, serve: Callable[[trio.SocketStream], Any]) -> str:
+async def listen(nursery: trio.Nursery, serve: Callable[[trio.SocketStream], Any]) -> str:
+    """Serve on a port of loopback; return the address."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
     return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
@@ -222,12 +223,12 @@
             for server in site.servers:
                 await server.start(nursery)
                 site.tell(server, late_ms=0.0)
-            counter = await _listen(nursery, site.counter.serve)
+            counter = await listen(nursery, site.counter.serve)
             gateways = []
             for number, discovery in enumerate(site.discoveries):
                 config = {
                     "name": f"n{number}", "listen": "127.0.0.1:0", "seed": f"{seed + number:x}",
-                    "discovery": await _listen(nursery, discovery.serve), "counter": counter,
+                    "discovery": await listen(nursery, discovery.serve), "counter": counter,
                     "limits": {"cores": 1.0, "memory_mb": scenario.ingresses.memory_mb,
                                "sockets": scenario.ingresses.sockets},
                     "known": {"version": 0, "full": True, "servers": []},
@@ -272,7 +273,7 @@
     site.clock.start(in_s=0.2)
     await site.faults(nursery)
     if progress is not None:
-        nursery.start_soon(_tell, scenario, site, progress)
+        nursery.start_soon(tell, scenario, site, progress)
     await load.run(script.tries, nursery)
     with trio.move_on_after(max(scripts.DEADLINES_MS) / 1000.0 + 1.0):
         while load.ended < load.begun:
@@ -283,7 +284,8 @@
     await load.close()
 
 
-async def _tell(scenario: Scenario, site: Site, progress: Progress) -> None:
+async def tell(scenario: Scenario, site: Site, progress: Progress) -> None:
+    """Tell how far a run has come, until its end."""
     while site.clock.now() < 1000.0 * scenario.seconds:
         progress(max(0.0, site.clock.now() / 1000.0), site.record)
         await trio.sleep(0.25)
--- a/wickspring/lab/scenario.py
+++ b/wickspring/lab/scenario.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 from typing import Literal
 
 import msgspec
 
+from wickspring.config import ConfigError, decode_toml
 from wickspring.connections.limits import ConnectionLimits
 
 SHIPPED = Path(__file__).parent / "scenarios"
@@ -173,9 +173,9 @@
 def parse(text: str, file: str) -> Scenario:
     """Check the text of a scenario."""
     try:
-        scenario = msgspec.convert(tomllib.loads(text), Scenario)
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
-        raise ScenarioError(f"{file}: {error}") from error
+        scenario = decode_toml(file, text, Scenario)
+    except ConfigError as error:
+        raise ScenarioError(str(error)) from error
     for key, value, least in (
         ("seconds", scenario.seconds, 0.5),
         ("servers.count", scenario.servers.count, 1),
--- a/wickspring/lab/servers.py
+++ b/wickspring/lab/servers.py
@@ -17,6 +17,7 @@
 from wickspring.lab.record import Arrival, Load, Record
 from wickspring.lab.scenario import Scenario
 from wickspring.lab.script import FALL_FACTOR, FALL_MS, Try
+from wickspring.lab.sockets import peek
 
 BACKLOG = 256
 LINGER_S = 0.15  # a closing connection is watched for so long for what was still written to it
@@ -229,25 +230,12 @@
         closing = self.scenario.closing
         if closing.mode == "race" and self.random.random() < closing.share:
             await trio.sleep(self.random.uniform(0.0, closing.within_ms) / 1000.0)
-            try:
-                unread = bool(await side.sock.recv(1, socket.MSG_PEEK)) if self._has_data(side) else False
-            except OSError:
-                unread = False
-            if unread:  # written to a connection that was on its way out
+            if peek(side.sock):  # written to a connection that was on its way out
                 self.record.dead_writes.append((self.clock.now(), self.name))
                 reset(side.sock)
             return False
         return True
 
-    @staticmethod
-    def _has_data(side: Side) -> bool:
-        try:
-            with socket.fromfd(side.sock.fileno(), socket.AF_INET, socket.SOCK_STREAM) as twin:
-                twin.setblocking(False)
-                return bool(twin.recv(1, socket.MSG_PEEK))
-        except (BlockingIOError, OSError):
-            return False
-
     # Requests.
 
     def warmth(self) -> float:
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -6,7 +6,7 @@
 
 from wickspring.connections.pools import Conn, End
 from wickspring.interface import Status
-from wickspring.net.link import Link, connect
+from wickspring.net.link import Link
 from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply
 from wickspring.net.upstream.manager import Upstream
 from wickspring.net.upstream.reports import read_reply
@@ -113,15 +113,10 @@
 
     async def run(self) -> None:
         """Dial, then read answers until either side ends the connection."""
-        sock = await connect(self.conn.address, self.upstream.settings.dial_timeout)
-        if sock is None or self.closed:
-            if sock is not None:
-                sock.close()
-            if not self.closed:
-                self.closed = True
-                self.upstream.dial_failed(self.conn)
+        self.link = link = await self.upstream.connect(self.conn)
+        if link is None:
+            self.closed = True
             return
-        self.link = link = Link(sock, self.upstream.nursery)
         self.upstream.up(self.conn, 1)
         while not self.closed:
             data = await link.receive()
--- a/wickspring/net/upstream/http2.py
+++ b/wickspring/net/upstream/http2.py
@@ -13,7 +13,7 @@
 from wickspring.connections.pools import Conn, End
 from wickspring.interface import Status
 from wickspring.net.http2_wire import Frames, GoAway, pump, settings
-from wickspring.net.link import Link, connect
+from wickspring.net.link import Link
 from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply
 from wickspring.net.upstream.manager import Upstream
 from wickspring.net.upstream.reports import read_reply
@@ -76,14 +76,10 @@
 
     def begin(self, job: Job) -> None:
         """Open a stream for a job."""
-        self._open(job)
-
-    def _open(self, job: Job) -> None:
-        if self.closed or self.last_stream is not None:
-            self.upstream.finish(job, Reply(Status.CONNECT_FAILED))  # it has begun to go
-            return
-        if job.work and not self.upstream.may_send(self.conn.server):
-            self.upstream.finish(job, Reply(Status.CONNECT_FAILED))  # told of its drain meanwhile
+        going = self.closed or self.last_stream is not None
+        if going or (job.work and not self.upstream.may_send(self.conn.server)):
+            # The connection has begun to go, or the server was told to drain, while the job was on its way.
+            self.upstream.finish(job, Reply(Status.CONNECT_FAILED))
             return
         stream = self.http.get_next_available_stream_id()
         headers = [
@@ -122,15 +118,10 @@
     async def run(self) -> None:
         """Dial, then read until either side ends the connection."""
         asked = self.upstream.clock.now()
-        sock = await connect(self.conn.address, self.upstream.settings.dial_timeout)
-        if sock is None or self.closed:
-            if sock is not None:
-                sock.close()
-            if not self.closed:
-                self.closed = True
-                self.upstream.dial_failed(self.conn)
+        self.link = link = await self.upstream.connect(self.conn)
+        if link is None:
+            self.closed = True
             return
-        self.link = Link(sock, self.upstream.nursery)
         self.heard_at = self.upstream.clock.now()
         self.http.local_settings = settings(client=True, streams=0)
         self.http.initiate_connection()
@@ -139,7 +130,7 @@
         # A peer that accepts and says nothing is as good as not there: one time-out covers both.
         self.upstream.timers.at(asked + self.upstream.settings.dial_timeout, self._not_up)
         while not self.closed:
-            data = await self.link.receive()
+            data = await link.receive()
             if not data:
                 break
             self.heard_at = self.upstream.clock.now()
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -11,10 +11,11 @@
 
 from wickspring import interface as api
 from wickspring.connections.limits import ConnectionLimits, most_connections
-from wickspring.connections.pools import Action, Assign, Close, Conn, Dial, End, Pools, Standing
+from wickspring.connections.pools import Action, Assign, Close, Conn, Dial, End, Pools, Standing, State
 from wickspring.interface import Readiness, Status
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
+from wickspring.net.link import Link, connect
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.carrier import Carrier, Job, Reply
 
@@ -99,6 +100,18 @@
 
     # From the connections.
 
+    async def connect(self, conn: Conn) -> Link | None:
+        """Dial; None where it failed, which has been told then, or was closed from here meanwhile."""
+        sock = await connect(conn.address, self.settings.dial_timeout)
+        if conn.state is State.CLOSED:
+            if sock is not None:
+                sock.close()
+            return None
+        if sock is None:
+            self.dial_failed(conn)
+            return None
+        return Link(sock, self.nursery)
+
     def up(self, conn: Conn, room: int) -> None:
         """A dial has succeeded, and the connection takes so many jobs at once."""
         self._perform(self.pools.up(self.clock.now(), conn, room))
