Test idle links closed at random; hold agents without TLS to loopback

Change: the test; a fleet file with another address and no tls is refused by its key. The checker works out a cold server's load in one place for rule and figure, and an outcome is named in one.

--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -464,6 +464,7 @@
         (("[rules]", "[rules]\ngosip_s = 1"), "gosip_s"), (('name = "2"', 'name = "1"'), "build"),
         (('name = "n0"', 'name = "n 0"'), "n 0"), (('config = "n0.json"', 'config = "no.json"'), "no.json"),
         (("[rules]", "[rules]\ndown_share_hall = 2"), "down_share_hall"),
+        (('address = "127.0.0.1:', 'address = "10.0.0.1:'), "tls"),
         (('address = "127.0.0.1:', 'address = "127.0.0.1'), "address"),
     ],
 )  # fmt: skip
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -209,6 +209,13 @@
     assert result.reuse_share > 0.5
 
 
+def test_idle_links_closed_at_random_cost_nothing() -> None:
+    result = kept(run(load("idle-close", 5.0), 1))
+    assert result.gateway["closed_idle"] + result.gateway.get("found_closed", 0.0) > 10
+    assert result.served_share > 0.9
+    assert result.escalate_failed_share < 0.04
+
+
 def test_a_close_at_the_very_moment_of_a_write_never_makes_a_second_copy() -> None:
     one = load("write-close", 4.0)
     result = kept(
--- a/wickspring/fleet/file.py
+++ b/wickspring/fleet/file.py
@@ -128,7 +128,9 @@
             raise ConfigError(f"{name}: {key}: not a usable name: {bad!r}")
     agents = {one.name for one in file.agent}
     for agent in file.agent:
-        parse_address(f"{name}: agent {agent.name}: address", agent.address)
+        host, _ = parse_address(f"{name}: agent {agent.name}: address", agent.address)
+        if file.tls is None and not host.startswith("127."):
+            raise ConfigError(f"{name}: agent {agent.name}: address: beyond loopback tls is needed")
         if file.tls is not None and not (agent.cert and agent.key):
             raise ConfigError(f"{name}: agent {agent.name}: cert and key are needed with tls")
     for one in file.instance:
--- a/wickspring/lab/evaluate.py
+++ b/wickspring/lab/evaluate.py
@@ -35,15 +35,15 @@
     served_in_aim = 0
     for asked in record.asked:
         one = asked.plan
-        status = asked.answers[0][1] if asked.answers else 0
+        outcome = asked.outcome
         result.requests += 1
         result.escalates += one.kind == 2
-        if status == 200:
+        if outcome == "served":
             result.served += 1
             latency = asked.answers[0][0] - one.at_ms  # from when it was due: waiting to be sent counts
             histogram.record_value(max(1, int(1000.0 * latency)))
             served_in_aim += latency <= AIMS_MS[one.kind]
-        elif status in (429, 503):
+        elif outcome == "refused":
             result.refused += 1
         else:
             result.failed += 1
@@ -94,10 +94,8 @@
     ends: dict[str, list[float]] = {"served": [], "refused": [], "failed": []}
     latencies: list[list[float]] = [[] for _ in range(bins)]
     for asked in record.asked:
-        status = asked.answers[0][1] if asked.answers else 0
-        word = "served" if status == 200 else "refused" if status in (429, 503) else "failed"
-        ends[word].append(asked.plan.at_ms)
-        if status == 200:
+        ends[asked.outcome].append(asked.plan.at_ms)
+        if asked.outcome == "served":
             index = min(bins - 1, max(0, int(asked.plan.at_ms / series.bin_ms)))
             latencies[index].append(asked.answers[0][0] - asked.plan.at_ms)
     series.offered = spread([asked.plan.at_ms for asked in record.asked])
--- a/wickspring/lab/record.py
+++ b/wickspring/lab/record.py
@@ -34,6 +34,12 @@
     retry_of: int = -1
     advice_ms: float = -1.0
 
+    @property
+    def outcome(self) -> str:
+        """Name how it ended for its client: served, refused or failed."""
+        status = self.answers[0][1] if self.answers else 0
+        return "served" if status == 200 else "refused" if status in (429, 503) else "failed"
+
 
 @dataclass(slots=True)
 class Told:
--- a/wickspring/lab/rules.py
+++ b/wickspring/lab/rules.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from wickspring.lab.record import Arrival, Record
@@ -106,30 +107,24 @@
 
 
 def _cold(record: Record, found: Findings) -> None:
-    windows: dict[str, deque[tuple[float, float]]] = defaultdict(deque)
-    for load in record.cold:
-        window = windows[load.server]
-        window.append((load.at, load.work_ms))
-        while window[0][0] < load.at - FALL_MS:
-            window.popleft()
-        if sum(work for _, work in window) > FALL_FACTOR * load.capacity * FALL_MS:
-            window.clear()
-            if load.server not in found.cold:  # it has fallen, and stays down
-                found.cold.append(load.server)
-    found.cold += [server for server in record.fallen if server not in found.cold]
+    fell = {server for server, share in _cold_shares(record) if share > 1.0}
+    found.cold = sorted(fell | set(record.fallen))  # each once: a server that falls stays down
 
 
 def cold_load_most(record: Record) -> float:
     """Return the most work sent to a cold server in any window, over what makes it fall."""
+    return max((share for _, share in _cold_shares(record)), default=0.0)
+
+
+def _cold_shares(record: Record) -> Iterator[tuple[str, float]]:
+    """Give for each piece of work the server, and the work of the window it ends over what makes it fall."""
     windows: dict[str, deque[tuple[float, float]]] = defaultdict(deque)
-    most = 0.0
     for load in record.cold:
         window = windows[load.server]
         window.append((load.at, load.work_ms))
         while window[0][0] < load.at - FALL_MS:
             window.popleft()
-        most = max(most, sum(work for _, work in window) / (FALL_FACTOR * load.capacity * FALL_MS))
-    return most
+        yield load.server, sum(work for _, work in window) / (FALL_FACTOR * load.capacity * FALL_MS)
 
 
 def beyond_quota(record: Record, plans: tuple[Plan, ...], tries: dict[str, Try]) -> tuple[float, float]:
