Keep each of many ingresses to an even part of the servers and remember their pace

Lines at fault: Policy._choose (draws from all) and _cost (own attempts out alone).

Where there are four ingresses or fewer nothing changes; crossing halls costs less in a large fleet.

--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,90 @@
+"""What one of many gateways does that would be harmful if all forty did it, or that it learns too late."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from tests.gateway import Gateway, every, only
+from wickspring import interface as api
+from wickspring.interface import ListKind, Readiness, Status
+
+Build = Callable[..., Gateway]
+GATEWAYS, SERVERS = 40, 60
+ROOMY = {"rate": 1.0, "burst": 1000.0}
+
+
+def many(gateway: Build, number: int = 0, servers: int = SERVERS) -> Gateway:
+    return gateway(gateways=GATEWAYS, own_number=number, servers=servers, plan=ROOMY, most_attempts=1)
+
+
+def answer(front: Gateway, send: api.Send, elapsed: float, status: Status = Status.OK) -> None:
+    over = status is Status.OK
+    front.feed(api.Outcome(send.request, 0, send.server, status, over, elapsed, (), 0.0, 0))
+
+
+def test_every_server_is_near_to_as_many_gateways_as_any_other(gateway: Build) -> None:
+    near = Counter(s.entry.server for n in range(GATEWAYS) for s in many(gateway, n).policy.near)
+    assert len(near) == SERVERS
+    assert max(near.values()) - min(near.values()) <= 1
+
+
+def test_a_server_that_goes_moves_edges_and_no_more(gateway: Build) -> None:
+    for number in range(GATEWAYS):
+        front = many(gateway, number)
+        before = {s.entry.server for s in front.policy.near}
+        front.list_servers(front.entry(17, readiness=Readiness.GONE), kind=ListKind.CHANGES)
+        gone = before - {s.entry.server for s in front.policy.near}
+        assert len(gone - {front.entry(17).server}) <= 1
+
+
+def test_few_gateways_keep_to_all_servers(gateway: Build) -> None:
+    front = gateway(gateways=4, servers=14)
+    assert len(front.policy.near) == 14
+
+
+def test_one_of_many_keeps_to_its_near_servers_and_leaves_them_when_they_fail(gateway: Build) -> None:
+    front = many(gateway)
+    near = {s.entry.server for s in front.policy.near}
+    sent = []
+    for customer in range(200):
+        sent.append(front.admitted(0.0, customer=customer))
+        answer(front, sent[-1], 100.0)
+        front.now += 20.0
+    assert sum(send.server in near for send in sent) >= 195
+    for customer in range(200, 280):
+        send = front.admitted(0.0, customer=customer)
+        answer(front, send, 100.0, Status.RESET if send.server in near else Status.OK)
+    late = [send.server for send in every(front.done, api.Send)[-40:]]
+    assert sum(server in near for server in late) <= 4
+
+
+def test_a_slow_server_is_remembered_though_nothing_of_the_own_is_out_there(gateway: Build) -> None:
+    front = many(gateway)
+    slow = front.policy.near[3].entry.server
+    sent: Counter[api.ServerId] = Counter()
+    for customer in range(300):
+        send = front.admitted(0.0, customer=customer)
+        sent[send.server] += 1
+        answer(front, send, 900.0 if send.server == slow else 100.0)
+        front.now += 50.0
+    usual = sorted(sent.values())[len(front.policy.near) // 2]
+    assert 0 < sent[slow] < usual / 3  # less, but looked at again: it may have become well
+
+
+def test_most_near_servers_cold_leaves_the_warm_ones_further_off(gateway: Build) -> None:
+    front = many(gateway)
+    cold = [s.entry for s in front.policy.near]
+    for entry in cold:
+        front.list_servers(
+            api.ServerEntry(
+                entry.server, entry.zone, entry.cell, entry.readiness, entry.weight, started_at=front.now
+            ),
+            kind=ListKind.CHANGES,
+        )
+    for customer in range(60):
+        name = only(front.request(customer=customer), api.Count).name
+        send = only(front.count(name, 1.0), api.Send)
+        answer(front, send, 100.0)
+    warm = {s.entry.server for s in front.policy.ready} - {entry.server for entry in cold}
+    assert sum(send.server in warm for send in every(front.done, api.Send)) >= 45
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -29,6 +29,8 @@
 RETRY_MOST = 5.0  # a brown-out is not fed; saved by one gateway at most, half of it at first
 QUIET_SHARE, QUIET_ANSWERS = 0.35, 3.0  # of the aim, and mean answer times, before an attempt is looked into
 SHUN_MS, SHUN_MOST = 2000.0, 8  # ms without new work for each failure in a row, and failures that count
+NEAR_SHARES, NEAR_LEAST, NEAR_DRAWS = 8, 8, 6  # gateways a server is near to; servers near; draws of them
+FAR_COST = 2.0  # times as much a server costs that is not near: it has no connection from here yet
 DRAWS, COLD_DRAWS, COLD_CARE = 8, 2, 0.5  # servers drawn; draws open to cold ones, at odds in their warmth
 PROBE_WAIT, STALL = 60.0, 60.0  # ms for an answer to a probe; ms late that a timer is after an own stall
 HOLD_SHARE = 0.12  # of the aim: a request held longer without a server is refused, it would be late
@@ -37,7 +39,10 @@
 ROOM_MEMORY, ROOM_MEMORY_MOST = 1000.0, 10.0  # ms over which that mean is taken; least answers that it takes
 ROOM_CUT, ROOM_GROW = 0.5, 0.6  # change of that room a second: down by a part, up by attempts per server
 FULL_PART, MEMORY = 0.1, 8.0  # part of every plan told full, above which servers are; answers in a mean
-CROSS_COST = 1.0  # requests more that a server of the own zone may hold before another zone is taken
+PACE_PART, PACE_MEMORY = 0.5, 10_000.0  # part of a new answer in a server's pace; ms until it is forgotten
+PACE_LEAST, PACE_MOST = 0.5, 8.0  # bounds of a server's pace against that of all
+CROSS_COST = 1.0  # requests more that a server of the own zone may hold before another zone is taken,
+FEW = 4  # up to so many gateways; beyond, less: an own one stands for several that are not seen
 
 
 class Policy:
@@ -55,7 +60,9 @@
         self.due: list[tuple[float, int]] = []  # heap of looks at requests, by time
         self.timer_at, self.timer_token = float("inf"), 0  # of the earliest timer that has been asked for
         self.random = Random(settings.seed)
+        self.lone = min(1.0, FEW / max(1, settings.gateways))  # how far the own attempts out stand for all
         self.ready: list[Server] = []
+        self.near: list[Server] = []  # those of the ready that this gateway keeps to
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
@@ -251,9 +258,12 @@
         self.room = max(self.room or ROOM_START * fair, ROOM_LEAST * fair)
         if not self.ready or len(self.attempts) + self.random.random() > self.room:
             return None  # by odds, for the part may be under one
-        drawn = []
-        for draw in range(DRAWS):
-            server = self.ready[int(self.random.random() * len(self.ready))]
+        drawn: list[Server] = []
+        for draw in range(DRAWS if len(self.near) == len(self.ready) else 2 * DRAWS):
+            if draw >= DRAWS and drawn:
+                break  # most of the near ones are cold, or not in the group
+            servers = self.near if draw < NEAR_DRAWS else self.ready
+            server = servers[int(self.random.random() * len(servers))]
             warmth = self._warmth(server)
             cold = warmth < 1.0 and (draw >= COLD_DRAWS or self.random.random() > COLD_CARE * warmth)
             if not cold and self._in_group(held, server.entry):
@@ -266,10 +276,21 @@
         """Return the requests for its size at a server; far more where it is shunned or has been tried."""
         entry, part = server.entry, server.shun_part.get
         by_part = max(part(held.request.class_index, 0.0), part(-1 - held.request.plan_index, 0.0))
-        cost = (server.out + 1.0) / max(entry.weight, 1e-3) / self._warmth(server)
-        cost += CROSS_COST * (entry.zone != self.settings.zone) + 100.0 * (entry.server in held.tried)
+        cost = (server.out + 1.0) * self._pace(server) / max(entry.weight, 1e-3) / self._warmth(server)
+        cost += CROSS_COST * self.lone * (entry.zone != self.settings.zone)
+        cost += 100.0 * (entry.server in held.tried)
+        cost *= 1.0 if server.near else FAR_COST
         return cost + 1000.0 * (self.now < max(server.shun_until, by_part))
 
+    def _pace(self, server: Server) -> float:
+        """Return how many times as long as the others a server took lately; 1 where nothing is known.
+
+        Few gateways see a server's load by their own attempts out, and take no notice of this.
+        """
+        known = math.exp((server.pace_at - self.now) / PACE_MEMORY) if server.pace_at > LONG_AGO else 0.0
+        ratio = server.pace / self.delay if self.delay > 0.0 else 1.0
+        return min(max(1.0 + (ratio - 1.0) * known * (1.0 - self.lone), PACE_LEAST), PACE_MOST)
+
     def _in_group(self, held: Held, entry: api.ServerEntry) -> bool:
         """Keep a keyed request that may have run with the servers that would drop its repeat."""
         ran, kind = held.ran, held.kind
@@ -318,6 +339,8 @@
         server.out, account.out = server.out - 1, account.out - 1
         self._judge(server, outcome.status)
         held = self.held.get(outcome.request)
+        if held is not None and outcome.status in (Status.OK, Status.CANCELLED):
+            self._learn_pace(server, outcome.elapsed / held.kind.aim, outcome.status is Status.OK)
         if held is None:
             return
         held.open.pop(outcome.attempt, None)
@@ -333,6 +356,12 @@
             self._again(held, free=outcome.status is Status.CONNECT_FAILED)
         self._serve_line()
 
+    def _learn_pace(self, server: Server, taken: float, answered: bool) -> None:
+        """Remember how long a server takes: of many gateways none has enough out to see its load."""
+        known = self._pace(server) * self.delay if self.delay > 0.0 else taken
+        if answered or taken > known:  # what was cancelled would have taken longer yet
+            server.pace, server.pace_at = known + PACE_PART * (taken - known), self.now
+
     def _learn_delay(self, held: Held, elapsed: float) -> None:
         """Let fewer attempts out while answers take much of their aim: what waits here can be refused."""
         passed, self.room_at = min(self.now - self.room_at, ROOM_MEMORY / 2), self.now
@@ -394,8 +423,26 @@
         for gone in [k for k, s in self.servers.items() if s.entry.readiness is Readiness.GONE and not s.out]:
             del self.servers[gone]
         self.ready = [s for s in self.servers.values() if s.entry.readiness is Readiness.READY]
+        self._keep_near()
         self._serve_line()
 
+    def _keep_near(self) -> None:
+        """Take this gateway's part of a ring of all servers (a deterministic aperture, as Finagle has it).
+
+        Where all gateways use all servers, each has a connection to each and hears of each but rarely. The
+        parts lie evenly on the ring, so every server is near to as many gateways as any other; one that goes
+        moves the edges of the parts and no more.
+        """
+        ring = sorted(self.ready, key=lambda server: server.entry.server)
+        gateways, count = max(1, self.settings.gateways), len(ring)
+        width = min(count, max(NEAR_LEAST, math.ceil(NEAR_SHARES * count / gateways)))
+        start = self.settings.own_number * count // gateways
+        self.near = [ring[(start + step) % count] for step in range(width)] if width < count else self.ready
+        for server in ring:
+            server.near = False
+        for server in self.near:
+            server.near = True
+
     def _judge(self, server: Server, status: Status) -> None:
         """Shun what fails, longer with each failure in a row; cancelled attempts tell nothing."""
         if status is Status.OK:
--- a/wickspring/state.py
+++ b/wickspring/state.py
@@ -21,6 +21,9 @@
     shun_until: float = LONG_AGO
     shun_part: dict[int, float] = field(default_factory=dict)  # the same by class, and by plan as -1 - plan
     heard_at: float = LONG_AGO  # last sign of life
+    near: bool = False  # one of those that this gateway keeps to
+    pace: float = 0.0  # mean answer time of late, in aims
+    pace_at: float = LONG_AGO
     served_at: dict[int, float] = field(default_factory=dict)  # last good answer by class
 
 
