Call an overbooked discovery with growing pauses; load cold servers by their warmth

Lines at fault: net/discovery.py, PAUSE_MOST 1.0 and no jitter, a 503 taken for a bad list line (which asks for the whole list anew); net/server.py waited a second for a first list though one was known. Once all had the list, 42 of 60 servers were cold and got a fifth of the sends: policy.py COLD_DRAWS and a cost divided by warmth, meant for few ingresses, left the 18 warm ones with 9 attempts each.

Change: backoff.py, pauses that double from a spread sized by Siblings, with jitter from the seed; 429 and 503 are told from bad lists and keep the version; ready at once where servers are known. Of many ingresses each draws cold servers by their warmth, goes further where its near ones are colder than all, and sends on no more than 2.5 times what all are warm; a new window's store begins full where many share a customer, for what one saw spent seconds ago is no news. The ring moves to aperture.py.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 from tests.gateway import Gateway, every, make_settings, only
 from wickspring import interface as api
 from wickspring.interface import Effect, Group, Status
-from wickspring.policy import ACCOUNT_LIFE, COLD_CARE, COLD_DRAWS, ROOM_START
+from wickspring.policy import ACCOUNT_LIFE, COLD_CARE, COLD_DRAWS, COLD_LOAD, ROOM_START
 
 FLEET = 330
 
@@ -61,7 +61,7 @@
     for front in gateways:
         front.list_servers(*(front.entry(n, started_at=front.now) for n in range(60)))
     sent = sum(len(sends(front)) for front in gateways)
-    assert sent <= 1.3 * COLD_DRAWS * COLD_CARE * 0.2 * FLEET
+    assert sent <= 1.2 * COLD_LOAD * 0.2 * FLEET  # under a usual load well below four times what they can do
 
 
 def test_first_room_is_a_part_of_the_fleets() -> None:
--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,61 @@
+"""Discovery met by forty ingresses at once: pauses that keep them out of step, and a turn that is refused."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from wickspring.backoff import Backoff
+from wickspring.net import discovery
+
+GATEWAYS, RATE, WAIT_MOST = 40, 10.0, 2.0
+
+
+def fleet() -> list[Backoff]:
+    return [Backoff(Random(seed), GATEWAYS, RATE, 0.1, 10.0) for seed in range(GATEWAYS)]
+
+
+def test_while_all_are_turned_away_the_fleet_keeps_to_its_rate() -> None:
+    tries: Counter[int] = Counter()
+    for backoff in fleet():
+        now = backoff.start()
+        while now < 60.0:
+            tries[int(now)] += 1
+            now += backoff.failed(busy=True)
+    assert max(tries[second] for second in range(5, 60)) <= 1.5 * RATE
+    assert sum(tries[second] for second in range(30, 60)) <= 30 * RATE * 0.6
+
+
+def test_an_overbooked_service_that_works_on_for_those_who_left_serves_all_in_the_end() -> None:
+    # One turn after another, five a second; who has waited two seconds leaves, and is worked on all the same.
+    backoffs, free, served = fleet(), 0.0, set[int]()
+    calls = sorted((backoff.start(), number) for number, backoff in enumerate(backoffs))
+    while calls and calls[0][0] < 30.0:
+        now, number = calls.pop(0)
+        free = max(free, now) + 1 / 5.0
+        if free - now <= WAIT_MOST:
+            served.add(number)
+        else:
+            calls.append((now + WAIT_MOST + backoffs[number].failed(busy=True), number))
+            calls.sort()
+    assert served == set(range(GATEWAYS))
+
+
+def test_what_ended_for_all_at_once_is_not_taken_up_by_all_at_once() -> None:
+    starts: Counter[int] = Counter(int(b.ended() * 10) for b in fleet())
+    assert max(starts.values()) <= GATEWAYS // 4
+
+
+def test_one_ingress_alone_comes_again_within_a_second() -> None:
+    backoff = Backoff(Random(1), 1, RATE, 0.1, 10.0)
+    assert max(backoff.failed() for _ in range(20)) <= 1.0
+
+
+@pytest.mark.parametrize("status", discovery.BUSY)
+def test_a_watch_turned_away_is_told_from_a_bad_list(status: int) -> None:
+    reader = discovery.WatchReader()
+    reader.request("/discovery/hosts?follow=1&since=7", "d")
+    with pytest.raises(discovery.BusyError, match=str(status)):
+        reader.feed(b"HTTP/1.1 %d Busy\r\nContent-Length: 0\r\n\r\n" % status)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -88,3 +88,28 @@
         answer(front, send, 100.0)
     warm = {s.entry.server for s in front.policy.ready} - {entry.server for entry in cold}
     assert sum(send.server in warm for send in every(front.done, api.Send)) >= 45
+
+
+def test_cold_servers_get_their_part_where_most_are_cold(gateway: Build) -> None:
+    front = many(gateway, servers=60)
+    young = [front.entry(n, started_at=front.now) for n in range(42)]
+    front.list_servers(*young, kind=ListKind.CHANGES)
+    names, sent = {entry.server for entry in young}, Counter[api.ServerId]()
+    for customer in range(400):
+        send = front.admitted(0.0, customer=customer)
+        sent[send.server] += 1
+        answer(front, send, 100.0)
+    cold = sum(times for server, times in sent.items() if server in names)
+    part = 0.2 * 42 / (0.2 * 42 + 18)  # of what all can do now
+    assert 0.4 * part < cold / 400 < 2.0 * part
+
+
+def test_a_new_window_is_asked_for_though_the_last_was_spent(gateway: Build) -> None:
+    front = gateway(gateways=GATEWAYS)
+    ask = api.Request(1, 0, 0, 7, front.now + 4000.0, 4.0, 20, 0)
+    name = only(front.feed(ask), api.Count).name
+    assert every(front.count(name, 400.0), api.Refuse)  # long spent by what comes in elsewhere
+    left = front.policy.accounts[7].window_left
+    front.now += left + 1.0
+    again = api.Request(2, 0, 0, 7, front.now + 4000.0, 4.0, 20, 0)
+    assert only(front.feed(again), api.Count).name != name
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -5,12 +5,14 @@
 import logging
 import math
 from collections.abc import Callable
+from random import Random
 
 import h11
 import msgspec
 import trio
 
 from wickspring import interface as api
+from wickspring.backoff import Backoff
 from wickspring.config import ConfigError, ListedServer, Listing, parse_address
 from wickspring.logs import kv
 from wickspring.net.link import Link, connect
@@ -19,8 +21,10 @@
 
 SILENCE_MOST = 5.0  # s; an empty line comes every 2 s, so this is two of them missed
 DIAL_MS = 1000.0
-PAUSE_FIRST, PAUSE_MOST = 0.1, 1.0  # s between tries to connect
+PAUSE_FIRST, PAUSE_MOST = 0.1, 10.0  # s between tries; the most is less in a small fleet
+FLEET_RATE = 10.0  # watches a second that all ingresses together open while all of them have to
 LONGEST_LINE = 8 << 20
+BUSY = (429, 503)  # statuses of a service that has more callers than it can serve
 STATES = {
     "up": api.Readiness.READY,
     "draining": api.Readiness.DRAINING,
@@ -47,6 +51,10 @@
         raise ListError(str(error)) from error
 
 
+class BusyError(Exception):
+    """Discovery turned the watch away: it has more callers than it can serve."""
+
+
 class Directory:
     """The servers as discovery has named them: their addresses, and news for the decision module."""
 
@@ -109,6 +117,8 @@
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
+                if isinstance(event, h11.Response) and event.status_code in BUSY:
+                    raise BusyError(f"status {event.status_code}")
                 if isinstance(event, h11.Response) and event.status_code != 200:
                     raise ListError(f"status {event.status_code}")
                 if isinstance(event, h11.Data):
@@ -133,9 +143,12 @@
         directory: Directory,
         nursery: trio.Nursery,
         listed: Callable[[api.ServerList], None],
+        seed: int = 0,
+        gateways: int = 1,
     ) -> None:
         self.address, self.directory, self.nursery, self.listed = address, directory, nursery, listed
         self.heard = trio.Event()
+        self._backoff = Backoff(Random(seed), gateways, FLEET_RATE, PAUSE_FIRST, PAUSE_MOST)
         self._scope = trio.CancelScope()  # of the present watch and the pause after it
 
     def move(self, address: tuple[str, int]) -> None:
@@ -145,20 +158,29 @@
             self._scope.cancel()
 
     async def run(self) -> None:
-        """Watch for ever, with a pause between tries that grows to a second."""
-        pause = PAUSE_FIRST
+        """Watch for ever, with pauses between tries that grow while nothing is heard.
+
+        All ingresses of a fleet lose their watches at one moment, or start at one. Coming again in step they
+        keep an overbooked discovery so busy with callers that give up that none is served.
+        """
+        pause: float | None = self._backoff.start()
         while True:
             with trio.CancelScope() as self._scope:
+                await trio.sleep(pause or 0.0)
+                pause = None
                 try:
                     if await self._watch():
-                        pause = PAUSE_FIRST
+                        pause = self._backoff.ended()
+                except BusyError as error:  # the version held stands: a whole list would cost it more yet
+                    pause = self._backoff.failed(busy=True)
+                    log.warning("discovery_busy", extra=kv(reason=error, pause_s=round(pause, 1)))
                 except Exception as error:  # an odd answer must not end the ingress
                     log.exception("watch_failed", extra=kv(reason=error))
-                await trio.sleep(pause)
-                pause = min(2 * pause, PAUSE_MOST)
+                if pause is None:
+                    pause = self._backoff.failed()
             if self._scope.cancelled_caught:
                 # Another discovery numbers its versions in its own way: the whole list is asked for.
-                self.directory.version, pause = 0, PAUSE_FIRST
+                self.directory.version, pause = 0, self._backoff.ended()
 
     async def _watch(self) -> bool:
         """Follow one connection to its end; True if it said anything, and nothing that was no list."""
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -96,7 +96,10 @@
         self.book = PlanBook(instance.tenants) if instance.tenants is not None else None
         self.calls = CallReader(settings, self.book)
         self.directory = Directory(settings.zones)
-        self.discovery = Discovery(instance.discovery, self.directory, nursery, self.dispatch)
+        self.discovery = Discovery(
+            instance.discovery, self.directory, nursery, self.dispatch,
+            settings.seed, settings.gateways,
+        )  # fmt: skip
         self.connections: set[Connection] = set()
         self.upstream = Upstream(
             settings, instance.connections, instance.limits.sockets, lambda: len(self.connections),
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -25,7 +25,8 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
-FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in
+FIRST_LIST_S, FIRST_KNOWN_S = 1.0, 0.1  # for discovery's first word before clients are let in; the second
+# where the configuration knows servers: forty that start at once would wait for it longer than they need
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
 
 Serve = Callable[[Link, Runtime], Awaitable[None]]
@@ -158,7 +159,7 @@
                 place = parse_address("http2.toml: listen", instance.http2.listen, any_port=True)
                 listeners.append(listen(place, share=instance.share_port))
                 nursery.start_soon(accept, listeners[1], runtime, http2_front.serve)
-            with trio.move_on_after(FIRST_LIST_S):
+            with trio.move_on_after(FIRST_KNOWN_S if runtime.directory.addresses else FIRST_LIST_S):
                 await runtime.discovery.heard.wait()
             gc.collect()
             gc.freeze()  # what start-up has made lives as long as the process
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from wickspring import interface as api
+from wickspring.aperture import near
 from wickspring.interface import Effect, Group, Readiness, Status
 from wickspring.state import LONG_AGO, Account, Held, Server
 
@@ -29,7 +30,8 @@
 RETRY_MOST = 5.0  # a brown-out is not fed; saved by one gateway at most, half of it at first
 QUIET_SHARE, QUIET_ANSWERS = 0.35, 3.0  # of the aim, and mean answer times, before an attempt is looked into
 SHUN_MS, SHUN_MOST = 2000.0, 8  # ms without new work for each failure in a row, and failures that count
-NEAR_SHARES, NEAR_LEAST, NEAR_DRAWS = 8, 8, 6  # gateways a server is near to; servers near; draws of them
+NEAR_DRAWS = 6  # of the draws, those among the servers that this gateway keeps to
+COLD_LOAD = 2.5  # times the warmth of all servers: part of the requests sent on while most are cold
 FAR_COST = 2.0  # times as much a server costs that is not near: it has no connection from here yet
 DRAWS, COLD_DRAWS, COLD_CARE = 8, 2, 0.5  # servers drawn; draws open to cold ones, at odds in their warmth
 PROBE_WAIT, STALL = 60.0, 60.0  # ms for an answer to a probe; ms late that a timer is after an own stall
@@ -63,6 +65,7 @@
         self.lone = min(1.0, FEW / max(1, settings.gateways))  # how far the own attempts out stand for all
         self.ready: list[Server] = []
         self.near: list[Server] = []  # those of the ready that this gateway keeps to
+        self.near_part, self.warm, self.warm_from = 1.0, 1.0, LONG_AGO  # how far; warmth of all; until when
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
@@ -142,6 +145,7 @@
         account.window_left = (1.0 - position % 1.0) * account.length  # customers' edges lie apart
         if int(position) != account.window:
             account.window, account.total, account.owed = int(position), 0.0, 0.0
+            account.store = plan.burst if account.flat else account.store
 
     def _count(self, account: Account, amount: float, request: int, asked: float = 0.0) -> None:
         name = (account.window % 2**31) << 33 | account.customer
@@ -256,30 +260,45 @@
         """Return the best of a few servers drawn by chance, or none while all that may be is out."""
         fair = len(self.ready) / max(1, self.settings.gateways)  # one attempt a server, of the whole fleet
         self.room = max(self.room or ROOM_START * fair, ROOM_LEAST * fair)
+        self._see_warmth()
         if not self.ready or len(self.attempts) + self.random.random() > self.room:
             return None  # by odds, for the part may be under one
+        if self.warm < 1.0 / COLD_LOAD and self.random.random() > COLD_LOAD * self.warm:
+            return None  # all servers together can take no more than so much
         drawn: list[Server] = []
         for draw in range(DRAWS if len(self.near) == len(self.ready) else 2 * DRAWS):
             if draw >= DRAWS and drawn:
                 break  # most of the near ones are cold, or not in the group
-            servers = self.near if draw < NEAR_DRAWS else self.ready
+            servers = self.near if draw < NEAR_DRAWS * self.near_part else self.ready
             server = servers[int(self.random.random() * len(servers))]
             warmth = self._warmth(server)
-            cold = warmth < 1.0 and (draw >= COLD_DRAWS or self.random.random() > COLD_CARE * warmth)
+            # One of many sees none of the heap that a few wary ones make at the servers that are warm: where
+            # most are new, each gets its part by its warmth, which is far from pushing it over.
+            shut = draw >= COLD_DRAWS and self.lone >= 1.0
+            odds = (COLD_CARE if self.lone >= 1.0 else 1.0) * warmth
+            cold = warmth < 1.0 and (shut or self.random.random() > odds)
             if not cold and self._in_group(held, server.entry):
                 drawn.append(server)
         if not drawn and held.ran is not None:  # its group is small, and no draw has come upon it
             drawn = [s for s in self.ready if self._warmth(s) >= 1.0 and self._in_group(held, s.entry)]
         return min(drawn, key=lambda server: self._cost(held, server), default=None)
 
+    def _see_warmth(self) -> None:
+        """Of many gateways: see how warm the servers are, and the near ones against all."""
+        self.warm = self.near_part = 1.0
+        if self.lone < 1.0 and self.now < self.warm_from and self.ready:
+            near, ready = (sum(map(self._warmth, some)) / len(some) for some in (self.near, self.ready))
+            self.warm, self.near_part = ready, min(1.0, near / ready)  # cold ones alone near: look further
+
     def _cost(self, held: Held, server: Server) -> float:
         """Return the requests for its size at a server; far more where it is shunned or has been tried."""
         entry, part = server.entry, server.shun_part.get
         by_part = max(part(held.request.class_index, 0.0), part(-1 - held.request.plan_index, 0.0))
-        cost = (server.out + 1.0) * self._pace(server) / max(entry.weight, 1e-3) / self._warmth(server)
+        warmth = math.pow(self._warmth(server), self.lone)  # of many, the odds of a draw have seen to it
+        cost = (server.out + 1.0) * self._pace(server) / max(entry.weight, 1e-3) / warmth
         cost += CROSS_COST * self.lone * (entry.zone != self.settings.zone)
         cost += 100.0 * (entry.server in held.tried)
-        cost *= 1.0 if server.near else FAR_COST
+        cost *= 1.0 if server.near else max(1.0, FAR_COST * self.near_part)
         return cost + 1000.0 * (self.now < max(server.shun_until, by_part))
 
     def _pace(self, server: Server) -> float:
@@ -423,25 +442,17 @@
         for gone in [k for k, s in self.servers.items() if s.entry.readiness is Readiness.GONE and not s.out]:
             del self.servers[gone]
         self.ready = [s for s in self.servers.values() if s.entry.readiness is Readiness.READY]
-        self._keep_near()
-        self._serve_line()
-
-    def _keep_near(self) -> None:
-        """Take this gateway's part of a ring of all servers (a deterministic aperture, as Finagle has it).
-
-        Where all gateways use all servers, each has a connection to each and hears of each but rarely. The
-        parts lie evenly on the ring, so every server is near to as many gateways as any other; one that goes
-        moves the edges of the parts and no more.
-        """
         ring = sorted(self.ready, key=lambda server: server.entry.server)
-        gateways, count = max(1, self.settings.gateways), len(ring)
-        width = min(count, max(NEAR_LEAST, math.ceil(NEAR_SHARES * count / gateways)))
-        start = self.settings.own_number * count // gateways
-        self.near = [ring[(start + step) % count] for step in range(width)] if width < count else self.ready
-        for server in ring:
+        self.near = near(ring, self.settings.own_number, self.settings.gateways)
+        if len(self.near) == len(self.ready):
+            self.near = self.ready
+        latest = max((server.cold_from for server in self.ready), default=LONG_AGO)
+        self.warm_from = latest + self.settings.cold_time
+        for server in self.ready:
             server.near = False
         for server in self.near:
             server.near = True
+        self._serve_line()
 
     def _judge(self, server: Server, status: Status) -> None:
         """Shun what fails, longer with each failure in a row; cancelled attempts tell nothing."""
