--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -43,8 +43,7 @@
 FULL_PART, MEMORY = 0.1, 8.0  # part of every plan told full, above which servers are; answers in a mean
 PACE_PART, PACE_MEMORY = 0.5, 10_000.0  # part of a new answer in a server's pace; ms until it is forgotten
 PACE_LEAST, PACE_MOST = 0.5, 8.0  # bounds of a server's pace against that of all
-CROSS_COST = 1.0  # requests more that a server of the own zone may hold before another zone is taken,
-FEW = 4  # up to so many gateways; beyond, less: an own one stands for several that are not seen
+CROSS_COST, FEW = 1.0, 4  # requests more that the own zone's may hold, among so many gateways; beyond, less
 
 
 class Policy:
@@ -443,9 +442,8 @@
             del self.servers[gone]
         self.ready = [s for s in self.servers.values() if s.entry.readiness is Readiness.READY]
         ring = sorted(self.ready, key=lambda server: server.entry.server)
-        self.near = near(ring, self.settings.own_number, self.settings.gateways)
-        if len(self.near) == len(self.ready):
-            self.near = self.ready
+        part = near(ring, self.settings.own_number, self.settings.gateways)
+        self.near = part if len(part) < len(ring) else self.ready
         latest = max((server.cold_from for server in self.ready), default=LONG_AGO)
         self.warm_from = latest + self.settings.cold_time
         for server in self.ready:
