Keep each server near to five ingresses instead of eight

Cause: with eight an ingress heard of each of its twelve servers every 1.5 s and dialled for 40% of its attempts still. Line: aperture.py, SHARES. LEAST keeps eight servers near to an ingress.

--- a/wickspring/aperture.py
+++ b/wickspring/aperture.py
@@ -12,7 +12,7 @@
 from typing import TypeVar
 
 T = TypeVar("T")
-SHARES = 8  # gateways that each server is near to: so many hear of it, and one that is killed is made up for
+SHARES = 5  # gateways that each server is near to: fewer would feel each one that is killed
 LEAST = 8  # servers near to a gateway, so that a few that fail leave enough
 
 
