Test that a watch turned away comes again from the version it holds

Need: a 503 or 429 of an overbooked discovery used to be taken for a bad list and asked for the whole list anew; the test serves one of each and then a list, and fails where the version is dropped.

--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 from random import Random
 
 import pytest
+import trio
 
+from wickspring import interface as api
 from wickspring.backoff import Backoff
 from wickspring.net import discovery
 
@@ -59,3 +62,40 @@
     reader.request("/discovery/hosts?follow=1&since=7", "d")
     with pytest.raises(discovery.BusyError, match=str(status)):
         reader.feed(b"HTTP/1.1 %d Busy\r\nContent-Length: 0\r\n\r\n" % status)
+
+
+LINE = b'{"version":9,"full":false,"servers":[]}\n'
+
+
+def test_a_watch_turned_away_comes_again_from_the_version_held() -> None:
+    trio.run(_turned_away)
+
+
+async def _turned_away() -> None:
+    asked: list[bytes] = []
+    answers = [
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(LINE), LINE),
+    ]
+    news: list[api.ServerList] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        asked.append(await stream.receive_some())
+        await stream.send_all(answers[len(asked) - 1])
+        if len(asked) == len(answers):
+            await stream.send_all(b"1\r\n\n\r\n")
+            await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
+        address = listeners[0].socket.getsockname()
+        directory = discovery.Directory(("a",))
+        directory.version = 7
+        watch = discovery.Discovery(address, directory, nursery, news.append)
+        nursery.start_soon(watch.run)
+        with trio.fail_after(20):
+            await watch.heard.wait()
+        nursery.cancel_scope.cancel()
+    assert [b"since=7 " in request for request in asked] == [True] * 3
+    assert directory.version == 9 and len(news) == 1
