Write the jittered pause once; plainer loops in discovery and the choice of server

Found on reading the change again: backoff.py and connections/limits.py each cut a pause by chance in the same words; discovery's loop carried a pause that could be None; the warmth of all servers was summed before it was known whether there is room at all; an outcome's request was tested for None twice; a local name hid the aperture's function. Change: jittered() serves both, the loop names its pause at each end, the sum is taken after the test for room.

--- a/wickspring/backoff.py
+++ b/wickspring/backoff.py
@@ -8,8 +8,13 @@
 # that chance alone adds; the longest pause of a gateway that has no others beside it
 
 
+def jittered(pause: float, random: Random) -> float:
+    """Return between half of a pause and all of it, so that no two gateways keep step."""
+    return pause * (0.5 + 0.5 * random.random())
+
+
 class Backoff:
-    """Pauses in seconds that double with each failure, each cut by chance so that no two gateways keep step.
+    """Pauses in seconds that double with each failure, each cut by chance.
 
     Bounds are sized for the fleet: at its rate, all come once in `gateways / rate` seconds, a spread.
     """
@@ -25,7 +30,7 @@
         if busy:
             self._pause = max(self._pause, min(self._spread, self._most))
         pause, self._pause = self._pause, min(2.0 * self._pause, self._most)
-        return pause * (0.5 + 0.5 * self._random.random())
+        return jittered(pause, self._random)
 
     def ended(self) -> float:
         """Return the pause after something that worked has ended, for the others too perhaps."""
--- a/wickspring/connections/limits.py
+++ b/wickspring/connections/limits.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from wickspring.backoff import jittered
+
 RESERVED = 24  # descriptors for counter, discovery, listeners, log and the event loop
 WINDOW_LEAST, WINDOW_CUT, WINDOW_CUT_EVERY_MS = 4.0, 0.7, 100.0  # dials; part kept at each cut; time between
 WINDOW_MEMORY_MS, WINDOW_SERVERS, WINDOW_SHARE = 1000.0, 3, 0.1  # failing servers within so long that cut it
@@ -85,7 +87,7 @@
 def pause(limits: ConnectionLimits, failures: int, random: Random) -> float:
     """Return the milliseconds to stay away after so many failed dials in a row."""
     whole = min(limits.pause_most_ms, limits.pause_first_ms * 2.0 ** min(failures - 1, 20))
-    return whole * (0.5 + 0.5 * random.random())
+    return jittered(whole, random)
 
 
 class Window:
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -163,20 +163,17 @@
         All ingresses of a fleet lose their watches at one moment, or start at one. Coming again in step they
         keep an overbooked discovery so busy with callers that give up that none is served.
         """
-        pause: float | None = self._backoff.start()
+        pause = self._backoff.start()
         while True:
             with trio.CancelScope() as self._scope:
-                await trio.sleep(pause or 0.0)
-                pause = None
+                await trio.sleep(pause)
                 try:
-                    if await self._watch():
-                        pause = self._backoff.ended()
+                    pause = self._backoff.ended() if await self._watch() else self._backoff.failed()
                 except BusyError as error:  # the version held stands: a whole list would cost it more yet
                     pause = self._backoff.failed(busy=True)
                     log.warning("discovery_busy", extra=kv(reason=error, pause_s=round(pause, 1)))
                 except Exception as error:  # an odd answer must not end the ingress
                     log.exception("watch_failed", extra=kv(reason=error))
-                if pause is None:
                     pause = self._backoff.failed()
             if self._scope.cancelled_caught:
                 # Another discovery numbers its versions in its own way: the whole list is asked for.
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -144,6 +144,7 @@
         account.window_left = (1.0 - position % 1.0) * account.length  # customers' edges lie apart
         if int(position) != account.window:
             account.window, account.total, account.owed = int(position), 0.0, 0.0
+            # Of many gateways none may hold the last window's end against the new one, whose count is empty.
             account.store = plan.burst if account.flat else account.store
 
     def _count(self, account: Account, amount: float, request: int, asked: float = 0.0) -> None:
@@ -259,13 +260,14 @@
         """Return the best of a few servers drawn by chance, or none while all that may be is out."""
         fair = len(self.ready) / max(1, self.settings.gateways)  # one attempt a server, of the whole fleet
         self.room = max(self.room or ROOM_START * fair, ROOM_LEAST * fair)
-        self._see_warmth()
         if not self.ready or len(self.attempts) + self.random.random() > self.room:
             return None  # by odds, for the part may be under one
+        self._see_warmth()
         if self.warm < 1.0 / COLD_LOAD and self.random.random() > COLD_LOAD * self.warm:
             return None  # all servers together can take no more than so much
         drawn: list[Server] = []
-        for draw in range(DRAWS if len(self.near) == len(self.ready) else 2 * DRAWS):
+        few = self.lone >= 1.0
+        for draw in range(DRAWS if self.near is self.ready else 2 * DRAWS):
             if draw >= DRAWS and drawn:
                 break  # most of the near ones are cold, or not in the group
             servers = self.near if draw < NEAR_DRAWS * self.near_part else self.ready
@@ -273,8 +275,7 @@
             warmth = self._warmth(server)
             # One of many sees none of the heap that a few wary ones make at the servers that are warm: where
             # most are new, each gets its part by its warmth, which is far from pushing it over.
-            shut = draw >= COLD_DRAWS and self.lone >= 1.0
-            odds = (COLD_CARE if self.lone >= 1.0 else 1.0) * warmth
+            shut, odds = few and draw >= COLD_DRAWS, (COLD_CARE if few else 1.0) * warmth
             cold = warmth < 1.0 and (shut or self.random.random() > odds)
             if not cold and self._in_group(held, server.entry):
                 drawn.append(server)
@@ -285,9 +286,12 @@
     def _see_warmth(self) -> None:
         """Of many gateways: see how warm the servers are, and the near ones against all."""
         self.warm = self.near_part = 1.0
-        if self.lone < 1.0 and self.now < self.warm_from and self.ready:
-            near, ready = (sum(map(self._warmth, some)) / len(some) for some in (self.near, self.ready))
-            self.warm, self.near_part = ready, min(1.0, near / ready)  # cold ones alone near: look further
+        if self.lone < 1.0 and self.now < self.warm_from:
+            at_near, at_all = (sum(map(self._warmth, some)) / len(some) for some in (self.near, self.ready))
+            self.warm, self.near_part = (
+                at_all,
+                min(1.0, at_near / at_all),
+            )  # only cold ones near: look further
 
     def _cost(self, held: Held, server: Server) -> float:
         """Return the requests for its size at a server; far more where it is shunned or has been tried."""
@@ -357,10 +361,10 @@
         server.out, account.out = server.out - 1, account.out - 1
         self._judge(server, outcome.status)
         held = self.held.get(outcome.request)
-        if held is not None and outcome.status in (Status.OK, Status.CANCELLED):
-            self._learn_pace(server, outcome.elapsed / held.kind.aim, outcome.status is Status.OK)
         if held is None:
             return
+        if outcome.status in (Status.OK, Status.CANCELLED):
+            self._learn_pace(server, outcome.elapsed / held.kind.aim, outcome.status is Status.OK)
         held.open.pop(outcome.attempt, None)
         held.unclear |= not outcome.status.never_ran
         held.ran = held.ran if held.open or held.unclear else None
