Know an instance's process while it becomes its program

Cause: `has_token` (wickspring/agent/processes.py) read an empty /proc/PID/environ. The shell that launches an instance writes the pid file before it becomes the program, and the system shows no environment while it does. So it is a fault of the agent, not of the test: an agent that came back at that moment would have taken the instance for another's.

An empty environment now says nothing: it is read again until there is one, the process has ended, or 0.25 s are over.

The new test fails without the change.

--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -586,6 +586,24 @@
     assert processes.find(started.pid, born, "tok", pid_file) == (0, 0)
 
 
+def test_a_process_is_known_while_it_becomes_its_program(tmp_path: Path) -> None:
+    # Its environment reads empty for a moment then; an agent that came back took it for another's.
+    for number in range(40):
+        pid_file = tmp_path / f"{number}.pid"
+        path = {"PATH": "/usr/bin:/bin"}
+        started = processes.launch(["/bin/sleep", "60"], tmp_path, path, tmp_path / "log", pid_file, "tok")
+        try:
+            while not pid_file.exists():
+                pass
+            born = processes.born(started.pid)
+            assert all(
+                processes.find(started.pid, born, "tok", pid_file) == (started.pid, born) for _ in range(20)
+            )
+        finally:
+            started.kill()
+            started.wait()
+
+
 def test_one_that_ignores_sigterm_is_killed_in_time(tmp_path: Path) -> None:
     async def main() -> None:
         path = fleet_file(tmp_path)
--- a/wickspring/agent/processes.py
+++ b/wickspring/agent/processes.py
@@ -11,12 +11,16 @@
 import signal
 import subprocess
 import sys
+import time
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import trio
 
+EXEC_S = 0.25  # s at most that a process takes to become another program, on the most crowded of machines
+_LOOK_S = 0.001  # s between two looks meanwhile
+
 _SHELL = 'echo $$ > "$0.new" && mv "$0.new" "$0" && exec "$@"'
 
 
@@ -30,12 +34,19 @@
 
 
 def has_token(pid: int, token: str) -> bool:
-    """Tell whether a process was started with this token."""
+    """Tell whether a process was started with this token.
+
+    The system shows an empty environment while a process becomes another program: that says nothing yet.
+    """
+    until = time.monotonic() + EXEC_S
     try:
-        environment = Path(f"/proc/{pid}/environ").read_bytes().split(b"\0")
+        while not (environment := Path(f"/proc/{pid}/environ").read_bytes()):
+            if not born(pid) or time.monotonic() > until:
+                return False
+            time.sleep(_LOOK_S)
     except OSError:
         return False
-    return f"GW_TOKEN={token}".encode() in environment
+    return f"GW_TOKEN={token}".encode() in environment.split(b"\0")
 
 
 @dataclass(slots=True, eq=False)
