Size many gateways' windows by cap and past use; count open waits in a server's pace

Lines at fault: `_open_account` (a window as long as the store takes to fill) and `_learn_pace`, called on outcomes alone (wickspring/policy.py).

Change: `windows.py` sizes the windows of customers of eight gateways and more: 0.65 of that time, the depth in full, but what the rate owes after an overspent window, and no deeper than the cap's number of middling requests. `pace.py` takes the pace over and counts what is still out for as long as it has been. Both are free of clock and I/O. Up to four gateways decide as before.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -4,13 +4,18 @@
 
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 
-from tests.gateway import Gateway, every, only
+import pytest
+
+from tests.gateway import Gateway, every, make_settings, only
 from wickspring import interface as api
 from wickspring.interface import ListKind, Readiness, Status
+from wickspring.windows import window
 
 Build = Callable[..., Gateway]
 GATEWAYS, SERVERS = 40, 60
+START = 1_000_000.0  # ms, of the clock
 ROOMY = {"rate": 1.0, "burst": 1000.0}
 
 
@@ -113,3 +118,59 @@
     front.now += left + 1.0
     again = api.Request(2, 0, 0, 7, front.now + 4000.0, 4.0, 20, 0)
     assert only(front.feed(again), api.Count).name != name
+
+
+def spent(gateways: list[Gateway], tries: float) -> float:
+    """Return the units sent on for a customer in 100 s of so many tries a ms; the counter answers at once."""
+    random, totals, admitted, now = Random(5), Counter[int](), 0.0, 0.0
+    while now < 100_000.0:
+        now += random.expovariate(tries)
+        front, units = random.choice(gateways), float(random.choice((1, 1, 2, 3, 4)))
+        front.now = START + now
+        number, front.next_id = front.next_id, front.next_id + 1
+        actions = front.feed(api.Request(number, 0, 0, 7, front.now + 4000.0, units, len(gateways), 0))
+        for call in every(actions, api.Count):
+            totals[call.name] += int(call.amount)
+            actions = actions + front.count(call.name, float(totals[call.name]))
+        for send in every(actions, api.Send):
+            admitted += units
+            front.outcome(send, Status.OK)
+    return admitted
+
+
+@pytest.mark.parametrize("asks", [0.5, 0.9, 3.0])
+def test_use_over_many_windows_keeps_to_the_quota_and_comes_near_it(asks: float) -> None:
+    rate, burst = 0.005, 20.0
+    plan = {"rate": rate, "burst": burst}
+    gateways = [Gateway(make_settings(gateways=GATEWAYS, own_number=n, seed=n, plan=plan)) for n in range(25)]
+    for front in gateways:
+        front.list_servers(*(front.entry(n) for n in range(SERVERS)))
+    admitted = spent(gateways, asks * rate / 2.2)
+    assert admitted <= burst + 1.1 * rate * 100_000.0
+    assert admitted >= 0.85 * min(asks, 1.0) * rate * 100_000.0
+
+
+def test_a_window_is_no_deeper_than_what_may_be_out() -> None:
+    plan = make_settings(plan={"rate": 0.014, "burst": 35.0, "most_open": 5}).plans[0]
+    many, few = window(plan, 25, 8.0), window(plan, 3, 8.0)
+    assert many.flat and 5.0 <= many.depth <= 5 * 4.0
+    assert not few.flat and few.depth == 35.0  # few see the attempts of the others in their own
+
+
+def test_only_the_overspent_get_no_more_than_their_rate_owes() -> None:
+    one = window(make_settings(plan={"rate": 0.005, "burst": 20.0}).plans[0], 25, 8.0)
+    assert one.limit(10, -(2**62)) == 20.0
+    assert one.limit(10, 9) == one.owed < 20.0
+    assert one.limit(20, 9) == 20.0
+
+
+def test_a_server_that_does_not_answer_is_left_before_its_answer(gateway: Build) -> None:
+    front = many(gateway)
+    for customer in range(30):
+        answer(front, front.admitted(0.0, customer=customer), 100.0)
+    stuck, front.policy.room = front.policy.near[3].entry.server, 1000.0
+    for server in front.policy.near:  # one attempt out at each, at one of them for longer than at the others
+        server.out, server.pace.since = 1, front.now - (600.0 if server.entry.server == stuck else 50.0)
+    sent = Counter(front.admitted(0.0, customer=customer).server for customer in range(100, 150))
+    usual = sorted(sent[server.entry.server] for server in front.policy.near)[len(front.policy.near) // 2]
+    assert sent[stuck] <= usual / 2
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -14,10 +14,9 @@
 from wickspring.aperture import near
 from wickspring.interface import Effect, Group, Readiness, Status
 from wickspring.state import LONG_AGO, Account, Held, Server
+from wickspring.windows import window
 
 MARGIN = 20.0  # ms before a deadline at which the final answer is given; several ticks of any host
-WINDOW_BURSTS, WINDOW_SPREAD = 4.0, 8.0  # window in burst/rate: so many at most, or this over the spread
-WINDOW_LEAST, WINDOW_MOST = 500.0, 25_000.0  # ms, bounds of a window: two stay within the counter's memory
 SHARE_MEMORY, OUT_MEMORY = 0.9, 1000.0  # kept of use by place at each total; ms, mean of attempts out
 OUT_CARE = 1.3  # times that mean for each as much that comes in elsewhere: theirs come in heaps too
 ACCOUNT_LIFE = 60_000.0  # ms unused after which an account says no more than a new one would
@@ -41,8 +40,6 @@
 ROOM_MEMORY, ROOM_MEMORY_MOST = 1000.0, 10.0  # ms over which that mean is taken; least answers that it takes
 ROOM_CUT, ROOM_GROW = 0.5, 0.6  # change of that room a second: down by a part, up by attempts per server
 FULL_PART, MEMORY = 0.1, 8.0  # part of every plan told full, above which servers are; answers in a mean
-PACE_PART, PACE_MEMORY = 0.5, 10_000.0  # part of a new answer in a server's pace; ms until it is forgotten
-PACE_LEAST, PACE_MOST = 0.5, 8.0  # bounds of a server's pace against that of all
 CROSS_COST, FEW = 1.0, 4  # requests more that the own zone's may hold, among so many gateways; beyond, less
 
 
@@ -68,6 +65,7 @@
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
+        self.aim = sum(kind.aim for kind in settings.classes) / max(1, len(settings.classes))  # mean, ms
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
         self.retries = RETRY_MOST / 2
         self.answer_ms = [0.0 for _ in settings.classes]  # mean answer times
@@ -122,13 +120,11 @@
 
     def _open_account(self, request: api.Request) -> Account:
         plan, spread = self.settings.plans[request.plan_index], max(1, request.spread)
-        bursts = min(max(1.0, WINDOW_SPREAD / spread), WINDOW_BURSTS)  # one gateway of few misses only edges
-        length = bursts * plan.burst / plan.rate if plan.rate > 0 else WINDOW_MOST
-        length = min(max(length, WINDOW_LEAST), WINDOW_MOST)
         # An earlier life may have sent a burst on, which the quota let pass: what is held beyond it.
         ceiling = max(plan.ceiling_slack / 2, plan.ceiling_burst - plan.burst) / spread
         stores = (plan.burst, plan.burst, ceiling)
-        account = Account(request.customer, plan, spread, length, bursts <= 1.0, self.now, *stores)
+        windows = window(plan, spread, self.settings.largest_units)
+        account = Account(request.customer, plan, spread, windows, self.now, *stores)
         account.elsewhere = spread - 1.0
         return account
 
@@ -140,18 +136,19 @@
         account.alone = min(alone_most, account.alone + plan.rate * part * passed)
         most = plan.ceiling_burst / account.spread
         account.ceiling = min(most, account.ceiling + plan.ceiling_rate * passed / account.spread)
-        position = self.now / account.length + account.customer * 0x9E3779B97F4A7C15 % 2**64 / 2**64
-        account.window_left = (1.0 - position % 1.0) * account.length  # customers' edges lie apart
+        position = self.now / account.windows.length + account.customer * 0x9E3779B97F4A7C15 % 2**64 / 2**64
+        account.window_left = (1.0 - position % 1.0) * account.windows.length  # customers' edges lie apart
         if int(position) != account.window:
             account.window, account.total, account.owed = int(position), 0.0, 0.0
             # Of many gateways none may hold the last window's end against the new one, whose count is empty.
-            account.store = plan.burst if account.flat else account.store
+            limit = account.windows.limit(account.window, account.past_in)
+            account.store = limit if account.windows.flat else account.store
 
     def _count(self, account: Account, amount: float, request: int, asked: float = 0.0) -> None:
         name = (account.window % 2**31) << 33 | account.customer
         self.calls.setdefault(name, deque()).append((account, account.window, amount, request, asked))
         account.asked += asked
-        self.actions.append(api.Count(name, amount, 2 * account.length))
+        self.actions.append(api.Count(name, amount, 2 * account.windows.length))
 
     def _counted(self, answer: api.CountAnswer) -> None:
         if not (calls := self.calls.get(answer.name)):
@@ -180,7 +177,7 @@
         elif account.store >= held.request.units:
             self._admit(held)
         else:  # a refused try takes nothing from the quota: its units come off again, at once or by the way
-            account.owed -= 0.0 if account.flat else held.request.units
+            account.owed -= 0.0 if account.windows.flat else held.request.units
             if self.ask >= 1.0 and account.owed < 0.0:
                 self._count(account, account.owed, -1)
                 account.owed = 0.0
@@ -188,22 +185,24 @@
 
     def _learn(self, account: Account, amount: float, total: float) -> None:
         """Charge what the others have added since the last total to the customer's store."""
-        plan, others = account.plan, total - account.total - amount
+        plan, windows, others = account.plan, account.windows, total - account.total - amount
         if others >= 0.0 and amount > 0.0:
             account.own = SHARE_MEMORY * account.own + amount
             account.elsewhere = SHARE_MEMORY * account.elsewhere + others
-        if account.flat or self.now - account.heat_at > plan.burst / plan.rate:
+        if windows.flat or self.now - account.heat_at > plan.burst / plan.rate:
             # Not seen for as long as a store takes to fill: the window's count decides. Its limit: a burst
             # and, in a window of several, what the rate owes to a customer always past it.
             others = total - amount
-            beyond = max(0.0, account.length - plan.burst / plan.rate) / account.length
-            account.store = plan.burst + plan.rate * beyond * (account.length - account.window_left)
+            beyond = max(0.0, windows.length - plan.burst / plan.rate) / windows.length
+            account.store = windows.limit(account.window, account.past_in)
+            account.store += plan.rate * beyond * (windows.length - account.window_left)
         elif others < -self.settings.largest_units:
             others = 0.0  # the counter forgot: what is known here stands, and counting goes on from its total
         account.store = max(0.0, min(plan.burst, account.store - others))
         noise = 2 * max(0.0, amount)  # one other call with as much weight as this one proves nothing
-        account.heat = (total - amount) / (plan.rate * account.length + noise)
+        account.heat = (total - amount) / (plan.rate * windows.length + noise)
         account.total, account.heat_at = total, self.now
+        account.past_in = account.window if total > windows.depth else account.past_in
 
     def _hot(self, account: Account, times: float) -> bool:
         """Tell by odds whether a try is above so many times the quota of a customer lately seen over it."""
@@ -213,8 +212,7 @@
     def _decide_alone(self, held: Held) -> bool:
         """Without the counter's answer: own part of the quota, less for who was seen far over it."""
         account, units = held.account, held.request.units
-        known = self.now - account.heat_at < 0
-        if account.store >= units and (known or account.alone >= units) and not self._hot(account, 1.0):
+        if account.store >= units and account.alone >= units and not self._hot(account, 1.0):
             return self._admit(held)
         self._refuse(held)
         return False
@@ -288,10 +286,7 @@
         self.warm = self.near_part = 1.0
         if self.lone < 1.0 and self.now < self.warm_from:
             at_near, at_all = (sum(map(self._warmth, some)) / len(some) for some in (self.near, self.ready))
-            self.warm, self.near_part = (
-                at_all,
-                min(1.0, at_near / at_all),
-            )  # only cold ones near: look further
+            self.warm, self.near_part = at_all, min(1.0, at_near / at_all)  # only cold ones near: look on
 
     def _cost(self, held: Held, server: Server) -> float:
         """Return the requests for its size at a server; far more where it is shunned or has been tried."""
@@ -309,9 +304,8 @@
 
         Few gateways see a server's load by their own attempts out, and take no notice of this.
         """
-        known = math.exp((server.pace_at - self.now) / PACE_MEMORY) if server.pace_at > LONG_AGO else 0.0
-        ratio = server.pace / self.delay if self.delay > 0.0 else 1.0
-        return min(max(1.0 + (ratio - 1.0) * known * (1.0 - self.lone), PACE_LEAST), PACE_MOST)
+        waiting = (self.now - server.pace.since) / self.aim if server.out else 0.0
+        return server.pace.against(self.now, self.delay, 1.0 - self.lone, waiting)
 
     def _in_group(self, held: Held, entry: api.ServerEntry) -> bool:
         """Keep a keyed request that may have run with the servers that would drop its repeat."""
@@ -344,6 +338,7 @@
         if held.ran is None:
             held.ran, held.ran_at = server, self.now
         self._out_mean(held.account)
+        server.pace.sent(self.now, server.out)
         server.out, held.account.out = server.out + 1, held.account.out + 1
         heappush(self.due, (self.now + self._patience(held), number))
         self.actions.append(api.Send(number, server.entry.server, 0.0))
@@ -359,12 +354,14 @@
             return
         self._out_mean(account)
         server.out, account.out = server.out - 1, account.out - 1
+        server.pace.ended(self.now)
         self._judge(server, outcome.status)
         held = self.held.get(outcome.request)
         if held is None:
             return
         if outcome.status in (Status.OK, Status.CANCELLED):
-            self._learn_pace(server, outcome.elapsed / held.kind.aim, outcome.status is Status.OK)
+            taken, answered = outcome.elapsed / held.kind.aim, outcome.status is Status.OK
+            server.pace.learn(self.now, taken, answered, self.delay, 1.0 - self.lone)
         held.open.pop(outcome.attempt, None)
         held.unclear |= not outcome.status.never_ran
         held.ran = held.ran if held.open or held.unclear else None
@@ -378,12 +375,6 @@
             self._again(held, free=outcome.status is Status.CONNECT_FAILED)
         self._serve_line()
 
-    def _learn_pace(self, server: Server, taken: float, answered: bool) -> None:
-        """Remember how long a server takes: of many gateways none has enough out to see its load."""
-        known = self._pace(server) * self.delay if self.delay > 0.0 else taken
-        if answered or taken > known:  # what was cancelled would have taken longer yet
-            server.pace, server.pace_at = known + PACE_PART * (taken - known), self.now
-
     def _learn_delay(self, held: Held, elapsed: float) -> None:
         """Let fewer attempts out while answers take much of their aim: what waits here can be refused."""
         passed, self.room_at = min(self.now - self.room_at, ROOM_MEMORY / 2), self.now
--- a/wickspring/state.py
+++ b/wickspring/state.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 
 from wickspring import interface as api
+from wickspring.pace import Pace
+from wickspring.windows import Window
 
 LONG_AGO = -1e12
 """A time before any clock."""
@@ -22,8 +24,7 @@
     shun_part: dict[int, float] = field(default_factory=dict)  # the same by class, and by plan as -1 - plan
     heard_at: float = LONG_AGO  # last sign of life
     near: bool = False  # one of those that this gateway keeps to
-    pace: float = 0.0  # mean answer time of late, in aims
-    pace_at: float = LONG_AGO
+    pace: Pace = field(default_factory=Pace)
     served_at: dict[int, float] = field(default_factory=dict)  # last good answer by class
 
 
@@ -34,14 +35,14 @@
     customer: int
     plan: api.PlanSettings
     spread: int
-    length: float  # of a window, ms
-    flat: bool  # a window of one burst: its count alone decides
+    windows: Window
     at: float  # time of the stores
     store: float  # units left inside the quota, by the totals seen and own admissions
     alone: float  # own part of the quota, for when the counter does not answer
     ceiling: float  # own part of the ceiling's store
     window: int = -1
     window_left: float = 0.0  # ms to its end
+    past_in: int = -(2**62)  # last window seen overspent
     total: float = 0.0  # last total seen in this window
     asked: float = 0.0  # units that calls are out for
     owed: float = 0.0  # units to be added or taken off with the next call
