Let an upgrade wait for what its returned coordinator has not heard yet

tests/test_fleet_lab.py, test_agents_killed_halfway, gave two verdicts: with six instances and little processor time to spare, the upgrade was taken back from all of them although nothing was wrong with the build.

Causes (wickspring/fleet/rollout.py): - `_look`: a coordinator that has just come back knows its own records alone. An active instance of another agent was called failed ("no agent tells of it") before the first gossip. - `_prove`: an agent that has come back tells of an adopted process as starting until that has spoken. That was called the build's fault ("was ready, and is starting").

Now an instance that is not told of fails only where its agent tells of others; else it is waited for, and is lost in the end. One that is starting and has not failed goes back a step and proves itself anew; one that has ended by itself still fails.

--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -9,6 +9,7 @@
 import ssl
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -293,6 +294,38 @@
     assert drive.step("n0") is Step.PROVING
 
 
+def test_a_coordinator_that_has_come_back_waits_for_what_it_has_not_heard() -> None:
+    drive = Drive(Kind.UPGRADE, count=2)
+    drive.turn()
+    setting = rollout.Setting(HashTrieMap(), {FLEET: "a0", scope_of("hall-a"): "a0"}, RULES)
+    after, _ = rollout.advance(drive.operation, NOW + 5.0, setting)
+    assert after.instances[0].step is Step.MOVING and after.phase is Phase.RUNNING
+    after, _ = rollout.advance(drive.operation, NOW + 60.0, setting)
+    assert after.instances[0].step is Step.LOST
+    others = replace(setting, records=drive.home.records.remove("n0"))  # its agent tells, not of it
+    after, _ = rollout.advance(drive.operation, NOW + 5.0, others)
+    assert "no agent tells of it" in after.reason
+
+
+def test_an_instance_whose_agent_has_come_back_proves_itself_anew() -> None:
+    drive = Drive(Kind.UPGRADE)
+    drive.turn()
+    drive.be("n0", "ready")
+    drive.turn()
+    assert drive.step("n0") is Step.PROVING
+    drive.be("n0", "starting", pid=0)
+    drive.turn()
+    assert drive.step("n0") is Step.MOVING
+    drive.be("n0", "ready")
+    drive.pass_time(RULES.hold_s + 2)
+    assert drive.step("n0") is Step.DONE
+    drive.be("n1", "ready")
+    drive.turn()
+    drive.be("n1", "starting", failures=1)  # it has ended by itself
+    drive.turn()
+    assert drive.operation.phase is Phase.REVERTING
+
+
 def test_drains_end_with_who_stopped_and_a_restart_has_a_new_generation() -> None:
     drive = Drive(Kind.DRAIN, count=1)
     drive.turn()
--- a/wickspring/fleet/rollout.py
+++ b/wickspring/fleet/rollout.py
@@ -335,7 +335,7 @@
         record, unheard = setting.records.get(one.instance), _unheard(one, setting)
         if record is None:
             if one.step in ACTIVE:
-                operation = _put(operation, _to(one, Step.FAILED, now, "no agent tells of it"), now)
+                operation = _put(operation, _untold(one, now, setting), now)
         elif unheard and one.step in (Step.PENDING, *ACTIVE):
             operation = _put(operation, _to(one, Step.LOST, now, f"agent {unheard} is not heard"), now)
         elif one.step is Step.LOST and not unheard and operation.phase in (Phase.RUNNING, Phase.REVERTING):
@@ -368,6 +368,15 @@
     return operation
 
 
+def _untold(one: Progress, now: float, setting: Setting) -> Progress:
+    """Judge an instance that is not told of: a coordinator just come back has not heard all agents yet."""
+    if any(record.agent == one.agent for record in setting.records.values()):
+        return _to(one, Step.FAILED, now, "no agent tells of it")
+    if now - one.since > setting.rules.ready_within_s + setting.rules.drain_within_s:
+        return _to(one, Step.LOST, now, f"agent {one.agent} is not heard")
+    return one
+
+
 def _unheard(one: Progress, setting: Setting) -> str:
     """Return a dead agent without which an instance cannot go on: its own, or before it moves a warden."""
     if one.agent in setting.dead:
@@ -419,6 +428,9 @@
 def _prove(operation: Operation, one: Progress, seen: Seen, now: float, rules: Rules) -> Progress:
     if operation.phase is Phase.REVERTING and seen.ready:
         return _finished(operation, one, now)
+    if seen.state == "starting" and not seen.failures:
+        # Its agent has come back and has not heard of it yet, or has started it again: it proves itself anew.
+        return _to(one, Step.MOVING, now)
     if not seen.ready:
         return _to(one, Step.FAILED, now, f"was ready, and is {seen.state}")
     answers, failed = seen.requests - one.seen_requests, seen.failed - one.seen_failed
