Let each counter call stand for those not made

Lines at fault: `_request` (wickspring/policy.py): units let in without a call are owed to the next one from this gateway to the same window's count.

Where a window's count alone decides, the amount of a call is now the request's units over the odds of a call; what was let in alone is told by that. One call per request as before, no return; few gateways count as before.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -174,3 +174,17 @@
     sent = Counter(front.admitted(0.0, customer=customer).server for customer in range(100, 150))
     usual = sorted(sent[server.entry.server] for server in front.policy.near)[len(front.policy.near) // 2]
     assert sent[stuck] <= usual / 2
+
+
+@pytest.mark.parametrize("odds", [0.8, 0.4])
+def test_the_count_tells_of_all_tries_though_few_are_told_to_it(odds: float) -> None:
+    gateways = [
+        Gateway(make_settings(gateways=GATEWAYS, own_number=n, seed=n, plan=ROOMY)) for n in range(30)
+    ]
+    told = 0.0
+    for customer in range(20):
+        for front in gateways:
+            front.policy.ask = odds  # what a slow counter has left of them
+            request = api.Request(customer + 1, 0, 0, customer, front.now + 4000.0, 2.0, 30, 0)
+            told += sum(call.amount for call in every(front.feed(request), api.Count))
+    assert told == pytest.approx(20 * 30 * 2.0, rel=0.15)
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -114,7 +114,9 @@
             self._refuse(held)
         elif self.settings.may_count and self.random.random() < self.ask:
             held.asking, owed, account.owed = True, account.owed, 0.0
-            self._count(account, request.units + owed, request.request, request.units)
+            # Of many gateways each call stands for those not made: the next from here would come too late.
+            amount = request.units / self.ask if account.windows.flat else request.units + owed
+            self._count(account, amount, request.request, request.units)
         elif self._decide_alone(held):
             account.owed += request.units  # told with the next call
 
