Let a server cost the root of its pace

Line at fault: `_cost` (wickspring/policy.py) multiplies by the pace as it is. An answer's time is mostly its request's own, so the servers that had answered some light requests drew the load.

A server now costs the root of its pace (`Pace.against`); 64 times the usual is 8 times the cost, as much as was the most before.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -11,6 +11,7 @@
 from tests.gateway import Gateway, every, make_settings, only
 from wickspring import interface as api
 from wickspring.interface import ListKind, Readiness, Status
+from wickspring.pace import Pace
 from wickspring.windows import window
 
 Build = Callable[..., Gateway]
@@ -188,3 +189,14 @@
             request = api.Request(customer + 1, 0, 0, customer, front.now + 4000.0, 2.0, 30, 0)
             told += sum(call.amount for call in every(front.feed(request), api.Count))
     assert told == pytest.approx(20 * 30 * 2.0, rel=0.15)
+
+
+def test_one_slow_answer_is_mostly_chance_and_many_are_not() -> None:
+    pace = Pace()
+    pace.learn(0.0, taken=0.4, answered=True, usual=0.1, weight=1.0)
+    assert 1.5 < pace.against(0.0, usual=0.1, weight=1.0) < 2.5
+    for _ in range(8):
+        pace.learn(0.0, taken=4.0, answered=True, usual=0.1, weight=1.0)
+    assert pace.against(0.0, usual=0.1, weight=1.0) > 5.0
+    assert pace.against(60_000.0, usual=0.1, weight=1.0) < 1.1  # long forgotten
+    assert pace.against(0.0, usual=0.1, weight=0.0) == 1.0  # few gateways take no notice
--- a/wickspring/pace.py
+++ b/wickspring/pace.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 PART, MEMORY_MS = 0.5, 10_000.0  # part of a new answer in the mean; ms until that is forgotten
-LEAST, MOST = 0.5, 8.0  # bounds of a pace against that of all
+LEAST, MOST = 0.5, 64.0  # bounds of a pace against that of all
+TRUST = 0.5  # power of that ratio by which a server costs more: one answer's time is mostly the request's own
 
 
 @dataclass(slots=True)
@@ -31,15 +32,18 @@
 
     def learn(self, now: float, taken: float, answered: bool, usual: float, weight: float) -> None:
         """Take in how long an attempt took, in aims; what was cancelled would have taken longer yet."""
-        known = self.against(now, usual, weight) * usual if usual > 0.0 else taken
+        known = self._ratio(now, usual, weight, 0.0) * usual if usual > 0.0 else taken
         if answered or taken > known:
             self.mean, self.at = known + PART * (taken - known), now
 
     def against(self, now: float, usual: float, weight: float, waiting: float = 0.0) -> float:
-        """Return how many times as long as usual it takes; 1 where nothing is known, or nothing counts.
+        """Return how many times as much as usual it costs; 1 where nothing is known, or nothing counts.
 
         `weight` says how far this gateway has to go by it, `waiting` how many aims what is out has waited.
         """
+        return math.pow(self._ratio(now, usual, weight, waiting), TRUST)
+
+    def _ratio(self, now: float, usual: float, weight: float, waiting: float) -> float:
         if weight <= 0.0 or usual <= 0.0:
             return 1.0
         known = math.exp((self.at - now) / MEMORY_MS) if self.at is not None else 0.0
