Tell of an own number out of the fleet; show a start with discovery silent

An ingress whose SelfIndex is not below its Siblings keeps to another's servers and pauses as one of too few: it serves, and the log now says so with both keys (net/server.py).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -17,7 +17,7 @@
 from example import toy
 from tests.gateway import KIND, PLAN, make_settings
 from wickspring import interface as api
-from wickspring.config import Http2, Instance, Limits, Listing, parse_address
+from wickspring.config import Http2, Instance, Limits, ListedServer, Listing, parse_address
 from wickspring.net import server
 from wickspring.net.http2_wire import Frames, GoAway
 from wickspring.net.http2_wire import settings as http2_settings
@@ -65,6 +65,11 @@
         return tally["taken"] == sum(tally[end] for end in ends)
 
 
+async def mute(_: trio.SocketStream) -> None:
+    """Take a connection and say nothing."""
+    await trio.sleep_forever()
+
+
 @asynccontextmanager
 async def site(
     *servers: toy.ToyServer,
@@ -73,6 +78,8 @@
     sockets: int = 1024,
     memory_mb: float = 192.0,
     reread: server.Reread | None = None,
+    known: bool = False,
+    mute_discovery: bool = False,
     **changes: Any,
 ) -> AsyncIterator[Site]:
     """Start stand-ins and one ingress; stop them all at the end."""
@@ -83,15 +90,20 @@
             addresses = [await toy.start(nursery, one.serve) for one in servers]
             for one, address in zip(servers, addresses, strict=True):
                 discovery.set(one.name, address)
+            listed = (
+                ListedServer(one.name, at, "hall-a") for one, at in zip(servers, addresses, strict=True)
+            )
             # Time-outs far above what a busy machine needs, but for the tests that are about them.
             ours = {"gateways": 1, "zones": ("hall-a",), "count_timeout": 2000.0, "dial_timeout": 2000.0}
             settings = make_settings(classes=tuple(KINDS.values()), plans=(plan,), **{**ours, **changes})
             local = ("127.0.0.1", 0)
-            places = [await toy.start(nursery, one.serve) for one in (discovery, counter)]
+            news = mute if mute_discovery else discovery.serve
+            places = [await toy.start(nursery, one) for one in (news, counter.serve)]
             found, counted = (parse_address("address", place) for place in places)
             http2 = Http2(enabled=True, servers=speak2)
             limits = Limits(sockets=sockets, memory_mb=memory_mb)
-            instance = Instance("n0", local, found, counted, limits, Listing(), settings, http2)
+            listing = Listing(servers=tuple(listed) if known else ())
+            instance = Instance("n0", local, found, counted, limits, listing, settings, http2)
             up = trio.Event()
             got: list[tuple[Runtime, list[tuple[str, int]]]] = []
 
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from functools import partial
 from random import Random
@@ -9,9 +10,11 @@
 import pytest
 import trio
 
+from tests.loopback import client1, request, site
 from wickspring import interface as api
 from wickspring.backoff import Backoff
-from wickspring.net import discovery
+from wickspring.config import ConfigError, build_settings
+from wickspring.net import discovery, server
 
 GATEWAYS, RATE, WAIT_MOST = 40, 10.0, 2.0
 
@@ -99,3 +102,35 @@
         nursery.cancel_scope.cancel()
     assert [b"since=7 " in request for request in asked] == [True] * 3
     assert directory.version == 9 and len(news) == 1
+
+
+def test_clients_are_served_from_the_known_list_while_discovery_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(server, "FIRST_LIST_S", math.inf)  # who has no list would wait for one
+
+    async def main() -> None:
+        async with site(known=True, mute_discovery=True) as here:
+            assert not here.runtime.discovery.heard.is_set()
+            client = await client1(here.http1)
+            status, _, _ = await client.ask(request())
+            assert status == 200
+
+    trio.run(main)
+
+
+def test_an_own_number_out_of_the_fleet_is_told(caplog: pytest.LogCaptureFixture) -> None:
+    async def main() -> None:
+        async with site(gateways=3, own_number=3) as here:
+            client = await client1(here.http1)
+            assert (await client.ask(request()))[0] == 200
+
+    trio.run(main)
+    told = [record for record in caplog.records if record.message == "not_of_the_fleet"]
+    assert [record.__dict__["kv"] for record in told] == [{"SelfIndex": 3, "Siblings": 3}]
+
+
+@pytest.mark.parametrize(("key", "value"), [("Siblings", "forty"), ("Siblings", "-1"), ("SelfIndex", "1.5")])
+def test_a_number_that_makes_no_sense_names_its_key(key: str, value: str) -> None:
+    with pytest.raises(ConfigError, match=key):
+        build_settings({"SelfIndex": "0", "Siblings": "3", key: value}, 1)
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -149,6 +149,9 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         async with trio.open_nursery() as nursery:
             runtime = Runtime(instance, nursery)
+            own, fleet = instance.settings.own_number, instance.settings.gateways
+            if own >= max(1, fleet):  # it keeps to another's servers and pauses as one of too few
+                log.warning("not_of_the_fleet", extra=kv(SelfIndex=own, Siblings=fleet))
             listener = listen(instance.listen, share=instance.share_port)
             nursery.start_soon(runtime.timers.run)
             start_known(runtime, runtime.directory)
