Make calls to a slow counter in proportion to units

Line at fault: `_request` (wickspring/policy.py) draws for a request of eight units as for one of one.

Where a window's count alone decides and the odds are below one, a request's odds are now in proportion to its units against the mean (`_odds`), and its call stands for as many as before; the estimate of a sum is best when its parts are drawn in proportion to size. Few gateways draw as before.

--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -183,13 +183,20 @@
     gateways = [
         Gateway(make_settings(gateways=GATEWAYS, own_number=n, seed=n, plan=ROOMY)) for n in range(30)
     ]
-    told = 0.0
-    for customer in range(20):
-        for front in gateways:
+    told = asked = large = 0.0
+    calls = Counter[float]()
+    for customer in range(40):
+        for number, front in enumerate(gateways):
             front.policy.ask = odds  # what a slow counter has left of them
-            request = api.Request(customer + 1, 0, 0, customer, front.now + 4000.0, 2.0, 30, 0)
-            told += sum(call.amount for call in every(front.feed(request), api.Count))
-    assert told == pytest.approx(20 * 30 * 2.0, rel=0.15)
+            units = 6.0 if (number + customer) % 3 == 0 else 1.0
+            request = api.Request(customer + 1, 0, 0, customer, front.now + 4000.0, units, 30, 0)
+            made = every(front.feed(request), api.Count)
+            asked, large = asked + units, large + (units > 1.0)
+            told += sum(call.amount for call in made)
+            calls[units] += len(made)
+    assert told == pytest.approx(asked, rel=0.15)
+    assert calls[6.0] > 0.75 * large  # what says most is seldom left out
+    assert calls.total() <= 1.05 * odds * 40 * 30
 
 
 def test_one_slow_answer_is_mostly_chance_and_many_are_not() -> None:
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -24,6 +24,7 @@
 HEAT_LIFE, HEAT_ASKED = 10_000.0, 1.5  # ms that use over quota is remembered; times it still asked for
 ASK_CUT, ASK_GROW = 0.8, 0.02  # odds of a call: part kept after a miss, more after an answer; so a slow
 ASK_LEAST = 0.1  # or small counter is not drowned; so many requests of any fleet show its return
+UNITS_MEMORY = 50.0  # requests in the mean of their units
 ASK_DELAY = 0.5  # of its time-out: an answer as late as this cuts as a miss does, before the line is too long
 RETRY_SHARE, RETRY_LEAST = 0.5, 0.1  # attempts more, earned per request; the less while answers are slow:
 RETRY_MOST = 5.0  # a brown-out is not fed; saved by one gateway at most, half of it at first
@@ -64,6 +65,7 @@
         self.near_part, self.warm, self.warm_from = 1.0, 1.0, LONG_AGO  # how far; warmth of all; until when
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
+        self.units = 0.0  # mean of the requests'
         self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
         self.aim = sum(kind.aim for kind in settings.classes) / max(1, len(settings.classes))  # mean, ms
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
@@ -97,6 +99,7 @@
         held = self.held[request.request] = Held(request, kind, account, self.now)
         self.retries = min(self.retries + (RETRY_SHARE, RETRY_LEAST)[self.delay > ROOM_DELAY], RETRY_MOST)
         account.units = request.units
+        self.units += (request.units - self.units) / (UNITS_MEMORY if self.units else 1.0)
         self._refill(account)
         while (oldest := next(iter(self.accounts.values()))).at < self.now - ACCOUNT_LIFE:
             del self.accounts[oldest.customer]
@@ -112,14 +115,20 @@
             # Known to be spent, if by what is being asked for (a heap of requests at once would drown the
             # counter), or far over while calls are short: no call.
             self._refuse(held)
-        elif self.settings.may_count and self.random.random() < self.ask:
+        elif self.settings.may_count and self.random.random() < (odds := self._odds(account)):
             held.asking, owed, account.owed = True, account.owed, 0.0
             # Of many gateways each call stands for those not made: the next from here would come too late.
-            amount = request.units / self.ask if account.windows.flat else request.units + owed
+            amount = request.units / odds if account.windows.flat else request.units + owed
             self._count(account, amount, request.request, request.units)
         elif self._decide_alone(held):
             account.owed += request.units  # told with the next call
 
+    def _odds(self, account: Account) -> float:
+        """Return the odds of a call; of many gateways in proportion to units, which estimates use best."""
+        if account.windows.flat and self.ask < 1.0:
+            return min(1.0, self.ask * account.units / max(self.units, 1e-6))
+        return self.ask
+
     def _open_account(self, request: api.Request) -> Account:
         plan, spread = self.settings.plans[request.plan_index], max(1, request.spread)
         # An earlier life may have sent a burst on, which the quota let pass: what is held beyond it.
