Call what stood twice: a pace that few pass over, a window's growth, fleets in tests

Read again as a whole.

- Few gateways took the pace of each drawn server, to get 1, and kept means that nothing reads: `_pace` and `Pace.learn` end at once.
- How a long window's limit grows was worked out in `_learn` at each answer beside the rest of the window's arithmetic; `Window.grows` has it once.
- The time for an instance to drain and become ready was added up in four places of the operations: `Rules.moved_within_s`.
- Tests: outcomes were built in three places (`Gateway.outcome` takes the time now), fleets of gateways in three (`tests.test_fleet.fleet`), a request with its count in two (`sends`); an entry was copied by hand where `replace` does it.
The replacement of servers asserted what could not be false (the old one is in a table that nothing leaves); it asserts now that the new id is not taken.

Left: the warmth of all servers is summed anew for each choice while some are cold; doing so less often would change decisions.

--- a/tests/gateway.py
+++ b/tests/gateway.py
@@ -76,9 +76,11 @@
         name = only(self.request(units, **more), api.Count).name
         return only(self.count(name, total), api.Send)
 
-    def outcome(self, send: api.Send, status: api.Status, attempt: int = 0) -> list[api.Action]:
+    def outcome(
+        self, send: api.Send, status: api.Status, attempt: int = 0, elapsed: float = 100.0
+    ) -> list[api.Action]:
         over = status is api.Status.OK
-        return self.feed(api.Outcome(send.request, attempt, send.server, status, over, 100.0, (), 0.0, 0))
+        return self.feed(api.Outcome(send.request, attempt, send.server, status, over, elapsed, (), 0.0, 0))
 
 
 def every(actions: list[api.Action], kind: type[A]) -> list[A]:
--- a/tests/test_fleet_cold.py
+++ b/tests/test_fleet_cold.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from tests.gateway import Gateway, every, make_settings
+from tests.gateway import Gateway, every
+from tests.test_fleet import fleet, sends
 from wickspring import interface as api
 from wickspring.interface import Readiness, Status
 from wickspring.lab.virtual import Timeline
@@ -25,8 +26,7 @@
     """Cores that serve in the order of coming, the slower the colder."""
 
     def __init__(self, site: Site, number: int) -> None:
-        self.site, self.number = site, number
-        self.entry, self.born = Gateway.entry(number), -WARM_MS
+        self.site, self.entry, self.born = site, Gateway.entry(number), -WARM_MS
         self.cores = [0.0] * CORES  # a heap of when each is free
         self.sends = deque[float]()  # of the last moments, since it is new
         self.peak = 0.0  # of these against what pushes it over
@@ -55,32 +55,24 @@
         self.timeline, self.random, self.rate, self.served = Timeline(), Random(seed), rate, 0
         self.servers = {Gateway.entry(n).server: Server(self, n) for n in range(SERVERS)}
         plan = {"rate": 1.0, "burst": 1000.0}
-        self.gateways = [
-            Gateway(
-                make_settings(
-                    gateways=GATEWAYS, own_number=n, seed=n, plan=plan, cold_capacity=COLD, cold_time=WARM_MS
-                )
-            )
-            for n in range(GATEWAYS)
-        ]
+        told = {"plan": plan, "cold_capacity": COLD, "cold_time": WARM_MS}
+        self.gateways = fleet(GATEWAYS, SERVERS, gateways=GATEWAYS, zone=0, **told)
         self.start = self.gateways[0].now
-        for front in self.gateways:
-            front.list_servers(*(server.entry for server in self.servers.values()))
         for number in range(REPLACED):
             self.timeline.at(FIRST_MS + SPREAD_MS * self.random.random(), partial(self.replace, number))
         self.timeline.at(0.0, self.arrive)
 
     def replace(self, number: int) -> None:
         """Have a server's place taken by a new one under another id; all hear of it in their own time."""
-        now, old = self.timeline.now, Gateway.entry(number).server
+        now = self.timeline.now
         gone = Gateway.entry(number, readiness=Readiness.GONE)
         new = Gateway.entry(number + 100, started_at=self.start + now)
+        assert new.server not in self.servers
         fresh = self.servers[new.server] = Server(self, number + 100)
         fresh.born = now
         for front in self.gateways:
             late = self.random.uniform(*LATE_MS)
             self.timeline.at(now + late, partial(self.told, front, gone, new))
-        assert old in self.servers
 
     def told(self, front: Gateway, *entries: api.ServerEntry) -> None:
         front.now = self.start + self.timeline.now
@@ -89,25 +81,20 @@
     def arrive(self) -> None:
         number = self.random.randrange(GATEWAYS)
         front = self.gateways[number]
-        request, front.next_id = front.next_id, front.next_id + 1
         customer = self.random.randrange(300)
-        front.now = now = self.start + self.timeline.now
-        actions = front.feed(api.Request(request, 0, 0, customer, now + 2000.0, 1.0, 25, 0))
-        for call in every(actions, api.Count):
-            actions = actions + front.count(call.name, call.amount)
-        self.send(number, actions)
+        front.now = self.start + self.timeline.now
+        self.send(number, sends(front, customer, spread=25))
         self.timeline.at(self.timeline.now + self.random.expovariate(self.rate / 1000.0), self.arrive)
 
-    def send(self, number: int, actions: list[api.Action]) -> None:
-        for send in every(actions, api.Send):
+    def send(self, number: int, made: list[api.Send]) -> None:
+        for send in made:
             self.servers[send.server].take(number, send)
 
     def answered(self, number: int, send: api.Send, sent: float) -> None:
         front = self.gateways[number]
         front.now, self.served = self.start + self.timeline.now, self.served + 1
-        elapsed = self.timeline.now - sent
-        outcome = api.Outcome(send.request, 0, send.server, Status.OK, True, elapsed, (), 0.0, 0)
-        self.send(number, front.feed(outcome))
+        over = front.outcome(send, Status.OK, elapsed=self.timeline.now - sent)
+        self.send(number, every(over, api.Send))
 
 
 @pytest.mark.parametrize("seed", [1, 2, 4])
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.gateway import Gateway, every, make_settings, only
+from tests.test_fleet import fleet
 from wickspring import interface as api
 from wickspring.interface import ListKind, Readiness, Status
 from wickspring.pace import Pace
@@ -26,8 +27,7 @@
 
 
 def answer(front: Gateway, send: api.Send, elapsed: float, status: Status = Status.OK) -> None:
-    over = status is Status.OK
-    front.feed(api.Outcome(send.request, 0, send.server, status, over, elapsed, (), 0.0, 0))
+    front.outcome(send, status, elapsed=elapsed)
 
 
 def test_every_server_is_near_to_as_many_gateways_as_any_other(gateway: Build) -> None:
@@ -83,12 +83,7 @@
     front = many(gateway)
     cold = [s.entry for s in front.policy.near]
     for entry in cold:
-        front.list_servers(
-            api.ServerEntry(
-                entry.server, entry.zone, entry.cell, entry.readiness, entry.weight, started_at=front.now
-            ),
-            kind=ListKind.CHANGES,
-        )
+        front.list_servers(replace(entry, started_at=front.now), kind=ListKind.CHANGES)
     for customer in range(60):
         name = only(front.request(customer=customer), api.Count).name
         send = only(front.count(name, 1.0), api.Send)
@@ -144,9 +139,7 @@
 def test_use_over_many_windows_keeps_to_the_quota_and_comes_near_it(asks: float) -> None:
     rate, burst = 0.005, 20.0
     plan = {"rate": rate, "burst": burst}
-    gateways = [Gateway(make_settings(gateways=GATEWAYS, own_number=n, seed=n, plan=plan)) for n in range(25)]
-    for front in gateways:
-        front.list_servers(*(front.entry(n) for n in range(SERVERS)))
+    gateways = fleet(25, SERVERS, gateways=GATEWAYS, zone=0, plan=plan)
     admitted = spent(gateways, asks * rate / 2.2)
     assert admitted <= burst + 1.1 * rate * 100_000.0
     assert admitted >= 0.85 * min(asks, 1.0) * rate * 100_000.0
--- a/wickspring/fleet/model.py
+++ b/wickspring/fleet/model.py
@@ -131,6 +131,11 @@
     dead_phi: float = 8.0
     gossip_s: float = 0.5
 
+    @property
+    def moved_within_s(self) -> float:
+        """Return how long an instance may take to be as wanted anew: to drain and to become ready."""
+        return self.ready_within_s + self.drain_within_s
+
 
 class Progress(msgspec.Struct, frozen=True):
     """One instance's place in an operation."""
--- a/wickspring/fleet/rollout.py
+++ b/wickspring/fleet/rollout.py
@@ -372,7 +372,7 @@
     """Judge an instance that is not told of: a coordinator just come back has not heard all agents yet."""
     if any(record.agent == one.agent for record in setting.records.values()):
         return _to(one, Step.FAILED, now, "no agent tells of it")
-    if now - one.since > setting.rules.ready_within_s + setting.rules.drain_within_s:
+    if now - one.since > setting.rules.moved_within_s:
         return _to(one, Step.LOST, now, f"agent {one.agent} is not heard")
     return one
 
@@ -401,20 +401,20 @@
     if one.step is Step.MOVING:
         if one.version < 0 or seen.version < one.version:
             # The home agent has not answered, or not come to it; nothing says that the instance is at fault.
-            if now - one.since > rules.ready_within_s + rules.drain_within_s:
+            if now - one.since > rules.moved_within_s:
                 return _to(one, Step.LOST, now, f"agent {one.agent} did not carry it out")
             return one
         if not record.want.run:
             if seen.state == "stopped":
                 return _finished(operation, one, now)
-            if now - one.since > rules.ready_within_s + rules.drain_within_s:
+            if now - one.since > rules.moved_within_s:
                 return _to(one, Step.FAILED, now, f"still {seen.state} after its drain")
         elif seen.ready and seen.build == record.want.build and seen.generation == record.want.generation:
             proving = _to(one, Step.PROVING, now)
             return msgspec.structs.replace(proving, seen_requests=seen.requests, seen_failed=seen.failed)
         elif seen.failures >= CRASHES:
             return _to(one, Step.FAILED, now, f"ended {seen.failures} times, last with {seen.last_exit}")
-        elif now - one.since > rules.ready_within_s + rules.drain_within_s:
+        elif now - one.since > rules.moved_within_s:
             return _to(one, Step.FAILED, now, _unready(record, rules))
         return one
     return _prove(operation, one, seen, now, rules)
--- a/wickspring/pace.py
+++ b/wickspring/pace.py
@@ -32,6 +32,8 @@
 
     def learn(self, now: float, taken: float, answered: bool, usual: float, weight: float) -> None:
         """Take in how long an attempt took, in aims; what was cancelled would have taken longer yet."""
+        if weight <= 0.0:
+            return
         known = self._ratio(now, usual, weight, 0.0) * usual if usual > 0.0 else taken
         if answered or taken > known:
             self.mean, self.at = known + PART * (taken - known), now
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -204,9 +204,8 @@
             # Not seen for as long as a store takes to fill: the window's count decides. Its limit: a burst
             # and, in a window of several, what the rate owes to a customer always past it.
             others = total - amount
-            beyond = max(0.0, windows.length - plan.burst / plan.rate) / windows.length
             account.store = windows.limit(account.window, account.past_in)
-            account.store += plan.rate * beyond * (windows.length - account.window_left)
+            account.store += windows.grows * (windows.length - account.window_left)
         elif others < -self.settings.largest_units:
             others = 0.0  # the counter forgot: what is known here stands, and counting goes on from its total
         account.store = max(0.0, min(plan.burst, account.store - others))
@@ -311,10 +310,9 @@
         return cost + 1000.0 * (self.now < max(server.shun_until, by_part))
 
     def _pace(self, server: Server) -> float:
-        """Return how many times as long as the others a server took lately; 1 where nothing is known.
-
-        Few gateways see a server's load by their own attempts out, and take no notice of this.
-        """
+        """Return how many times as much a server's pace makes it cost; few see its load without it."""
+        if self.lone >= 1.0:
+            return 1.0
         waiting = (self.now - server.pace.since) / self.aim if server.out else 0.0
         return server.pace.against(self.now, self.delay, 1.0 - self.lone, waiting)
 
--- a/wickspring/windows.py
+++ b/wickspring/windows.py
@@ -33,6 +33,7 @@
     length: float  # ms
     depth: float  # units that may come at once
     owed: float  # units that the rate owes for its length, the depth at most
+    grows: float  # units a ms by which a long window's limit grows: what the rate owes beyond one store
     flat: bool  # its count alone decides
 
     def limit(self, number: int, past: int) -> float:
@@ -47,6 +48,7 @@
     if flat and plan.most_open > 0:  # the geometric middle of one unit and the most stands for a request
         depth = min(depth, plan.most_open * math.sqrt(max(1.0, largest_units)))
     if plan.rate <= 0:
-        return Window(MOST_MS, depth, depth, flat)
+        return Window(MOST_MS, depth, depth, 0.0, flat)
     length = min(max(bursts * depth / plan.rate, LEAST_MS), MOST_MS)
-    return Window(length, depth, min(depth, plan.rate * length), flat)
+    beyond = max(0.0, length - plan.burst / plan.rate) / length
+    return Window(length, depth, min(depth, plan.rate * length), plan.rate * beyond, flat)
