Start a new version beside the old one; open a door for operators; take servers out

Cause: the second process ended at once (server.py listen: address in use), nothing listened at admin_addr, and a drain closed idle client connections.

--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -95,6 +95,7 @@
     listen: str = ""
     discovery: str = ""
     counter: str = ""
+    admin_addr: str = ""
     seed: str = "0"
     limits: Limits = Limits()
     known: Listing = Listing()
@@ -112,6 +113,8 @@
     settings: api.Settings
     http2: Http2
     connections: ConnectionLimits = ConnectionLimits()  # to ticket servers
+    door: tuple[str, int] | None = None  # where operators call
+    folder: str = ""  # where this process may write, and meets the one that follows it; empty: nowhere
     share_port: bool = False  # with the process that follows this one
     notify: str = ""  # path of the supervisor's socket, in the form of sd_notify
     token: str = ""  # by which the supervisor knows this process
@@ -303,6 +306,8 @@
         names = [kind.name for kind in kinds]
         if "" in names or len(set(names)) < len(names):
             raise ConfigError(f"setting {word}: every Name must be there, once")
+    door = env.get("GW_ADMIN_ADDR", file.admin_addr)
+    share_port = env.get("GW_SHARE_PORT") == "1" or bool(door)
     return Instance(
         name=env.get("GW_NAME", file.name),
         listen=parse_address("listen", env.get("GW_LISTEN", file.listen), any_port=True),
@@ -313,7 +318,9 @@
         settings=settings,
         http2=load_http2(http2_path),
         connections=load_connections(Path(env.get("GW_CONNECTIONS") or CONNECTIONS_FILE)),
-        share_port=env.get("GW_SHARE_PORT") == "1",
+        door=parse_address("admin_addr", door, any_port=True) if door else None,
+        folder=env.get("TMPDIR", "") if share_port else "",
+        share_port=share_port,
         notify=env.get("NOTIFY_SOCKET", ""),
         token=env.get("GW_TOKEN", ""),
         tenants=Path(env["GW_TENANTS"]) if env.get("GW_TENANTS") else None,
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -169,6 +169,7 @@
         self.hazards = Hazards()
         self.pools: dict[api.ServerId, Pool] = {}
         self.most = 1 << 30  # connections in all; the host sets it as its descriptors allow
+        self.leaving = False  # this process ends: nothing idle is kept and nothing opened ahead
         self.total = 0
         self.dialing = 0
         self.tally: Counter[str] = Counter()
@@ -355,6 +356,8 @@
         for server, pool in list(self.pools.items()):
             standing = self.look(server, now)
             self._retire(now, pool, standing)
+            if self.leaving:
+                continue
             if not standing.takes:
                 if not pool.conns and not pool.line:
                     self.hungry.pop(pool, None)
@@ -595,7 +598,7 @@
             if conn.state is not State.UP or conn.load:
                 continue
             idle, age, unused = now - conn.idle_since, now - conn.born, not conn.uses
-            if not standing.takes:
+            if self.leaving or not standing.takes:
                 self._close(conn, "left")
             elif conn.idle_since < oldest or now >= conn.ends_at:
                 self._close(conn, "retired")
--- a/wickspring/core/reducer.py
+++ b/wickspring/core/reducer.py
@@ -69,6 +69,7 @@
         self.tally: Counter[str] = Counter()
         self._open: dict[str, int] = {}  # call ids of pending requests
         self._unsafe: dict[str, float] = {}  # call ids that may have run and must not again, until when
+        self._elsewhere: dict[str, float] = {}  # call ids under way at the process before this, until when
         self._effects: list[Effect] = []
         self._queue: deque[api.Event] = deque()
 
@@ -98,15 +99,31 @@
         """How many requests are owed a final answer."""
         return sum(not pending.over for pending in self.pending.values())
 
+    # Between two processes of one ingress.
+
+    def open_ids(self) -> dict[str, float]:
+        """Return the call ids under way, each with the time by which it is answered."""
+        return {name: self.pending[number].request.deadline for name, number in self._open.items()}
+
+    def spent_ids(self) -> dict[str, float]:
+        """Return the call ids that may have run and must not again, and until when."""
+        return self._unsafe
+
+    def adopt_ids(self, under_way: dict[str, float], spent: dict[str, float]) -> None:
+        """Take note of the ids of the process before this one, which answers those under way itself."""
+        self._elsewhere.update(under_way)
+        for name, until in spent.items():
+            self._unsafe[name] = max(until, self._unsafe.get(name, 0.0))
+
     # Events: note what the rules hang on, then let the module decide.
 
     def _note(self, now: float, event: api.Event | Arrived | AttemptEnded) -> api.Event | None:
         if isinstance(event, AttemptEnded):
             return self._ended(now, event)
         if isinstance(event, Arrived):
-            return self._arrived(event.request, event.call_id)
+            return self._arrived(now, event.request, event.call_id)
         if isinstance(event, api.Request):
-            return self._arrived(event, "")
+            return self._arrived(now, event, "")
         elif isinstance(event, api.Withdrawn):
             pending = self.pending.get(event.request)
             if pending is None or pending.over:
@@ -116,13 +133,13 @@
             self._list(event)
         return event
 
-    def _arrived(self, request: api.Request, call_id: str) -> api.Request | None:
+    def _arrived(self, now: float, request: api.Request, call_id: str) -> api.Request | None:
         if not holds(request.request not in self.pending, "request number used once"):
             return None
         pending = Pending(request, self.settings.classes[request.class_index], call_id)
         self.pending[request.request] = pending
         self.tally["taken"] += 1
-        if call_id in self._open:
+        if call_id in self._open or self._elsewhere.get(call_id, 0.0) > now:
             # Whoever says another's id: what was asked first goes on unharmed, and ticket servers, which know
             # requests by their ids, never see two under one.
             self._answer(pending, Verdict.REJECTED)
@@ -172,6 +189,8 @@
         """Fail what the module has let run past its time: the client must never be left without."""
         while self._unsafe and next(iter(self._unsafe.values())) < now:  # about in order of time
             del self._unsafe[next(iter(self._unsafe))]
+        if self._elsewhere and max(self._elsewhere.values()) < now:
+            self._elsewhere.clear()
         for pending in list(self.pending.values()):
             if not pending.over and now > pending.request.deadline - OVERDUE:
                 holds(False, "answered before the deadline")
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 
 import h11
 
@@ -27,45 +28,65 @@
 class Http1Connection:
     """One client connection."""
 
-    def __init__(self, link: Link, runtime: Runtime) -> None:
+    def __init__(self, link: Link, runtime: Runtime, ahead: bytes | None = None) -> None:
         self.link, self.runtime = link, runtime
+        self.ahead = ahead  # what the process before this one had read; None for a new connection
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.number: int | None = None  # of the request that waits for its answer
         self.begun_at = self.heard_at = runtime.clock.now()  # begun: connecting, or a request's first byte
-        self.served = False  # a request has come whole
+        self.served = ahead is not None  # a request has come whole
         self.advancing = False
         self.ending = False
 
     async def run(self) -> None:
         """Read until the client leaves or this side has said its last."""
         dropped = 0
-        if self.link.peek() is None:  # handed over without a word: it has been silent since it connected
+        if self.ahead:
+            self._heard(self.ahead)
+        elif self.ahead is None and self.link.peek() is None:  # it has been silent since it connected
             self.begun_at = self.heard_at = self.begun_at - 1000.0 * DEFER_S
-        while dropped < MOST_DROPPED:
+        while dropped < MOST_DROPPED and not self.link.broken:
             data = await self.link.receive()
             if not data:
                 break
             if self.ending:
                 dropped += len(data)  # read, so that closing does not reset the answer
                 continue
-            self.heard_at = self.runtime.clock.now()
-            if self.served and self.idle():
-                self.begun_at = self.heard_at
-            self.http.receive_data(data)
-            if self.number is None:
-                self.advance()
-            ahead = len(self.http.trailing_data[0])
-            if self.number is not None and ahead > MOST_AHEAD:
-                break  # it goes on sending while its answer is owed, and all of it would be held
-            size = ahead + (len(self.body) if self.request is not None else 0)
-            if not self.runtime.weigh(self, size) and not self.ending:
-                if self.number is not None:
-                    break
-                self.answer(503, "", b"too much is being sent at once\n")
+            if not self._heard(data):
+                break
+        self.ending = True
+
+    def _heard(self, data: bytes) -> bool:
+        """Take bytes in; False where the connection is to end at once."""
+        self.heard_at = self.runtime.clock.now()
+        if self.served and self.idle():
+            self.begun_at = self.heard_at
+        self.http.receive_data(data)
+        if self.number is None:
+            self.advance()
+        ahead = len(self.http.trailing_data[0])
+        if self.number is not None and ahead > MOST_AHEAD:
+            return False  # it goes on sending while its answer is owed, and all of it would be held
+        size = ahead + (len(self.body) if self.request is not None else 0)
+        if not self.runtime.weigh(self, size) and not self.ending:
+            if self.number is not None:
+                return False
+            self.answer(503, "", b"too much is being sent at once\n")
+        return True
+
+    def give(self) -> tuple[socket.socket, bytes] | None:
+        """Give the connection away, with what has been read ahead; None while a request is under way."""
+        ahead, closed = self.http.trailing_data
+        if self.number is not None or self.request is not None or self.ending or self.advancing or closed:
+            return None
+        sock = self.link.detach()
+        if sock is None:
+            return None
         self.ending = True
+        return sock, ahead
 
     def drop(self) -> None:
         """Withdraw the request that is out, if any: the client has left."""
@@ -157,7 +178,8 @@
         ahead = self.http.trailing_data[0]  # of requests sent without waiting for this answer
         ends = bool(ahead) and 400 <= status < 500 and status != 429  # who errs is not heard on and on
         ends |= self.runtime.crowded
-        if self.runtime.draining or ends or self.http.their_state is not h11.DONE:
+        leaves = self.runtime.draining and not self.runtime.handing
+        if leaves or ends or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             data = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
@@ -186,6 +208,6 @@
         self.runtime.later(LINGER_MS, self.link.close)
 
 
-async def serve(link: Link, runtime: Runtime) -> None:
-    """Serve one client connection."""
-    await runtime.serve(Http1Connection(link, runtime), link)
+async def serve(link: Link, runtime: Runtime, ahead: bytes | None = None) -> None:
+    """Serve one client connection, of which another process may have read something ahead."""
+    await runtime.serve(Http1Connection(link, runtime, ahead), link)
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 
 import h2.config
 import h2.connection
@@ -157,6 +158,10 @@
         if not self.streams:
             self.finish_now()
 
+    def give(self) -> tuple[socket.socket, bytes] | None:
+        """Stay: the state of the compression cannot be told. The client is sent elsewhere by `drain`."""
+        return None
+
     def drain(self) -> None:
         """Tell the client to go elsewhere; streams on their way here are still taken."""
         self.link.send(goaway(LAST_STREAM))
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -118,6 +118,14 @@
         except OSError:
             self.broken = True
 
+    def detach(self) -> socket.socket | None:
+        """Give the socket away, unread bytes and all; None where it is broken or has bytes yet to write."""
+        if self.broken or self._closing or self._shut or self._unsent:
+            return None
+        self.broken = self._closing = True
+        trio.lowlevel.notify_closing(self._sock)  # the reader ends here as after a close
+        return self._sock
+
     def close(self) -> None:
         """Close at once and wake the reader."""
         self.broken = True
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 import time
 from collections import Counter as Tally
 from collections import deque
@@ -19,6 +20,7 @@
 from wickspring.core.invariants import broken
 from wickspring.core.reducer import Reducer
 from wickspring.logs import kv
+from wickspring.maintenance import Maintenance
 from wickspring.net.calls import (
     CALL_PATH,
     IDLE_LEAST_MS,
@@ -78,6 +80,9 @@
     def end_quiet(self) -> None:
         """End it now, unless something has come that is not read yet."""
 
+    def give(self) -> tuple[socket.socket, bytes] | None:
+        """Give it to another process, with what has been read ahead; None while that cannot be."""
+
     def drain(self) -> None:
         """Tell the client, where the protocol has words for it, that this ingress is about to end."""
 
@@ -93,22 +98,24 @@
         self.instance, self.nursery, self.clock = instance, nursery, Clock()
         self.timers = Timers(self.clock)
         self.reducer = Reducer(settings)
+        self.maintenance = Maintenance()
         self.book = PlanBook(instance.tenants) if instance.tenants is not None else None
         self.calls = CallReader(settings, self.book)
         self.directory = Directory(settings.zones)
         self.discovery = Discovery(
-            instance.discovery, self.directory, nursery, self.dispatch,
+            instance.discovery, self.directory, nursery, self.listed,
             settings.seed, settings.gateways,
         )  # fmt: skip
         self.connections: set[Connection] = set()
         self.upstream = Upstream(
-            settings, instance.connections, instance.limits.sockets, lambda: len(self.connections),
+            settings, instance.connections, lambda: self.sockets, lambda: len(self.connections),
             self.clock, self.timers, nursery, self.reducer.entries.get, self._make_carrier, self._expect,
         )  # fmt: skip
         self.counter = Counter(instance.counter, settings, self.clock, self.timers, nursery, self.dispatch)
-        self.most_connections = int(instance.limits.sockets * CLIENT_SOCKETS)
         self.ready = False
         self.draining = False
+        self.handing = False  # another process of this ingress takes over the clients' connections
+        self.peer_holds = 0  # descriptors that the other process has
         self.let_go: Tally[str] = Tally()  # client connections ended from here, by reason
         self._weights: dict[Connection, int] = {}  # bytes of unfinished requests
         self._held = 0  # their sum
@@ -185,6 +192,16 @@
         """How many clients wait for an answer."""
         return len(self._clients)
 
+    @property
+    def sockets(self) -> int:
+        """How many descriptors this process may have."""
+        return max(self.instance.limits.sockets - self.peer_holds, self.instance.limits.sockets // 4)
+
+    @property
+    def most_connections(self) -> int:
+        """How many client connections there may be."""
+        return int(self.sockets * CLIENT_SOCKETS)
+
     @property
     def crowded(self) -> bool:
         """Tell whether clients' connections are short.
@@ -216,6 +233,27 @@
             self._weights[connection] = size
         return size <= LIGHT or self._held <= HELD_SHARE * self.instance.limits.memory_mb * 2**20
 
+    # News of ticket servers, from discovery and from operators.
+
+    def listed(self, news: api.ServerList) -> None:
+        """Take in what discovery says, seen through what operators have taken out."""
+        self.dispatch(self.maintenance.listed(news))
+
+    def exclude(self, server: api.ServerId) -> bool:
+        """Take a ticket server out; False where nobody has such an id."""
+        known = self.maintenance.knows(server)
+        for change in self.maintenance.exclude(server) if known else ():
+            self.dispatch(change)
+        return known
+
+    def include(self, server: api.ServerId, at: float | None = None) -> bool:
+        """Put it back, as from a time; False where nobody has such an id."""
+        known = self.maintenance.knows(server)
+        at = self.clock.now() if at is None else at
+        for change in self.maintenance.include(server, at) if known else ():
+            self.dispatch(change)
+        return known
+
     # Events in, effects out.
 
     def dispatch(self, event: core.Event) -> None:
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -32,7 +32,7 @@
         self,
         settings: api.Settings,
         limits: ConnectionLimits,
-        sockets: int,
+        sockets: Callable[[], int],
         clients: Callable[[], int],
         clock: Clock,
         timers: Timers,
@@ -146,6 +146,11 @@
         for job, reply, _ in lost:
             job.end(reply)
 
+    def leave(self) -> None:
+        """End what is idle, now and from now on: another process of this ingress opens its own."""
+        self.pools.leaving = True
+        self._perform(self.pools.sweep(self.clock.now()))
+
     def report(self) -> dict[str, object]:
         """Return the figures of all pools."""
         pools = self.pools
@@ -197,7 +202,7 @@
     # Upkeep.
 
     def _bound(self) -> None:
-        self.pools.most = most_connections(self.limits, self._sockets, self._clients())
+        self.pools.most = most_connections(self.limits, self._sockets(), self._clients())
 
     def _wake(self) -> None:
         """See to it that lines are looked at again when time alone may have made room."""
