--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,8 @@
 from tests.gateway import Gateway, every, make_settings, only
 from wickspring import interface as api
 from wickspring.interface import Effect, Group, Status
-from wickspring.policy import ACCOUNT_LIFE, COLD_CARE, COLD_DRAWS, COLD_LOAD, ROOM_START
+from wickspring.policy import ACCOUNT_LIFE, COLD_CARE, COLD_DRAWS, COLD_LOAD
+from wickspring.room import START
 
 FLEET = 330
 
@@ -67,7 +68,7 @@
 def test_first_room_is_a_part_of_the_fleets() -> None:
     gateways = fleet(plan={"rate": 1.0, "burst": 1000.0})
     sent = sum(len(sends(front, customer=n)) for n in range(20) for front in gateways)
-    assert sent <= ROOM_START * 60 + FLEET  # a part of 1.45 each is met by odds, two at most
+    assert sent <= START * 60 + FLEET  # a part of 1.45 each is met by odds, two at most
 
 
 def test_own_parts_of_a_quota_hold_one_request_each_then_their_share() -> None:
@@ -142,8 +143,8 @@
             told[send.server] += full
             queue = every(front.outcome(send, Status.FULL if full else Status.OK, attempt), api.Send)
             attempt += 1
-        room = room or front.policy.room
-    assert front.policy.room >= room
+        room = room or front.policy.room.size
+    assert front.policy.room.size >= room
     assert max(told.values()) <= 2
 
 
@@ -193,7 +194,7 @@
         event = api.Request(number, 0, 0, number, front.now + 300, 1.0, 2, 0)
         front.count(only(front.feed(event), api.Count).name, 1.0)
         front.run(320)
-    assert front.policy.room < ROOM_START * 20 / 2
+    assert front.policy.room.size < START * 20 / 2
 
 
 def test_customers_and_servers_that_are_gone_leave_nothing_behind() -> None:
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -163,7 +163,7 @@
     front = many(gateway)
     for customer in range(30):
         answer(front, front.admitted(0.0, customer=customer), 100.0)
-    stuck, front.policy.room = front.policy.near[3].entry.server, 1000.0
+    stuck, front.policy.room.size = front.policy.near[3].entry.server, 1000.0
     for server in front.policy.near:  # one attempt out at each, at one of them for longer than at the others
         server.out, server.pace.since = 1, front.now - (600.0 if server.entry.server == stuck else 50.0)
     sent = Counter(front.admitted(0.0, customer=customer).server for customer in range(100, 150))
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -13,6 +13,7 @@
 from wickspring import interface as api
 from wickspring.aperture import near
 from wickspring.interface import Effect, Group, Readiness, Status
+from wickspring.room import Room
 from wickspring.state import LONG_AGO, Account, Held, Server
 from wickspring.windows import window
 
@@ -36,10 +37,6 @@
 DRAWS, COLD_DRAWS, COLD_CARE = 8, 2, 0.5  # servers drawn; draws open to cold ones, at odds in their warmth
 PROBE_WAIT, STALL = 60.0, 60.0  # ms for an answer to a probe; ms late that a timer is after an own stall
 HOLD_SHARE = 0.12  # of the aim: a request held longer without a server is refused, it would be late
-ROOM_START, ROOM_LEAST = 8.0, 2.0  # attempts out per ready server, of all gateways: at first, and at least
-ROOM_DELAY = 0.25  # mean answer time, in aims, above which room shrinks
-ROOM_MEMORY, ROOM_MEMORY_MOST = 1000.0, 10.0  # ms over which that mean is taken; least answers that it takes
-ROOM_CUT, ROOM_GROW = 0.5, 0.6  # change of that room a second: down by a part, up by attempts per server
 FULL_PART, MEMORY = 0.1, 8.0  # part of every plan told full, above which servers are; answers in a mean
 CROSS_COST, FEW = 1.0, 4  # requests more that the own zone's may hold, among so many gateways; beyond, less
 
@@ -66,7 +63,7 @@
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.units = 0.0  # mean of the requests'
-        self.room, self.delay, self.room_at = 0.0, 0.0, LONG_AGO  # attempts let out; mean answer time in aims
+        self.room = Room()  # for attempts
         self.aim = sum(kind.aim for kind in settings.classes) / max(1, len(settings.classes))  # mean, ms
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
         self.retries = RETRY_MOST / 2
@@ -97,7 +94,7 @@
         self.accounts[request.customer] = account  # the longest unused come first, and are dropped
         kind = self.settings.classes[request.class_index]
         held = self.held[request.request] = Held(request, kind, account, self.now)
-        self.retries = min(self.retries + (RETRY_SHARE, RETRY_LEAST)[self.delay > ROOM_DELAY], RETRY_MOST)
+        self.retries = min(self.retries + (RETRY_SHARE, RETRY_LEAST)[self.room.slow], RETRY_MOST)
         account.units = request.units
         self.units += (request.units - self.units) / (UNITS_MEMORY if self.units else 1.0)
         self._refill(account)
@@ -267,8 +264,7 @@
     def _choose(self, held: Held) -> Server | None:
         """Return the best of a few servers drawn by chance, or none while all that may be is out."""
         fair = len(self.ready) / max(1, self.settings.gateways)  # one attempt a server, of the whole fleet
-        self.room = max(self.room or ROOM_START * fair, ROOM_LEAST * fair)
-        if not self.ready or len(self.attempts) + self.random.random() > self.room:
+        if not self.ready or not self.room.fits(len(self.attempts) + self.random.random(), fair):
             return None  # by odds, for the part may be under one
         self._see_warmth()
         if self.warm < 1.0 / COLD_LOAD and self.random.random() > COLD_LOAD * self.warm:
@@ -314,7 +310,7 @@
         if self.lone >= 1.0:
             return 1.0
         waiting = (self.now - server.pace.since) / self.aim if server.out else 0.0
-        return server.pace.against(self.now, self.delay, 1.0 - self.lone, waiting)
+        return server.pace.against(self.now, self.room.delay, 1.0 - self.lone, waiting)
 
     def _in_group(self, held: Held, entry: api.ServerEntry) -> bool:
         """Keep a keyed request that may have run with the servers that would drop its repeat."""
@@ -370,7 +366,7 @@
             return
         if outcome.status in (Status.OK, Status.CANCELLED):
             taken, answered = outcome.elapsed / held.kind.aim, outcome.status is Status.OK
-            server.pace.learn(self.now, taken, answered, self.delay, 1.0 - self.lone)
+            server.pace.learn(self.now, taken, answered, self.room.delay, 1.0 - self.lone)
         held.open.pop(outcome.attempt, None)
         held.unclear |= not outcome.status.never_ran
         held.ran = held.ran if held.open or held.unclear else None
@@ -385,15 +381,8 @@
         self._serve_line()
 
     def _learn_delay(self, held: Held, elapsed: float) -> None:
-        """Let fewer attempts out while answers take much of their aim: what waits here can be refused."""
-        passed, self.room_at = min(self.now - self.room_at, ROOM_MEMORY / 2), self.now
-        part = min(max(passed / ROOM_MEMORY, 0.03), 1 / ROOM_MEMORY_MOST)
-        counted = min(elapsed / held.kind.aim, 2 * ROOM_DELAY)  # a few slow servers do not close the rest
-        self.delay += (counted - self.delay) * part
-        if self.delay > ROOM_DELAY:
-            self.room *= 1.0 - ROOM_CUT * passed / 1000.0
-        elif len(self.attempts) + 2 >= self.room:
-            self.room += ROOM_GROW * len(self.ready) / max(1, self.settings.gateways) * passed / 1000.0
+        fair = len(self.ready) / max(1, self.settings.gateways)
+        self.room.learn(self.now, elapsed / held.kind.aim, len(self.attempts), fair)
 
     def _again(self, held: Held, free: bool) -> None:
         """Try once more where class, budget and time allow; else give the final answer."""
--- a/wickspring/succession.py
+++ b/wickspring/succession.py
@@ -13,6 +13,7 @@
 from wickspring.core.reducer import Reducer
 from wickspring.pace import Pace
 from wickspring.policy import Policy
+from wickspring.room import Room
 from wickspring.state import Account
 from wickspring.windows import window
 
@@ -150,7 +151,7 @@
         yield State(accounts[part], servers[part], open=dict(is_open[part]), unsafe=dict(unsafe[part]))
     yield State(
         general=General(
-            policy.ask, policy.cut_at, policy.units, policy.room, policy.delay, policy.room_at,
+            policy.ask, policy.cut_at, policy.units, policy.room.size, policy.room.delay, policy.room.at,
             policy.full, policy.retries, policy.answer_ms,
         ),
         last=True,
@@ -180,7 +181,7 @@
     general = state.general
     if general is not None:
         policy.ask, policy.cut_at, policy.units = general.ask, general.cut_at, general.units
-        policy.room, policy.delay, policy.room_at = general.room, general.delay, general.room_at
+        policy.room = Room(general.room, general.delay, general.room_at)
         policy.retries = general.retries
         if len(general.full) == len(policy.full) and len(general.answer_ms) == len(policy.answer_ms):
             policy.full, policy.answer_ms = list(general.full), list(general.answer_ms)
