--- a/wickspring/room.py
+++ b/wickspring/room.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-START, LEAST = 8.0, 5.0  # attempts out per ready server, of all gateways: at first, and at least
+START, LEAST = 8.0, 2.0  # attempts out per ready server, of all gateways: at first, and at least
 SLOW = 0.25  # mean answer time, in aims, above which room shrinks
 MEMORY_MS, MEMORY_MOST = 1000.0, 10.0  # ms over which that mean is taken; least answers that it takes
 CUT, GROW = 0.5, 0.6  # change of the room a second: down by a part, up by attempts per server
