Size the room for attempts by the middle answer time, not the mean

Cause: room.py learn takes the mean of answer times capped at half an aim.

The mean stays for the pace.

--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,44 @@
+"""How many attempts are let out, by answer times."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from tests.gateway import Gateway, make_settings
+from wickspring import interface as api
+from wickspring.policy import Policy
+from wickspring.room import LEAST, START, Room
+
+
+def test_two_slow_servers_of_ten_do_not_close_the_room() -> None:
+    room, now = Room(), 0.0
+    for number in range(3000):
+        now += 10.0
+        room.fits(1, 2.0)
+        room.learn(now, 1.5 if number % 10 < 2 else 0.17, 3, 2.0)
+    assert room.size >= START * 2.0 and not room.slow
+
+
+def test_answers_slow_in_the_main_close_it_to_its_least() -> None:
+    room, now = Room(), 0.0
+    for _ in range(3000):
+        now += 10.0
+        room.fits(1, 2.0)
+        room.learn(now, 0.6, 3, 2.0)
+    room.fits(1, 2.0)
+    assert room.slow and room.size == LEAST * 2.0
+
+
+def test_a_server_put_back_is_tried_while_it_is_cold() -> None:
+    front = Gateway(make_settings(gateways=2, may_count=False))
+    front.list_servers(*(front.entry(number) for number in range(8)))
+    back = replace(front.entry(8), started_at=front.now)
+    front.list_servers(back, kind=api.ListKind.CHANGES)
+    used = set()
+    for customer in range(60):
+        front.now += 20.0
+        for action in front.request(customer=customer):
+            if isinstance(action, api.Send):
+                used.add(action.server)
+                front.outcome(action, api.Status.OK)
+    assert isinstance(front.policy, Policy) and back.server in used
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -299,7 +299,8 @@
         entry, part = server.entry, server.shun_part.get
         by_part = max(part(held.request.class_index, 0.0), part(-1 - held.request.plan_index, 0.0))
         warmth = math.pow(self._warmth(server), self.lone)  # of many, the odds of a draw have seen to it
-        warmth = warmth if server.out else 1.0  # one request is not too much: else it is unused until warm
+        if self.lone >= 1.0 and not server.out:
+            warmth = 1.0  # one request is not too much: else it would be unused until it is warm
         cost = (server.out + 1.0) * self._pace(server) / max(entry.weight, 1e-3) / warmth
         cost += CROSS_COST * self.lone * (entry.zone != self.settings.zone)
         cost += 100.0 * (entry.server in held.tried)
--- a/wickspring/succession.py
+++ b/wickspring/succession.py
@@ -82,6 +82,7 @@
     units: float
     room: float
     delay: float
+    middle: float
     room_at: float
     full: list[float]
     retries: float
@@ -151,7 +152,8 @@
         yield State(accounts[part], servers[part], open=dict(is_open[part]), unsafe=dict(unsafe[part]))
     yield State(
         general=General(
-            policy.ask, policy.cut_at, policy.units, policy.room.size, policy.room.delay, policy.room.at,
+            policy.ask, policy.cut_at, policy.units, policy.room.size, policy.room.delay,
+            policy.room.middle, policy.room.at,
             policy.full, policy.retries, policy.answer_ms,
         ),
         last=True,
@@ -181,7 +183,7 @@
     general = state.general
     if general is not None:
         policy.ask, policy.cut_at, policy.units = general.ask, general.cut_at, general.units
-        policy.room = Room(general.room, general.delay, general.room_at)
+        policy.room = Room(general.room, general.delay, general.middle, general.room_at)
         policy.retries = general.retries
         if len(general.full) == len(policy.full) and len(general.answer_ms) == len(policy.answer_ms):
             policy.full, policy.answer_ms = list(general.full), list(general.answer_ms)
