Ask discovery within the drain's grace at a start and between two watches

What would have been told, had it been asked, counts as told.

The wait by chance is at most 0.4 of the grace now, and clients are let in once a first watch has said something or has ended, 1 s at most. Pauses after being turned away stay as they were. Ruled out: late lines on open watches (all ingresses that were up heard each version within 0.2 s of each other).

--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -10,17 +10,18 @@
 import pytest
 import trio
 
+from tests.gateway import make_settings
 from tests.loopback import client1, request, site
 from wickspring import interface as api
 from wickspring.backoff import Backoff
 from wickspring.config import ConfigError, build_settings
 from wickspring.net import discovery, server
 
-GATEWAYS, RATE, WAIT_MOST = 40, 10.0, 2.0
+GATEWAYS, RATE, WAIT_MOST, PROMPT = 40, 10.0, 2.0, 0.2
 
 
 def fleet() -> list[Backoff]:
-    return [Backoff(Random(seed), GATEWAYS, RATE, 0.1, 10.0) for seed in range(GATEWAYS)]
+    return [Backoff(Random(seed), GATEWAYS, RATE, 0.1, 10.0, PROMPT) for seed in range(GATEWAYS)]
 
 
 def test_while_all_are_turned_away_the_fleet_keeps_to_its_rate() -> None:
@@ -50,12 +51,24 @@
 
 
 def test_what_ended_for_all_at_once_is_not_taken_up_by_all_at_once() -> None:
-    starts: Counter[int] = Counter(int(b.ended() * 10) for b in fleet())
+    starts: Counter[int] = Counter(int(b.ended() * 40) for b in fleet())
     assert max(starts.values()) <= GATEWAYS // 4
 
 
+def test_a_drain_told_at_a_start_or_between_two_watches_is_heard_within_its_grace() -> None:
+    # Two hundred waited up to 2 s before they asked, and sent to servers known to be draining by then.
+    settings = make_settings(gateways=200, drain_grace=500.0)
+    for seed in range(200):
+        watch = discovery.Discovery(
+            ("127.0.0.1", 1), discovery.Directory(()), None, lambda _: None,  # type: ignore[arg-type]
+            seed, settings.gateways, settings.drain_grace,
+        )  # fmt: skip
+        assert watch._backoff.start() <= 0.25
+        assert watch._backoff.ended() <= 0.35
+
+
 def test_one_ingress_alone_comes_again_within_a_second() -> None:
-    backoff = Backoff(Random(1), 1, RATE, 0.1, 10.0)
+    backoff = Backoff(Random(1), 1, RATE, 0.1, 10.0, PROMPT)
     assert max(backoff.failed() for _ in range(20)) <= 1.0
 
 
--- a/wickspring/backoff.py
+++ b/wickspring/backoff.py
@@ -4,8 +4,7 @@
 
 from random import Random
 
-FLEET_MOST_S, SPREAD_MOST_S, ALONE_MOST_S = 4.0, 2.0, 1.0  # the longest pause in spreads; the longest wait
-# that chance alone adds; the longest pause of a gateway that has no others beside it
+FLEET_MOST_S, ALONE_MOST_S = 4.0, 1.0  # the longest pause, in spreads; that of a gateway alone, in s
 
 
 def jittered(pause: float, random: Random) -> float:
@@ -16,11 +15,15 @@
 class Backoff:
     """Pauses in seconds that double with each failure, each cut by chance.
 
-    Bounds are sized for the fleet: at its rate, all come once in `gateways / rate` seconds, a spread.
+    Bounds are sized for the fleet: at its rate, all come once in `gateways / rate` seconds, a spread. Who has
+    not been turned away yet waits by chance for `prompt` at most, however many the others are: what could
+    have been heard meanwhile counts as heard.
     """
 
-    def __init__(self, random: Random, gateways: int, rate: float, first: float, most: float) -> None:
-        self._random, self._first = random, first
+    def __init__(
+        self, random: Random, gateways: int, rate: float, first: float, most: float, prompt: float
+    ) -> None:
+        self._random, self._first, self._prompt = random, first, prompt
         self._spread = max(1, gateways) / rate
         self._most = min(most, max(ALONE_MOST_S, FLEET_MOST_S * self._spread))
         self._pause = first
@@ -35,8 +38,8 @@
     def ended(self) -> float:
         """Return the pause after something that worked has ended, for the others too perhaps."""
         self._pause = self._first
-        return self._first + self.start()
+        return min(self._first, self._prompt) + self.start()
 
     def start(self) -> float:
         """Return the pause before the first try: others may be starting at this moment."""
-        return min(self._spread, SPREAD_MOST_S) * self._random.random()
+        return min(self._spread, self._prompt) * self._random.random()
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -23,6 +23,7 @@
 DIAL_MS = 1000.0
 PAUSE_FIRST, PAUSE_MOST = 0.1, 10.0  # s between tries; the most is less in a small fleet
 FLEET_RATE = 10.0  # watches a second that all ingresses together open while all of them have to
+PROMPT_SHARE = 0.4  # of the time that a drain may go unheeded: the longest wait by chance before a watch
 LONGEST_LINE = 8 << 20
 BUSY = (429, 503)  # statuses of a service that has more callers than it can serve
 STATES = {
@@ -145,10 +146,13 @@
         listed: Callable[[api.ServerList], None],
         seed: int = 0,
         gateways: int = 1,
+        grace_ms: float = 1000.0,
     ) -> None:
         self.address, self.directory, self.nursery, self.listed = address, directory, nursery, listed
         self.heard = trio.Event()
-        self._backoff = Backoff(Random(seed), gateways, FLEET_RATE, PAUSE_FIRST, PAUSE_MOST)
+        self.tried = trio.Event()  # a first watch has said something, or ended
+        prompt = PROMPT_SHARE * grace_ms / 1000.0
+        self._backoff = Backoff(Random(seed), gateways, FLEET_RATE, PAUSE_FIRST, PAUSE_MOST, prompt)
         self._scope = trio.CancelScope()  # of the present watch and the pause after it
 
     def move(self, address: tuple[str, int]) -> None:
@@ -175,6 +179,7 @@
                 except Exception as error:  # an odd answer must not end the ingress
                     log.exception("watch_failed", extra=kv(reason=error))
                     pause = self._backoff.failed()
+            self.tried.set()
             if self._scope.cancelled_caught:
                 # Another discovery numbers its versions in its own way: the whole list is asked for.
                 self.directory.version, pause = 0, self._backoff.ended()
@@ -214,3 +219,4 @@
             log.info("list", extra=kv(version=self.directory.version, kind=news.kind.value, servers=states))
             self.listed(news)
         self.heard.set()
+        self.tried.set()
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -104,7 +104,7 @@
         self.directory = Directory(settings.zones)
         self.discovery = Discovery(
             instance.discovery, self.directory, nursery, self.listed,
-            settings.seed, settings.gateways,
+            settings.seed, settings.gateways, settings.drain_grace,
         )  # fmt: skip
         self.connections: set[Connection] = set()
         self.upstream = Upstream(
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -30,8 +30,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
-FIRST_LIST_S, FIRST_KNOWN_S = 1.0, 0.1  # for discovery's first word before clients are let in; the second
-# where the configuration knows servers: forty that start at once would wait for it longer than they need
+FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in: what is known before may be old
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
 
 Serve = Callable[[Link, Runtime], Awaitable[None]]
@@ -330,8 +329,9 @@
             nursery.start_soon(runtime.timers.run)
             start_known(runtime, runtime.directory)
             nursery.start_soon(runtime.discovery.run)
-            with trio.move_on_after(FIRST_KNOWN_S if runtime.directory.addresses else FIRST_LIST_S):
-                await runtime.discovery.heard.wait()
+            known = bool(runtime.directory.addresses)
+            with trio.move_on_after(FIRST_LIST_S):
+                await (runtime.discovery.tried if known else runtime.discovery.heard).wait()
             gc.collect()
             gc.freeze()  # what start-up has made lives as long as the process
             if operated.successor is not None:
