--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -772,6 +772,8 @@
         "matplotlib",
         "numpy",
         "argparse",
+        "h2",
+        "hpack",
     }
     unwanted |= {"wickspring.fleet", "wickspring.agent", "wickspring.lab", "wickspring.commands"}
     assert not unwanted & loaded
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -39,7 +39,6 @@
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.carrier import Carrier, Job, Reply
 from wickspring.net.upstream.http1 import Http1Link
-from wickspring.net.upstream.http2 import Http2Link
 from wickspring.net.upstream.manager import Upstream
 from wickspring.net.upstream.reports import read_load
 from wickspring.tenants import PlanBook, TenantsError
@@ -134,7 +133,11 @@
         return "*" in speakers or server.decode() in speakers
 
     def _make_carrier(self, upstream: Upstream, conn: Conn) -> Carrier:
-        return Http2Link(upstream, conn) if self._speaks2(conn.server) else Http1Link(upstream, conn)
+        if not self._speaks2(conn.server):
+            return Http1Link(upstream, conn)
+        from wickspring.net.upstream.http2 import Http2Link  # a megabyte, paid for only where it is spoken
+
+        return Http2Link(upstream, conn)
 
     def _expect(self, server: api.ServerId) -> int:
         return self.instance.settings.streams_per_connection if self._speaks2(server) else 1
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -19,7 +19,7 @@
 from wickspring import succession
 from wickspring.config import ConfigError, Instance, parse_address
 from wickspring.logs import kv
-from wickspring.net import door, handover, http1_front, http2_front, keepsake
+from wickspring.net import door, handover, http1_front, keepsake
 from wickspring.net.calls import DEFER_S
 from wickspring.net.discovery import Directory, ListError
 from wickspring.net.handover import Predecessor, Successor
@@ -323,8 +323,12 @@
                 taken = operated.successor.listeners
                 operated.remember()
             listeners = open_listeners(instance, taken)
-            serves: list[Serve] = [http1_front.serve, http2_front.serve]
-            pairs = zip(listeners, serves[: len(listeners)], strict=True)
+            serves: list[Serve] = [http1_front.serve]
+            if instance.http2.enabled:
+                from wickspring.net import http2_front  # a megabyte, paid for only where it is spoken
+
+                serves.append(http2_front.serve)
+            pairs = zip(listeners, serves, strict=True)
             operated.fronts = [Front(sock, runtime, serve) for sock, serve in pairs]
             nursery.start_soon(runtime.timers.run)
             start_known(runtime, runtime.directory)
