Pass long bodies and answers on as they come; give slow clients their time

Cause: bodies and answers were held whole and ended at 64 KiB (calls.py MOST_BODY, carrier.py MOST_ANSWER), a request had 2.5 s to come whole (WHOLE_MS), and a connection was closed 1 s after its last answer, read or not (finish).

Beyond 64 KiB bytes flow: net/feed.py from client to server, Http1Link._pass_on the other way, with back-pressure by not reading; the core gives the request to one attempt (Flowing, Begun) and ends it by EndAnswer. Heads have 2.6 s, bodies 2.5 s and their length at 32 kB/s. Answers that end with their connection count where they say so; targets in absolute form are understood.

--- a/wickspring/core/effects.py
+++ b/wickspring/core/effects.py
@@ -28,6 +28,30 @@
     call_id: str
 
 
+@dataclass(slots=True, frozen=True)
+class Flowing:
+    """An attempt is about to take what is not held of a body: no other can follow it."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Uploaded:
+    """The last byte of a long body has come and is written; the client's time runs from here."""
+
+    request: int
+    deadline: float
+
+
+@dataclass(slots=True, frozen=True)
+class Begun:
+    """A good answer longer than what is held has come as far as that."""
+
+    request: int
+    attempt: int
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     """One attempt has ended; `body` is the ticket server's with status OK alone."""
@@ -64,6 +88,22 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class PassOn:
+    """Begin the final answer with what has come of an attempt's, and pass on the rest as it comes."""
+
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class EndAnswer:
+    """The answer that was passed on has ended, whole or not; the client must see which."""
+
+    request: int
+    whole: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Answer:
     """Give the client its final answer."""
@@ -74,5 +114,8 @@
     body: bytes = b""
 
 
-Event = api.Event | Arrived | AttemptEnded | Sweep
-Effect = StartAttempt | StopAttempt | Answer | api.SetTimer | api.Probe | api.Count | api.FollowList
+Event = api.Event | Arrived | Flowing | Uploaded | Begun | AttemptEnded | Sweep
+Effect = (
+    StartAttempt | StopAttempt | PassOn | EndAnswer | Answer
+    | api.SetTimer | api.Probe | api.Count | api.FollowList
+)  # fmt: skip
--- a/wickspring/core/reducer.py
+++ b/wickspring/core/reducer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
@@ -14,11 +15,16 @@
     Answer,
     Arrived,
     AttemptEnded,
+    Begun,
     Effect,
+    EndAnswer,
     Event,
+    Flowing,
+    PassOn,
     StartAttempt,
     StopAttempt,
     Sweep,
+    Uploaded,
     Verdict,
 )
 from wickspring.core.invariants import holds
@@ -46,6 +52,11 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     ran: list[Attempt] = field(default_factory=list)  # ended, and may have run
     over: bool = False
+    until: float = 0.0  # by when it is to be answered; no time while bytes of it flow
+    flows: bool = False  # what is not held of its body has been taken: no further attempt
+    whole_at: float = 0.0  # when the last byte of a long body was written
+    passes: int | None = None  # the attempt whose answer is being passed on,
+    passes_from: float = 0.0  # since when
 
     def first_exposed(self) -> Attempt | None:
         """Return the earliest attempt that may have run or may yet."""
@@ -103,7 +114,7 @@
 
     def open_ids(self) -> dict[str, float]:
         """Return the call ids under way, each with the time by which it is answered."""
-        return {name: self.pending[number].request.deadline for name, number in self._open.items()}
+        return {name: self.pending[number].until for name, number in self._open.items()}
 
     def spent_ids(self) -> dict[str, float]:
         """Return the call ids that may have run and must not again, and until when."""
@@ -117,9 +128,19 @@
 
     # Events: note what the rules hang on, then let the module decide.
 
-    def _note(self, now: float, event: api.Event | Arrived | AttemptEnded) -> api.Event | None:
+    def _note(
+        self, now: float, event: api.Event | Arrived | Flowing | Uploaded | Begun | AttemptEnded
+    ) -> api.Event | None:
         if isinstance(event, AttemptEnded):
             return self._ended(now, event)
+        if isinstance(event, Flowing | Begun):
+            return self._streams(now, event)
+        if isinstance(event, Uploaded):
+            held = self.pending.get(event.request)
+            if held is not None:
+                held.until = math.inf if held.passes is not None else event.deadline
+                held.whole_at = now
+            return None
         if isinstance(event, Arrived):
             return self._arrived(now, event.request, event.call_id)
         if isinstance(event, api.Request):
@@ -128,15 +149,41 @@
             pending = self.pending.get(event.request)
             if pending is None or pending.over:
                 return None
+            if pending.flows or pending.passes is not None:  # the module leaves what streams to the core
+                for number in list(pending.out):
+                    self._stop(now, api.Cancel(event.request, number))
             self._close(pending, "withdrawn")
         elif isinstance(event, api.ServerList):
             self._list(event)
         return event
 
+    def _streams(self, now: float, event: Flowing | Begun) -> api.StreamStarted | None:
+        """Give a request over to one attempt: the others stop, and the module leaves it alone."""
+        pending = self.pending.get(event.request)
+        if pending is None or pending.over or event.attempt not in pending.out or pending.passes is not None:
+            return None
+        first = not pending.flows
+        for number in [number for number in pending.out if number != event.attempt]:
+            self._stop(now, api.Cancel(event.request, number))
+        pending.until = math.inf
+        if isinstance(event, Flowing):
+            pending.flows = True
+        else:
+            pending.passes, pending.passes_from = event.attempt, now
+            self._effects.append(PassOn(event.request, event.attempt))
+        server = pending.out[event.attempt].entry.server
+        return api.StreamStarted(event.request, event.attempt, server) if first else None
+
+    def owns(self, request: int, attempt: int) -> bool:
+        """Tell whether a request that streams belongs to this attempt."""
+        pending = self.pending.get(request)
+        return pending is not None and not pending.over and attempt in pending.out
+
     def _arrived(self, now: float, request: api.Request, call_id: str) -> api.Request | None:
         if not holds(request.request not in self.pending, "request number used once"):
             return None
-        pending = Pending(request, self.settings.classes[request.class_index], call_id)
+        kind = self.settings.classes[request.class_index]
+        pending = Pending(request, kind, call_id, until=request.deadline)
         self.pending[request.request] = pending
         self.tally["taken"] += 1
         if call_id in self._open or self._elsewhere.get(call_id, 0.0) > now:
@@ -169,7 +216,12 @@
             return None  # stopped a moment ago; its end has been told
         if not event.status.never_ran:
             pending.ran.append(attempt)
-        if event.status is api.Status.OK and not pending.over:
+        elapsed = (pending.passes_from or now) - max(attempt.sent_at, pending.whole_at)
+        if pending.passes == event.attempt and not pending.over:
+            whole = event.status is api.Status.OK
+            self._close(pending, "served" if whole else "failed")
+            self._effects.append(EndAnswer(event.request, whole))
+        elif event.status is api.Status.OK and not pending.over:
             self._answer(pending, Verdict.SERVED, body=event.body)
         over = pending.over
         self._forget(pending)
@@ -179,7 +231,7 @@
             attempt.entry.server,
             event.status,
             over,
-            now - attempt.sent_at,
+            max(0.0, elapsed),
             event.load,
             event.settled_units,
             event.fleet_use,
@@ -192,8 +244,12 @@
         if self._elsewhere and max(self._elsewhere.values()) < now:
             self._elsewhere.clear()
         for pending in list(self.pending.values()):
-            if not pending.over and now > pending.request.deadline - OVERDUE:
-                holds(False, "answered before the deadline")
+            if not pending.over and now > pending.until - OVERDUE:
+                if pending.flows:  # the module does not look after it any more
+                    for number in list(pending.out):
+                        self._stop(now, api.Cancel(pending.request.request, number))
+                else:
+                    holds(False, "answered before the deadline")
                 self._answer(pending, Verdict.FAILED)
                 self._queue.append(api.Withdrawn(pending.request.request))
 
@@ -227,6 +283,7 @@
             entry is None
             or pending.over
             or number >= self.settings.most_attempts
+            or pending.flows
             or not holds(self._may_repeat(now, pending, entry), "no forbidden copy")
             or not holds(entry.readiness is api.Readiness.READY, "nothing new to a draining server")
         ):
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -12,7 +12,8 @@
 from wickspring.core.effects import Verdict
 from wickspring.tenants import PlanBook
 
-MOST_BODY = 64 * 1024
+MOST_BODY = 64 * 1024  # bytes of a body that are held; a longer one goes on as it comes
+MOST_LONG = 64 << 20  # bytes of any body
 READY_PATH = "/up"
 CALL_PATH = "/api"
 # What is passed on unchanged must stay one token there too: HTTP/2 lets more through than HTTP/1.1 may say.
@@ -32,8 +33,9 @@
 )  # fmt: skip
 # How long a client may take, in ms. None waits longer than 3 s; what is idle may end after 2 s, not sooner.
 DEFER_S = 1  # silence after which the kernel hands a new connection over without a word
-SILENT_MS = 2200.0  # until a new connection says its first word
-WHOLE_MS = 2500.0  # from connecting, or from its first byte, until a request has come whole
+SILENT_MS = 2600.0  # until a new connection says its first word
+HEAD_MS = 2600.0  # from connecting, or from its first byte, until a request's head has come
+BODY_MS, BODY_LEAST = 2500.0, 32.0  # for a body, and 1 ms more for so many bytes: half of a good rate
 IDLE_MS = 5000.0  # between two requests
 IDLE_LEAST_MS = 2000.0  # the same where room is short
 
@@ -84,6 +86,18 @@
     def answer(self, status: int, retry_after: str, body: bytes) -> None:
         """Give the final answer."""
 
+    def begin(self, length: int | None) -> None:
+        """Begin a good final answer, to be passed on as it comes; its length may be known."""
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+
+    async def room(self) -> bool:
+        """Wait until the client has read what was passed on; False where it has gone."""
+
+    def end(self, whole: bool) -> None:
+        """End the answer; one that is not whole must be seen to be so."""
+
 
 STATUS = {Verdict.SERVED: 200, Verdict.REFUSED: 429, Verdict.FAILED: 502, Verdict.REJECTED: 409}
 
@@ -105,8 +119,8 @@
         # With both, whoever reads the one sees another request where the other still sees a body.
         if "transfer-encoding" in headers or not _LENGTH.fullmatch(length):
             raise CallError("content-length")
-        if int(length) > MOST_BODY:
-            raise TooLargeError("content-length: over 64 KiB")
+        if int(length) > MOST_LONG:
+            raise TooLargeError("content-length: over 64 MiB")
     return headers
 
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -7,14 +7,28 @@
 
 import h11
 
-from wickspring.net.calls import DEFER_S, IDLE_MS, MOST_BODY, SILENT_MS, WHOLE_MS, CallError, read_head
+from wickspring.net.calls import (
+    BODY_LEAST,
+    BODY_MS,
+    DEFER_S,
+    HEAD_MS,
+    IDLE_MS,
+    MOST_BODY,
+    MOST_LONG,
+    SILENT_MS,
+    CallError,
+    read_head,
+)
+from wickspring.net.feed import Feed
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
 
 MOST_HEAD = 16 * 1024
 MOST_AHEAD = MOST_HEAD + MOST_BODY  # bytes of the next request, taken in while an answer is owed
-LINGER_MS = 1000.0  # for the client to read the last answer and close
-MOST_DROPPED = 256 * 1024  # bytes read and dropped meanwhile; who has more to send is cut off
+LINGER_MS = 1000.0  # for the client to close once the last answer has left
+READ_MS = 15_000.0  # for a client that reads nothing of its last answer
+MOST_DROPPED = 32 << 20  # bytes read and dropped after an early answer; who has more to send is cut off
+NO_ROOM_S = 1.0  # after which a long request that found no room may come again
 MOST_AT_ONCE = 8  # requests taken from one connection before others have their turn
 _LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
 
@@ -25,6 +39,18 @@
     return len(lengths) > 1 or any(not length.strip().isdigit() for length in lengths)
 
 
+_ABSOLUTE = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
+
+
+def origin_form(target: str) -> str:
+    """Return a target as ticket servers know it: who speaks as to a proxy puts scheme and host ahead."""
+    absolute = _ABSOLUTE.match(target)
+    if absolute is None:
+        return target
+    rest = target[absolute.end() :]
+    return rest if rest.startswith("/") else f"/{rest}"
+
+
 class Http1Connection:
     """One client connection."""
 
@@ -35,11 +61,14 @@
         self.request: h11.Request | None = None
         self.headers: dict[str, str] = {}
         self.body = bytearray()
+        self.feed: Feed | None = None  # for the rest of a long body, while it comes
+        self.body_at, self.body_size = 0.0, 0  # when a body began, put off by what held it up here; its bytes
         self.number: int | None = None  # of the request that waits for its answer
         self.begun_at = self.heard_at = runtime.clock.now()  # begun: connecting, or a request's first byte
         self.served = ahead is not None  # a request has come whole
         self.advancing = False
         self.ending = False
+        self._closes = False  # with the long answer that has begun
 
     async def run(self) -> None:
         """Read until the client leaves or this side has said its last."""
@@ -49,6 +78,12 @@
         elif self.ahead is None and self.link.peek() is None:  # it has been silent since it connected
             self.begun_at = self.heard_at = self.begun_at - 1000.0 * DEFER_S
         while dropped < MOST_DROPPED and not self.link.broken:
+            feed = self.feed
+            if feed is not None and feed.full:
+                full_at = self.runtime.clock.now()
+                await feed.room()
+                self.body_at += self.runtime.clock.now() - full_at  # no fault of the client's
+                continue
             data = await self.link.receive()
             if not data:
                 break
@@ -65,7 +100,7 @@
         if self.served and self.idle():
             self.begun_at = self.heard_at
         self.http.receive_data(data)
-        if self.number is None:
+        if self.number is None or self.feed is not None:
             self.advance()
         ahead = len(self.http.trailing_data[0])
         if self.number is not None and ahead > MOST_AHEAD:
@@ -109,31 +144,36 @@
 
     def tidy(self, now: float) -> None:
         """End the connection where it has been silent, or a request has been on its way, for too long."""
-        if self.number is not None or self.ending:
+        feed = self.feed
+        if self.ending or (self.number is not None and (feed is None or feed.full)):
             return
         idle = self.idle()
         since, most = (self.heard_at, IDLE_MS) if self.served else (self.begun_at, SILENT_MS)
-        if not idle:
-            since, most = self.begun_at, WHOLE_MS
+        if self.request is not None:
+            since, most = self.body_at, BODY_MS + self.body_size / BODY_LEAST
+        elif not idle:
+            since, most = self.begun_at, HEAD_MS
         if now - since < most or self.link.peek() is not None:
             return  # what has come and is not read yet may be a whole request
         self.runtime.let_go["half_sent" if not idle else "idle" if self.served else "silent"] += 1
         if idle:
             self.link.close()
         else:
+            self.drop()  # of a long body: what began is given up
             self.answer(408, "", b"the request did not come whole in time\n")
 
     def advance(self) -> None:
         """Take in what has been read, up to the end of one request."""
         self.advancing, taken = True, 0
         try:
-            while not self.ending and self.number is None:
+            while not self.ending and (self.number is None or self.feed is not None):
                 ahead = self.http.trailing_data[0] if self.request is None else b""
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
+                    self.body_at, self.body_size = self.runtime.clock.now(), 0
                     if length_is_odd(ahead[: len(ahead) - len(self.http.trailing_data[0])]):
                         raise CallError("content-length")
                     pairs = ((k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers)
@@ -142,10 +182,21 @@
                         go_on = h11.InformationalResponse(status_code=100, headers=[])
                         self.link.send(self.http.send(go_on) or b"")
                 elif isinstance(event, h11.Data):
+                    self.body_size += len(event.data)
+                    if self.feed is not None:
+                        if self.body_size > MOST_LONG:
+                            self.drop()
+                            self.answer(413, "", b"body over 64 MiB\n")
+                            return
+                        self.feed.put(bytes(event.data))
+                        continue
                     self.body += event.data
-                    if len(self.body) > MOST_BODY:
-                        self.answer(413, "", b"body over 64 KiB\n")
-                        return
+                    if len(self.body) > MOST_BODY and self.request is not None:
+                        self._take_long(self.request)
+                elif isinstance(event, h11.EndOfMessage) and self.feed is not None:
+                    feed, self.feed, self.request = self.feed, None, None
+                    feed.end()
+                    return
                 elif isinstance(event, h11.EndOfMessage) and self.request is not None:
                     self._take(self.request)
                     taken += 1
@@ -161,25 +212,41 @@
             self.advancing = False
 
     def _take(self, request: h11.Request) -> None:
-        method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
+        method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
         self.served = True
         self.runtime.ask(self, method, target, self.headers, bytes(self.body))
 
+    def _take_long(self, request: h11.Request) -> None:
+        """Take a request whose body is longer than what is held; the rest flows."""
+        if not self.runtime.may_flow:
+            self.runtime.let_go["no_room_to_flow"] += 1
+            self.answer(503, f"{NO_ROOM_S:.3f}", b"too many long requests at once\n")
+            return
+        length = self.headers.get("content-length")
+        held, rest = bytes(self.body[:MOST_BODY]), bytes(self.body[MOST_BODY:])
+        self.body = bytearray()
+        feed = self.feed = Feed(int(length) if length is not None else None)
+        feed.put(rest)
+        method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
+        self.served = True
+        self.runtime.ask(self, method, target, self.headers, held, feed)
+        if self.number is None:  # answered at once
+            self.feed = None
+
     def accepted(self, number: int, budget: float) -> None:
         """Note that an answer is owed."""
         self.number = number
 
     def answer(self, status: int, retry_after: str, body: bytes) -> None:
         """Write the final answer, and go on to the next request where there may be one."""
-        self.number = None
         headers = [("Content-Length", str(len(body)))]
         if retry_after:
             headers.append(("Retry-After", retry_after))
-        ahead = self.http.trailing_data[0]  # of requests sent without waiting for this answer
-        ends = bool(ahead) and 400 <= status < 500 and status != 429  # who errs is not heard on and on
-        ends |= self.runtime.crowded
-        leaves = self.runtime.draining and not self.runtime.handing
-        if leaves or ends or self.http.their_state is not h11.DONE:
+        # Who errs is not heard on and on; `ahead` is of requests sent without waiting for this answer.
+        ahead = self.http.trailing_data[0]
+        errs = bool(ahead) and 400 <= status < 500 and status != 429
+        ends = self._ends() or errs
+        if ends or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             data = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
@@ -187,8 +254,16 @@
                 data += self.http.send(h11.Data(data=body)) or b""
             data += self.http.send(h11.EndOfMessage()) or b""
             self.link.send(data)
-        self.request = None
+        self._answered(ends)
+
+    def _ends(self) -> bool:
+        """Tell whether the connection is to end with the present answer."""
+        return self.runtime.crowded or (self.runtime.draining and not self.runtime.handing)
+
+    def _answered(self, ends: bool) -> None:
+        self.number = self.request = self.feed = None
         if self.http.our_state is self.http.their_state is h11.DONE and not ends:
+            ahead = self.http.trailing_data[0]
             self.http.start_next_cycle()
             self.begun_at = self.heard_at = self.runtime.clock.now()
             if ahead and not self.advancing:  # else the loop that brought this request goes on
@@ -196,6 +271,33 @@
         else:
             self.finish()
 
+    def begin(self, length: int | None) -> None:
+        """Begin a good answer that is passed on as it comes."""
+        headers = [("Content-Length", str(length))] if length is not None else []
+        self._closes = self._ends()
+        if self._closes or self.http.their_state is not h11.DONE:
+            headers.append(("Connection", "close"))
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.link.send(self.http.send(h11.Response(status_code=200, headers=headers)) or b"")
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+        if data and self.http.our_state is h11.SEND_BODY:
+            self.link.send(self.http.send(h11.Data(data=data)) or b"")
+
+    async def room(self) -> bool:
+        """Wait until the kernel has taken what was passed on; False where the client has gone."""
+        return await self.link.room()
+
+    def end(self, whole: bool) -> None:
+        """End the answer; one that is not whole ends with its connection, in no good order."""
+        if not whole or self.http.our_state is not h11.SEND_BODY:
+            self.number, self.ending = None, True
+            self.link.abort()
+            return
+        self.link.send(self.http.send(h11.EndOfMessage()) or b"")
+        self._answered(self._closes)
+
     def drain(self) -> None:
         """Say nothing: `Connection: close` goes out with the next answer."""
 
@@ -205,7 +307,20 @@
         self.body = bytearray()
         self.runtime.weigh(self, 0)
         self.link.finish()
-        self.runtime.later(LINGER_MS, self.link.close)
+        self._linger(self.link.taken, self.runtime.clock.now())
+
+    def _linger(self, taken: int, moved_at: float) -> None:
+        """Close a while after all has left; a client that reads slowly gets its answer whole."""
+        if self.link.flushed or self.link.broken:
+            self.runtime.later(LINGER_MS, self.link.close)
+            return
+        now = self.runtime.clock.now()
+        if self.link.taken > taken:
+            taken, moved_at = self.link.taken, now
+        if now - moved_at > READ_MS:
+            self.link.close()
+        else:
+            self.runtime.later(LINGER_MS, lambda: self._linger(taken, moved_at))
 
 
 async def serve(link: Link, runtime: Runtime, ahead: bytes | None = None) -> None:
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -8,11 +8,12 @@
 import h2.config
 import h2.connection
 import h2.events
+import trio
 from h2.errors import ErrorCodes
 from h2.exceptions import H2Error
 
 from wickspring.logs import kv
-from wickspring.net.calls import DEFER_S, IDLE_MS, MOST_BODY, SILENT_MS, WHOLE_MS, CallError, read_head
+from wickspring.net.calls import DEFER_S, HEAD_MS, IDLE_MS, MOST_BODY, SILENT_MS, CallError, read_head
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
@@ -36,6 +37,8 @@
         self.request: int | None = None  # the core's number while an answer is owed
         self.budget = 0.0
         self.outgoing: bytearray | None = None  # what is left of the answer
+        self.passing = False  # more of it is to come
+        self._moved: trio.Event | None = None
 
     def accepted(self, number: int, budget: float) -> None:
         """Note that an answer is owed."""
@@ -46,6 +49,35 @@
         self.request = None
         self.owner.answer(self, status, retry_after, body)
 
+    def begin(self, length: int | None) -> None:
+        """Begin a good answer that is passed on as it comes."""
+        self.passing = True
+        self.owner.begin(self, length)
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+        if self.outgoing is not None:
+            self.outgoing += data
+            self.owner.move(self)
+
+    async def room(self) -> bool:
+        """Wait until the client's windows have let out what was passed on; False where it has gone."""
+        while self.outgoing and not self.owner.ending and self.id in self.owner.streams:
+            self._moved = trio.Event()
+            await self._moved.wait()
+        return not self.owner.ending and self.id in self.owner.streams and await self.owner.link.room()
+
+    def moved(self) -> None:
+        """Wake who waits for room."""
+        if self._moved is not None:
+            self._moved.set()
+
+    def end(self, whole: bool) -> None:
+        """End the answer; one that is not whole ends with a reset of its stream."""
+        self.request = None
+        self.passing = False
+        self.owner.end(self, whole)
+
 
 class Http2Connection:
     """One client connection with many streams."""
@@ -111,6 +143,7 @@
         streams, self.streams = list(self.streams.values()), {}
         for stream in streams:
             self._withdraw(stream)
+            stream.moved()
 
     def _withdraw(self, stream: Stream) -> None:
         number, stream.request = stream.request, None
@@ -138,7 +171,7 @@
 
     def tidy(self, now: float) -> None:
         """End the connection where it has been silent, or a request has been on its way, for too long."""
-        late = [s for s in self.streams.values() if not s.whole and now - s.begun_at > WHOLE_MS]
+        late = [s for s in self.streams.values() if not s.whole and now - s.begun_at > HEAD_MS]
         idle = not self.streams and now - self.heard_at > (IDLE_MS if self.last_stream else SILENT_MS)
         if self.ending or not (late or idle) or self.link.peek() is not None:
             return  # what has come and is not read yet may be what was waited for
@@ -229,6 +262,7 @@
         if stream is None:
             return
         self._withdraw(stream)
+        stream.moved()
         self.resets += 1
         if self.resets > MOST_RESETS:
             log.warning("client_resets_too_much", extra=kv(resets=self.resets))
@@ -263,9 +297,54 @@
         elif self.refusing and not self.streams:
             self.finish_now()
 
+    def begin(self, stream: Stream, length: int | None) -> None:
+        """Begin an answer that is passed on as it comes."""
+        if self.ending or stream.id not in self.streams:
+            return
+        headers = [(":status", "200")]
+        if length is not None:
+            headers.append(("content-length", str(length)))
+        try:
+            self.http.send_headers(stream.id, headers)
+        except H2Error as error:
+            log.info("answer_not_sent", extra=kv(reason=error))
+            self.streams.pop(stream.id, None)
+            return
+        stream.outgoing = bytearray()
+        self.flush()
+
+    def move(self, stream: Stream) -> None:
+        """Let out what the windows allow."""
+        if not self.ending and stream.id in self.streams:
+            self._pump(stream)
+            self.flush()
+
+    def end(self, stream: Stream, whole: bool) -> None:
+        """End an answer that was passed on."""
+        if self.ending or stream.id not in self.streams:
+            return
+        if whole:
+            self._pump(stream)
+        else:
+            self._reset_ours(stream.id, ErrorCodes.INTERNAL_ERROR)
+        self.flush()
+        if self.runtime.crowded:
+            self.finish()
+        elif self.refusing and not self.streams:
+            self.finish_now()
+
     def _pump(self, stream: Stream) -> None:
-        if stream.outgoing is not None and pump(self.http, stream.id, stream.outgoing):
+        if stream.outgoing is None:
+            return
+        try:
+            whole = pump(self.http, stream.id, stream.outgoing, more=stream.passing)
+        except H2Error as error:  # the client has reset it, which is told in a moment
+            log.info("answer_not_sent", extra=kv(reason=error))
+            return
+        if whole:
             self.streams.pop(stream.id, None)
+        if not stream.outgoing:
+            stream.moved()
 
     def _give_up(self, stream: Stream) -> None:
         if not self.ending and self.streams.pop(stream.id, None) is not None:
--- a/wickspring/net/http2_wire.py
+++ b/wickspring/net/http2_wire.py
@@ -85,12 +85,17 @@
     return GoAwayFrame(0, last_stream_id=last_stream, error_code=0).serialize()
 
 
-def pump(http: h2.connection.H2Connection, stream: int, body: bytearray) -> bool:
-    """Send as much of a body as the windows allow; True once its end has been sent."""
+def pump(http: h2.connection.H2Connection, stream: int, body: bytearray, more: bool = False) -> bool:
+    """Send as much of a body as the windows allow; True once its end has been sent.
+
+    Where `more` is to come, its end is not among the bytes given.
+    """
+    if not body and not more:
+        http.send_data(stream, b"", end_stream=True)
     while body:
         size = min(http.local_flow_control_window(stream), http.max_outbound_frame_size, len(body))
         if size <= 0:
             return False
-        http.send_data(stream, bytes(body[:size]), end_stream=size == len(body))
+        http.send_data(stream, bytes(body[:size]), end_stream=not more and size == len(body))
         del body[:size]
-    return True
+    return not more
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -9,6 +9,7 @@
 
 import errno
 import socket
+import struct
 from contextlib import suppress
 
 import trio
@@ -20,7 +21,7 @@
 class Link:
     """A connected, non-blocking socket."""
 
-    __slots__ = ("_closing", "_nursery", "_shut", "_sock", "_unsent", "broken", "given", "taken")
+    __slots__ = ("_closing", "_drained", "_nursery", "_shut", "_sock", "_unsent", "broken", "given", "taken")
 
     def __init__(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         sock.setblocking(False)
@@ -28,6 +29,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock, self._nursery = sock, nursery
         self._unsent = bytearray()
+        self._drained: trio.Event | None = None  # of who waits until all is written
         self._shut = False
         self._closing = False
         self.given = self.taken = 0  # bytes handed to `send`, and those of them that the kernel took
@@ -63,6 +65,19 @@
             self._unsent += data[taken:]
             self._nursery.start_soon(self._flush)
 
+    async def room(self) -> bool:
+        """Wait until the kernel has taken all that was sent; False where that will not be any more."""
+        while self._unsent and not self.broken:
+            if self._drained is None:
+                self._drained = trio.Event()
+            await self._drained.wait()
+        return not self.broken
+
+    def _wake(self) -> None:
+        drained, self._drained = self._drained, None
+        if drained is not None:
+            drained.set()
+
     async def _flush(self) -> None:
         try:
             while self._unsent and not self._closing:
@@ -74,7 +89,9 @@
             self._nursery.start_soon(self._flush)
         except (OSError, trio.ClosedResourceError):
             self.broken = True
+            self._wake()
         else:
+            self._wake()
             if self._shut:
                 self._shutdown()
 
@@ -126,9 +143,16 @@
         trio.lowlevel.notify_closing(self._sock)  # the reader ends here as after a close
         return self._sock
 
+    def abort(self) -> None:
+        """Close with a reset: what was written must not pass for whole."""
+        with suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
     def close(self) -> None:
         """Close at once and wake the reader."""
         self.broken = True
+        self._wake()
         if not self._closing:
             self._closing = True
             trio.lowlevel.notify_closing(self._sock)
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -35,6 +35,7 @@
 from wickspring.net.clock import Clock
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory, Discovery
+from wickspring.net.feed import Feed
 from wickspring.net.link import Link
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.carrier import Carrier, Job, Reply
@@ -47,6 +48,8 @@
 
 SWEEP_MS = 100.0
 TIDY_MS = 200.0
+TRANSFER_SHARE, TRANSFER_COST = 0.15, 256 * 1024  # of the memory, for long bodies and answers; bytes that one
+# holds at most: what is kept for a further attempt, and a piece on its way at each side
 HELD_SHARE = 0.06  # of the memory, for unfinished requests; past it, who holds more than a little is ended
 CLIENT_SOCKETS = 0.7  # of the descriptors; the rest is left to ticket servers, counter and discovery
 CROWDED = 0.75  # of those, from which a connection ends with its answer instead of being kept
@@ -119,6 +122,8 @@
         self._weights: dict[Connection, int] = {}  # bytes of unfinished requests
         self._held = 0  # their sum
         self._clients: dict[int, tuple[Call, Client]] = {}
+        self._feeds: dict[int, Feed] = {}  # of long bodies on their way
+        self._passing: dict[int, int | None] = {}  # long answers on their way, with their lengths
         self._jobs: dict[tuple[int, int], Job] = {}
         self._news: deque[core.Event] = deque()
         self._dispatching = False
@@ -161,8 +166,19 @@
             link.close()
             self.connections.discard(connection)
 
-    def ask(self, client: Client, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
-        """Take one whole request, of either front; its answer may come before this returns."""
+    def ask(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        feed: Feed | None = None,
+    ) -> None:
+        """Take one request, of either front; its answer may come before this returns.
+
+        It has come whole, or as far as bodies are held, and `feed` brings the rest.
+        """
         if target == READY_PATH:
             client.answer(200 if self.ready else 503, "", b"")
             return
@@ -178,6 +194,8 @@
         number = self._last_number
         client.accepted(number, call.budget)
         self._clients[number] = (call, client)
+        if feed is not None:
+            self._feeds[number] = feed
         deadline = self.clock.now() + call.budget - TRANSIT_MS
         request = api.Request(
             number, call.class_index, call.plan_index, call.customer, deadline,
@@ -188,8 +206,26 @@
     def leave(self, number: int) -> None:
         """The client has gone away: nothing more is owed."""
         self._clients.pop(number, None)
+        self._no_feed(number)
+        self._passing.pop(number, None)
         self.dispatch(api.Withdrawn(number))
 
+    def _no_feed(self, number: int) -> None:
+        feed = self._feeds.pop(number, None)
+        if feed is not None:
+            feed.close()
+
+    @property
+    def flowing(self) -> int:
+        """How many long bodies and answers are on their way."""
+        return len(self._feeds.keys() | self._passing.keys())
+
+    @property
+    def may_flow(self) -> bool:
+        """Tell whether one more long body fits into what memory transfers may have together."""
+        most = TRANSFER_SHARE * self.instance.limits.memory_mb * 2**20
+        return (self.flowing + 1) * TRANSFER_COST <= most
+
     @property
     def owed(self) -> int:
         """How many clients wait for an answer."""
@@ -280,6 +316,14 @@
     def _perform(self, effect: core.Effect) -> None:
         if isinstance(effect, core.Answer):
             self._answer(effect)
+        elif isinstance(effect, core.PassOn):
+            self._clients[effect.request][1].begin(self._passing[effect.request])
+        elif isinstance(effect, core.EndAnswer):
+            self._passing.pop(effect.request, None)
+            self._no_feed(effect.request)
+            passed = self._clients.pop(effect.request, None)
+            if passed is not None:
+                passed[1].end(effect.whole)
         elif isinstance(effect, core.StartAttempt):
             self._start(effect)
         elif isinstance(effect, core.StopAttempt):
@@ -296,6 +340,7 @@
 
     def _answer(self, answer: core.Answer) -> None:
         client = self._clients.pop(answer.request, None)
+        self._no_feed(answer.request)
         if client is None:
             return
         advice = retry_after(answer.retry_after) if answer.verdict is core.Verdict.REFUSED else ""
@@ -319,11 +364,37 @@
         once = self.instance.settings.classes[call.class_index].effect is api.Effect.UNSAFE
         job = Job(
             start.server, address, once, start.until, method=call.method, target=call.target, headers=headers,
-            body=call.body, done=ended,
+            body=call.body, done=ended, feed=self._feeds.get(start.request),
         )  # fmt: skip
+        job.flows = partial(self._flows, job, start)
+        job.uploaded = partial(self._uploaded, job, start, call.budget)
+        job.begins = partial(self._begins, start)
         self._jobs[start.request, start.attempt] = job
         self.upstream.start(job)
 
+    def _flows(self, job: Job, start: core.StartAttempt) -> bool:
+        """Note that an attempt takes what is not held of a body; False where it may not any more."""
+        if job.timer is not None and job.timer.action is not None:
+            self.dispatch(core.Flowing(start.request, start.attempt))
+            job.untimed()
+        return self.reducer.owns(start.request, start.attempt)
+
+    def _uploaded(self, job: Job, start: core.StartAttempt, budget: float) -> None:
+        deadline = job.until = self.clock.now() + budget - TRANSIT_MS - SWEEP_MS  # the sweep sees to it
+        self.dispatch(core.Uploaded(start.request, deadline))
+
+    def _begins(self, start: core.StartAttempt, length: int | None) -> Client | None:
+        """Begin a long answer; None where another attempt's has won, or nobody waits for it."""
+        if start.request not in self._clients or start.request in self._passing:
+            return None
+        self._passing[start.request] = length
+        self.dispatch(core.Begun(start.request, start.attempt))
+        client = self._clients.get(start.request)
+        if client is None or not self.reducer.owns(start.request, start.attempt):
+            self._passing.pop(start.request, None)
+            return None
+        return client[1]
+
     def _attempt_ended(self, request: int, attempt: int, reply: Reply) -> None:
         self._jobs.pop((request, attempt), None)
         self.dispatch(
@@ -379,6 +450,7 @@
         """Return the figures of this process."""
         return {
             "owed": self.owed,
+            "flowing": self.flowing,
             "connections": len(self.connections),
             **self.upstream.report(),
             "cpu_s": time.process_time(),
--- a/wickspring/net/upstream/carrier.py
+++ b/wickspring/net/upstream/carrier.py
@@ -12,9 +12,20 @@
 
 from wickspring.connections.pools import Want
 from wickspring.interface import Status
+from wickspring.net.feed import Feed
 from wickspring.net.timers import Timer
 
-MOST_ANSWER = 64 * 1024
+MOST_ANSWER = 64 * 1024  # bytes of an answer that are held; a longer one is passed on as it comes
+
+
+class Sink(Protocol):
+    """Where a long answer goes as it comes."""
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+
+    async def room(self) -> bool:
+        """Wait until the client has read what was passed on; False where it has gone."""
 
 
 @dataclass(slots=True)
@@ -37,6 +48,10 @@
     headers: list[tuple[str, str]]
     body: bytes
     done: Callable[[Reply], None]
+    feed: Feed | None = None  # the rest of a body that is longer than what is held
+    flows: Callable[[], bool] = lambda: False  # asked before the first of that rest is taken
+    uploaded: Callable[[], None] = lambda: None  # told when its last byte has been written
+    begins: Callable[[int | None], Sink | None] = lambda _: None  # asked as a long answer of a length begins
     carrier: Carrier | None = None
     timer: Timer | None = None
     ended: bool = False
@@ -47,6 +62,11 @@
             self.retire()
             self.done(reply)
 
+    def untimed(self) -> None:
+        """Wait without a limit: bytes flow, and who stops them ends the job."""
+        if self.timer is not None:
+            self.timer.cancel()
+
     def retire(self) -> None:
         """End without telling."""
         self.ended, self.carrier = True, None
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -2,26 +2,44 @@
 
 from __future__ import annotations
 
+import math
+
 import h11
+import trio
 
 from wickspring.connections.pools import Conn, End
 from wickspring.interface import Status
+from wickspring.net.calls import MOST_LONG
+from wickspring.net.feed import Feed
 from wickspring.net.link import Link
-from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply
+from wickspring.net.upstream.carrier import MOST_ANSWER, Job, Reply, Sink
 from wickspring.net.upstream.manager import Upstream
 from wickspring.net.upstream.reports import read_reply
 
 _FRAMING = (b"content-length", b"transfer-encoding")
+STALL_S = 15.0  # for a peer that moves no byte of a transfer; slow ones take seconds
 MOST_INTERIM = 8  # answers 1xx ahead of the one that counts
 
 
-def check_framing(response: h11.Response) -> None:
-    """Raise unless the end of an answer is certain; without a length, a cut one would pass for whole."""
+def check_framing(response: h11.Response) -> int | None:
+    """Return an answer's length where it is told ahead; raise unless its end is certain.
+
+    Without a length a cut answer would pass for whole. Only one that says it ends with its connection may.
+    """
     framing = {name: value for name, value in response.headers if name in _FRAMING}
-    if response.status_code not in (204, 304) and len(framing) != 1:
+    closes = response.http_version == b"1.0" or any(
+        name == b"connection" and b"close" in value.lower() for name, value in response.headers
+    )
+    if response.status_code not in (204, 304) and len(framing) != 1 and not (closes and not framing):
         raise h11.RemoteProtocolError("an answer without one clear length")
-    if int(framing.get(b"content-length", 0)) > MOST_ANSWER:
-        raise h11.RemoteProtocolError("an answer over 64 KiB")
+    length = framing.get(b"content-length")
+    if length is None:
+        return None
+    if response.status_code != 200 and int(length) > MOST_ANSWER:
+        raise h11.RemoteProtocolError("a refusal over 64 KiB")
+    if int(length) > MOST_LONG:
+        raise h11.RemoteProtocolError("an answer over 64 MiB")
+    return int(length)
 
 
 class AnswerReader:
@@ -32,18 +50,42 @@
         self._response: h11.Response | None = None
         self._body = bytearray()
         self._interim = 0
+        self.length: int | None = None  # of the present answer, where it is told ahead
+        self.long = False  # it is longer than what is held: its bytes are to be taken as they come
 
     def request(self, job: Job) -> bytes:
-        """Return the bytes of a request."""
+        """Return the bytes of a request, as far as they are held."""
         headers = [("Host", "app.svc"), *job.headers]
-        if job.body or job.method == "POST":
-            headers.append(("Content-Length", str(len(job.body))))
+        feed = job.feed
+        if feed is not None and feed.length is None:
+            headers.append(("Transfer-Encoding", "chunked"))
+        elif feed is not None or job.body or job.method == "POST":
+            headers.append(("Content-Length", str(len(job.body) if feed is None else feed.length)))
         self._interim = 0
         request = h11.Request(method=job.method, target=job.target, headers=headers)
         data = self.http.send(request) or b""
         if job.body:
             data += self.http.send(h11.Data(data=job.body)) or b""
-        return data + (self.http.send(h11.EndOfMessage()) or b"")
+        return data if feed is not None else data + self.end()
+
+    def piece(self, data: bytes) -> bytes:
+        """Return the bytes that carry a further piece of the request's body."""
+        return self.http.send(h11.Data(data=data)) or b""
+
+    def end(self) -> bytes:
+        """Return the bytes that end the request."""
+        return self.http.send(h11.EndOfMessage()) or b""
+
+    @property
+    def some(self) -> bool:
+        """Tell whether bytes of the answer's body wait to be taken."""
+        return bool(self._body)
+
+    def take(self) -> bytes:
+        """Take what has come of a long answer."""
+        data = bytes(self._body)
+        self._body.clear()
+        return data
 
     def feed(self, data: bytes) -> tuple[int, dict[str, str], bytes] | None:
         """Take bytes in; return status, headers and body once the answer is whole."""
@@ -57,12 +99,15 @@
                 if self._interim > MOST_INTERIM:
                     raise h11.RemoteProtocolError("1xx without an end")
             elif isinstance(event, h11.Response):
-                check_framing(event)
+                self.length = check_framing(event)
+                self.long = self.length is not None and self.length > MOST_ANSWER
                 self._response, self._body = event, bytearray()
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > MOST_ANSWER:
-                    raise h11.RemoteProtocolError("an answer over 64 KiB")
+                    if self._response is None or self._response.status_code != 200:
+                        raise h11.RemoteProtocolError("a refusal over 64 KiB")
+                    self.long = True
             elif isinstance(event, h11.EndOfMessage) and self._response is not None:
                 headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in self._response.headers}
                 return self._response.status_code, headers, bytes(self._body)
@@ -87,6 +132,8 @@
         self.reader = AnswerReader()
         self.closed = False
         self.sent = False  # bytes of the present job have gone out
+        self._whole = False  # its last byte has been handed to the link
+        self._sink: Sink | None = None  # where the long answer goes that has begun
         self._heard = False  # and bytes have come since
 
     def stale(self) -> bool:
@@ -106,10 +153,32 @@
             # Told of its drain while the connection was on its way: nothing new may go there.
             self._end(Reply(Status.CONNECT_FAILED))
         else:
-            self.sent = True
+            self.sent, self._whole = True, job.feed is None
             self.link.send(self.reader.request(job))
             if self.link.broken:
                 self.close(End.PEER)
+            elif job.feed is not None:
+                self.upstream.nursery.start_soon(self._upload, job, job.feed, self.link)
+
+    async def _upload(self, job: Job, feed: Feed, link: Link) -> None:
+        """Write the rest of a long body as it comes and as the server reads it."""
+        while True:
+            with trio.move_on_after(STALL_S) as stalled:
+                await link.room()
+            if stalled.cancelled_caught and self.job is job:
+                self.close(End.PEER)
+            more = not link.broken and await feed.ready()
+            if self.job is not job or link.broken or feed.closed:
+                return  # answered, given up or broken meanwhile; whoever did so has seen to the rest
+            if more:
+                if not job.flows():
+                    return
+                link.send(self.reader.piece(feed.take()))
+            elif feed.ended:
+                link.send(self.reader.end())
+                self._whole = True
+                job.uploaded()
+                return
 
     async def run(self) -> None:
         """Dial, then read answers until either side ends the connection."""
@@ -119,7 +188,9 @@
             return
         self.upstream.up(self.conn, 1)
         while not self.closed:
-            data = await link.receive()
+            data: bytes | None = None
+            with trio.move_on_after(STALL_S if self._sink is not None else math.inf):
+                data = await link.receive()
             if data is None or self.job is None:
                 break  # broken, or something said unasked, a close most of all
             self._heard |= bool(data)
@@ -127,12 +198,26 @@
                 answer = self.reader.feed(data)
             except h11.RemoteProtocolError:
                 break
+            if self.reader.long and self.reader.some and not await self._pass_on(self.job):
+                break
             if answer is not None:
                 self._answered(answer)
             elif not data:
                 break
         self.close(End.PEER)
 
+    async def _pass_on(self, job: Job) -> bool:
+        """Pass on what has come of a long answer; False where nobody wants it any more."""
+        if self._sink is None:
+            job.untimed()
+            self._sink = job.begins(self.reader.length)
+        if self._sink is None or self.job is not job:
+            return False
+        self._sink.write(self.reader.take())
+        with trio.move_on_after(STALL_S):
+            return await self._sink.room() and self.job is job
+        return False
+
     def _answered(self, answer: tuple[int, dict[str, str], bytes]) -> None:
         # An answer before the request is out (a server that turns work away early) leaves the
         # connection in no state to be used again.
@@ -141,10 +226,11 @@
             self.upstream.room(self.conn, 0)
             if self.link is not None:
                 self.link.close()
+        self.reader.long = False
         self._end(read_reply(*answer, self.upstream.settings.load_fields))
 
     def _end(self, reply: Reply) -> None:
-        job, self.job, self.sent = self.job, None, False
+        job, self.job, self.sent, self._sink = self.job, None, False, None
         if job is not None:
             self.upstream.finish(job, reply)
 
@@ -156,7 +242,7 @@
 
     def close(self, end: End = End.HERE) -> None:
         """Close; whether the last byte was written decides what may have run."""
-        written = self.sent and self.link is not None and self.link.flushed
+        written = self.sent and self._whole and self.link is not None and self.link.flushed
         self.closed, self.sent = True, False
         if self.link is not None:
             self.link.close()
--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -63,7 +63,7 @@
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.units = 0.0  # mean of the requests'
-        self.room = Room()  # for attempts
+        self.room, self.streams = Room(), 0  # for attempts; requests whose bytes flow, which need none
         self.aim = sum(kind.aim for kind in settings.classes) / max(1, len(settings.classes))  # mean, ms
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
         self.retries = RETRY_MOST / 2
@@ -264,7 +264,8 @@
     def _choose(self, held: Held) -> Server | None:
         """Return the best of a few servers drawn by chance, or none while all that may be is out."""
         fair = len(self.ready) / max(1, self.settings.gateways)  # one attempt a server, of the whole fleet
-        if not self.ready or not self.room.fits(len(self.attempts) + self.random.random(), fair):
+        out = len(self.attempts) - self.streams
+        if not self.ready or not self.room.fits(out + self.random.random(), fair):
             return None  # by odds, for the part may be under one
         self._see_warmth()
         if self.warm < 1.0 / COLD_LOAD and self.random.random() > COLD_LOAD * self.warm:
@@ -410,13 +411,15 @@
 
     def _end(self, held: Held) -> None:
         del self.held[held.request.request]
+        self.streams -= held.streaming
         if self.settings.may_cancel and not held.streaming:
             self.actions += [api.Cancel(held.request.request, attempt) for attempt in held.open]
 
     def _with_client(self, event: api.StreamStarted | api.Withdrawn) -> None:
         held = self.held.get(event.request)
         if held is not None and isinstance(event, api.StreamStarted):
-            held.streaming = True  # neither deadline nor further attempts from here on
+            held.streaming = True  # neither deadline nor further attempts from here on, and no room taken
+            self.streams += 1
         elif held is not None:
             self._end(held)
 
