--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -63,7 +63,8 @@
         self.calls: dict[int, deque[tuple[Account, int, float, int, float]]] = {}  # by name, in order
         self.ask, self.cut_at = 1.0, LONG_AGO  # odds of a call; when they were last cut
         self.units = 0.0  # mean of the requests'
-        self.room, self.streams = Room(), 0  # for attempts; requests whose bytes flow, which need none
+        self.room = Room()  # for attempts
+        self.streams: dict[tuple[int, int], Server] = {}  # attempts whose bytes flow, which need none
         self.aim = sum(kind.aim for kind in settings.classes) / max(1, len(settings.classes))  # mean, ms
         self.full = [0.0 for _ in settings.plans]  # part of each plan's attempts that were turned away
         self.retries = RETRY_MOST / 2
@@ -264,8 +265,7 @@
     def _choose(self, held: Held) -> Server | None:
         """Return the best of a few servers drawn by chance, or none while all that may be is out."""
         fair = len(self.ready) / max(1, self.settings.gateways)  # one attempt a server, of the whole fleet
-        out = len(self.attempts) - self.streams
-        if not self.ready or not self.room.fits(out + self.random.random(), fair):
+        if not self.ready or not self.room.fits(len(self.attempts) + self.random.random(), fair):
             return None  # by odds, for the part may be under one
         self._see_warmth()
         if self.warm < 1.0 / COLD_LOAD and self.random.random() > COLD_LOAD * self.warm:
@@ -357,12 +357,10 @@
         return max(QUIET_SHARE * aim, QUIET_ANSWERS * answer[held.request.class_index])
 
     def _outcome(self, outcome: api.Outcome) -> None:
-        server, account = self.attempts.pop((outcome.request, outcome.attempt), (None, None))
-        if server is None or account is None:
+        key = outcome.request, outcome.attempt
+        server = self.streams.pop(key, None) or self._off(key)
+        if server is None:
             return
-        self._out_mean(account)
-        server.out, account.out = server.out - 1, account.out - 1
-        server.pace.ended(self.now)
         self._judge(server, outcome.status)
         held = self.held.get(outcome.request)
         if held is None:
@@ -378,11 +376,20 @@
             self._end(held)
             settled = outcome.settled_units if outcome.status is Status.OK else 0.0
             if settled > 0 and self.settings.settles_later and self.settings.may_count:
-                self._count(account, settled - held.request.units, -1)
+                self._count(held.account, settled - held.request.units, -1)
         elif not held.open:
             self._again(held, free=outcome.status is Status.CONNECT_FAILED)
         self._serve_line()
 
+    def _off(self, key: tuple[int, int]) -> Server | None:
+        """Count an attempt as out no longer."""
+        server, account = self.attempts.pop(key, (None, None))
+        if server is not None and account is not None:
+            self._out_mean(account)
+            server.out, account.out = server.out - 1, account.out - 1
+            server.pace.ended(self.now)
+        return server
+
     def _learn_delay(self, held: Held, elapsed: float) -> None:
         fair = len(self.ready) / max(1, self.settings.gateways)
         self.room.learn(self.now, elapsed / held.kind.aim, len(self.attempts), fair)
@@ -411,15 +418,16 @@
 
     def _end(self, held: Held) -> None:
         del self.held[held.request.request]
-        self.streams -= held.streaming
         if self.settings.may_cancel and not held.streaming:
             self.actions += [api.Cancel(held.request.request, attempt) for attempt in held.open]
 
     def _with_client(self, event: api.StreamStarted | api.Withdrawn) -> None:
         held = self.held.get(event.request)
         if held is not None and isinstance(event, api.StreamStarted):
-            held.streaming = True  # neither deadline nor further attempts from here on, and no room taken
-            self.streams += 1
+            held.streaming = True  # neither deadline nor further attempts from here on, and no room taken:
+            key = event.request, event.attempt  # nobody works on what flows
+            if (server := self._off(key)) is not None:
+                self.streams[key] = server
         elif held is not None:
             self._end(held)
 
