--- a/wickspring/policy.py
+++ b/wickspring/policy.py
@@ -303,7 +303,7 @@
         if self.lone >= 1.0 and not server.out:
             warmth = 1.0  # one request is not too much: else it would be unused until it is warm
         cost = (server.out + 1.0) * self._pace(server) / max(entry.weight, 1e-3) / warmth
-        cost += CROSS_COST * self.lone * (entry.zone != self.settings.zone)
+        cost += CROSS_COST * self.lone * (entry.zone != self.settings.zone and not self.room.slow)
         cost += 100.0 * (entry.server in held.tried)
         cost *= 1.0 if server.near else max(1.0, FAR_COST * self.near_part)
         return cost + 1000.0 * (self.now < max(server.shun_until, by_part))
