--- /dev/null
+++ b/tests/test_operating.py
@@ -0,0 +1,228 @@
+"""Operators at the door: readiness, servers taken out and put back, callers that hold it up."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from tests.gateway import Gateway, make_settings
+from tests.loopback import client1, request, site
+from wickspring import interface as api
+from wickspring.interface import ListKind, Readiness
+from wickspring.maintenance import Maintenance
+from wickspring.net import door
+
+
+def listed(*numbers: int, kind: ListKind = ListKind.COMPLETE, **changes: object) -> api.ServerList:
+    return api.ServerList(kind, tuple(Gateway.entry(number, **changes) for number in numbers))
+
+
+def name(number: int) -> bytes:
+    return Gateway.entry(number).server
+
+
+def states(news: api.ServerList) -> list[Readiness]:
+    return [entry.readiness for entry in news.entries]
+
+
+def test_a_server_taken_out_drains_whatever_discovery_lists() -> None:
+    held = Maintenance()
+    held.listed(listed(1, 2))
+    (change,) = held.exclude(name(1))
+    assert states(change) == [Readiness.DRAINING]
+    assert states(held.listed(listed(1, 2))) == [Readiness.DRAINING, Readiness.READY]
+    assert states(held.listed(listed(1, kind=ListKind.CHANGES, started_at=5.0))) == [Readiness.DRAINING]
+    gone = listed(1, kind=ListKind.CHANGES, readiness=Readiness.GONE)
+    assert states(held.listed(gone)) == [Readiness.GONE]
+    assert states(held.listed(listed(1, kind=ListKind.CHANGES))) == [Readiness.DRAINING]
+
+
+def test_two_calls_out_need_one_back_and_the_return_is_cold_and_new() -> None:
+    held = Maintenance()
+    held.listed(listed(1, started_at=3.0))
+    assert held.exclude(name(1)) and not held.exclude(name(1))
+    gone, ready = held.include(name(1), 1000.0)
+    assert states(gone) == [Readiness.GONE] and states(ready) == [Readiness.READY]
+    assert ready.entries[0].started_at == 1000.0
+    assert held.listed(listed(1, started_at=3.0)).entries[0].started_at == 1000.0
+    assert held.listed(listed(1, started_at=2000.0)).entries[0].started_at == 2000.0
+    assert not held.include(name(1), 3000.0)  # it was not out: nothing grows cold
+    assert held.listed(listed(1, started_at=3.0)).entries[0].started_at == 1000.0
+
+
+def test_put_back_while_discovery_drains_or_has_removed_it() -> None:
+    held = Maintenance()
+    held.listed(listed(1, 2))
+    held.exclude(name(1))
+    held.listed(listed(1, kind=ListKind.CHANGES, readiness=Readiness.DRAINING))
+    assert states(held.include(name(1), 10.0)[1]) == [Readiness.DRAINING]
+    held.exclude(name(2))
+    held.listed(listed(2, kind=ListKind.CHANGES, readiness=Readiness.GONE))
+    assert held.knows(name(2)) and not held.include(name(2), 20.0)
+    back = held.listed(listed(2, kind=ListKind.CHANGES)).entries[0]
+    assert (back.readiness, back.started_at) == (Readiness.READY, 20.0)
+
+
+def test_ids_that_nobody_has_are_not_known_and_those_lately_removed_are() -> None:
+    held = Maintenance()
+    held.listed(listed(1, 2))
+    held.listed(listed(2))
+    assert held.knows(name(1)) and held.knows(name(2)) and not held.knows(name(3))
+
+
+def test_a_successor_takes_the_set_over_before_and_after_its_first_list() -> None:
+    for first in (True, False):
+        held, news = Maintenance(), listed(1, 2, 3)
+        if first:
+            held.listed(news)
+        changes = held.adopt([name(1)], {name(2): 50.0})
+        seen = {entry.server: entry for change in changes for entry in change.entries}
+        if not first:
+            seen = {entry.server: entry for entry in held.listed(news).entries}
+        assert seen[name(1)].readiness is Readiness.DRAINING
+        assert (seen[name(2)].readiness, seen[name(2)].started_at) == (Readiness.READY, 50.0)
+
+
+def test_the_module_forgets_what_it_knew_of_a_server_put_back() -> None:
+    front, held = Gateway(make_settings(may_count=False)), Maintenance()
+    front.feed(held.listed(listed(1, 2)))
+    server = front.policy.servers[name(1)]
+    server.fails, server.shun_until = 5, front.now + 60_000.0
+    for change in [*held.exclude(name(1)), *held.include(name(1), front.now)]:
+        front.feed(change)
+    fresh = front.policy.servers[name(1)]
+    assert (fresh.fails, fresh.cold_from) == (0, front.now) and fresh.shun_until < front.now
+    assert front.policy._warmth(fresh) < 0.5
+
+
+class Desk:
+    """What the door does to an ingress, written down."""
+
+    def __init__(self) -> None:
+        self.serving = False
+        self.calls: list[tuple[str, bytes]] = []
+
+    def exclude(self, server: bytes) -> bool:
+        self.calls.append(("exclude", server))
+        return server.startswith(b"s")
+
+    def include(self, server: bytes) -> bool:
+        self.calls.append(("include", server))
+        return server.startswith(b"s")
+
+
+@asynccontextmanager
+async def opened(desk: Desk) -> AsyncIterator[tuple[str, int]]:
+    listener = door.listen(("127.0.0.1", 0))
+    with trio.fail_after(30):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(door.Door(listener, desk, nursery).run)
+            yield listener.getsockname()
+            nursery.cancel_scope.cancel()
+
+
+async def call(place: tuple[str, int], raw: bytes, size: int = 1 << 16) -> tuple[int, str]:
+    stream = await trio.open_tcp_stream(*place)
+    for at in range(0, len(raw), size):
+        await stream.send_all(raw[at : at + size])
+        await trio.sleep(0)
+    got = b""
+    while data := await stream.receive_some(4096):
+        got += data
+    head, _, body = got.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)["detail"]
+
+
+def put(path: str, body: bytes, extra: str = "") -> bytes:
+    head = f"PUT {path} HTTP/1.1\r\nHost: ops\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_the_door_says_yes_and_no() -> None:
+    async def main() -> None:
+        desk = Desk()
+        async with opened(desk) as place:
+            ready = b"GET /api/ready HTTP/1.1\r\nHost: ops\r\n\r\n"
+            assert (await call(place, ready))[0] == 503
+            desk.serving = True
+            assert (await call(place, ready, 1))[0] == 200
+            assert (await call(place, put("/api/exclude", b'{"who":"s1"}'), 3))[0] == 200
+            assert (await call(place, put("/api/include", b'{"who":"s1"}')))[0] == 200
+            chunked = (
+                b"PUT /api/exclude HTTP/1.1\r\nHost: o\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b'4\r\n{"wh\r\n8;x=y\r\no":"s2"}\r\n0\r\n\r\n'
+            )
+            assert (await call(place, chunked))[0] == 200
+            assert desk.calls == [("exclude", b"s1"), ("include", b"s1"), ("exclude", b"s2")]
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("raw", "status", "word"),
+    [
+        (b"GET /api/none HTTP/1.1\r\nHost: o\r\n\r\n", 404, "no such path"),
+        (b"POST /api/ready HTTP/1.1\r\nHost: o\r\n\r\n", 405, "takes GET"),
+        (b"GET /api/exclude HTTP/1.1\r\nHost: o\r\n\r\n", 405, "takes PUT"),
+        (put("/api/exclude", b'{"who":7}'), 400, "who"),
+        (put("/api/exclude", b'{"whom":"s1"}'), 400, "who"),
+        (put("/api/exclude", b'["s1"]'), 400, "who"),
+        (put("/api/exclude", b"\xff\xfe"), 400, "who"),
+        (put("/api/exclude", b""), 400, "who"),
+        (put("/api/exclude", b" " * 5000), 413, "body"),
+        (b"GET /" + b"x" * 9000, 413, ""),
+        (b"nonsense\r\n\r\n", 400, ""),
+    ],
+)  # fmt: skip
+def test_a_bad_call_is_a_no_that_names_its_fault_and_changes_nothing(
+    raw: bytes, status: int, word: str
+) -> None:
+    async def main() -> None:
+        desk = Desk()
+        async with opened(desk) as place:
+            got, detail = await call(place, raw)
+            assert got == status and word in detail
+            assert desk.calls == []
+
+    trio.run(main)
+
+
+def test_an_id_that_nobody_has_is_a_no() -> None:
+    async def main() -> None:
+        async with opened(Desk()) as place:
+            status, detail = await call(place, put("/api/include", b'{"who":"x1"}'))
+            assert status == 404 and "x1" in detail
+
+    trio.run(main)
+
+
+def test_callers_that_hold_the_door_and_say_nothing_whole_do_not_fill_it() -> None:
+    async def main() -> None:
+        desk = Desk()
+        desk.serving = True
+        async with opened(desk) as place:
+            held = [await trio.open_tcp_stream(*place) for _ in range(3 * door.PLACES)]
+            for stream in held[: door.PLACES]:
+                await stream.send_all(b"GET /api/re")
+            assert (await call(place, b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"))[0] == 200
+
+    trio.run(main)
+
+
+def test_a_server_taken_out_gets_nothing_new_and_is_used_again_once_put_back() -> None:
+    async def main() -> None:
+        async with site(cold_time=1.0) as here:
+            client = await client1(here.http1)
+            assert here.runtime.exclude(b"s0") and not here.runtime.exclude(b"nobody")
+            for _ in range(20):
+                assert (await client.ask(request()))[0] == 200
+            assert not here.servers[0].seen
+            assert here.runtime.include(b"s0")
+            while not here.servers[0].seen:
+                assert (await client.ask(request()))[0] == 200
+
+    trio.run(main)
