--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,387 @@
+"""A new version beside the old one: real processes once, then every way in which the talk can fail."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+from example import toy
+from tests.gateway import Gateway, make_settings
+from tests.loopback import client1, request
+from tests.test_config import example
+from tests.test_operating import call, listed, put
+from wickspring import interface as api
+from wickspring import succession
+from wickspring.core import effects as core
+from wickspring.core.reducer import Reducer
+from wickspring.lab.fleet import free_port
+from wickspring.maintenance import Maintenance
+from wickspring.net import handover, keepsake
+from wickspring.net.handover import Predecessor, Successor
+
+READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
+
+
+@pytest.fixture
+def folder(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Path]:
+    yield tmp_path_factory.mktemp("h")
+
+
+class Process:
+    """One `serve` process of the example, with a door of its own."""
+
+    def __init__(self, config: Path, folder: Path) -> None:
+        self.door = ("127.0.0.1", free_port())
+        env = {**os.environ, "GW_CONFIG": str(config), "TMPDIR": str(folder)}
+        env["GW_ADMIN_ADDR"] = f"127.0.0.1:{self.door[1]}"
+        self.log = (folder / f"log{self.door[1]}").open("w+")
+        self.process = subprocess.Popen(
+            [sys.executable, "-O", "-m", "wickspring", "serve"], env=env, stderr=self.log,
+            cwd=Path(__file__).parent.parent,
+        )  # fmt: skip
+
+    async def up(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, IndexError):
+                if (await call(self.door, READY))[0] == 200:
+                    return
+            assert self.process.poll() is None, self.text()
+            await trio.sleep(0.02)
+
+    def text(self) -> str:
+        self.log.seek(0)
+        return self.log.read()
+
+
+@contextlib.asynccontextmanager
+async def example_site(folder: Path) -> AsyncIterator[tuple[Path, tuple[str, int], list[Process]]]:
+    data = example()
+    for place in ("listen", "discovery", "counter"):
+        data[place] = f"127.0.0.1:{free_port()}"
+    for entry in data["known"]["servers"]:
+        entry["addr"] = f"127.0.0.1:{free_port()}"
+    path = folder / "config.json"
+    path.write_text(json.dumps(data))
+    host, _, port = data["listen"].rpartition(":")
+    processes: list[Process] = []
+    with trio.fail_after(60):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(toy.main, path)
+            try:
+                yield path, (host, int(port)), processes
+            finally:
+                for one in processes:
+                    if one.process.poll() is None:
+                        one.process.kill()
+                    one.process.wait()
+                    one.log.close()
+                nursery.cancel_scope.cancel()
+
+
+async def ended(one: Process) -> int:
+    while (code := one.process.poll()) is None:
+        await trio.sleep(0.02)
+    return code
+
+
+def ask(customer: int) -> dict[str, Any]:
+    return request("ticket-view", customer=customer, api_plan="premium")
+
+
+def test_an_upgrade_loses_no_connection_no_quota_and_no_maintenance(folder: Path) -> None:
+    async def main() -> None:
+        async with example_site(folder) as (path, place, processes):
+            old = Process(path, folder)
+            processes.append(old)
+            await old.up()
+            idle, half = await client1(place), await client1(place)
+            assert (await idle.ask(ask(1)))[0] == 200
+            spent = [(await idle.ask(request(customer=9, api_plan="basic")))[0] for _ in range(40)]
+            assert spent[-1] == 429
+            assert (await call(old.door, put("/api/exclude", b'{"who":"s-0"}')))[0] == 200
+            whole = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
+            await half.stream.send_all(whole[:9])  # a head half read travels with its connection
+            new = Process(path, folder)
+            processes.append(new)
+            await new.up()
+            old.process.send_signal(signal.SIGTERM)
+            fresh = await client1(place)
+            assert (await fresh.ask(ask(2)))[0] == 200
+            assert await ended(old) == 0
+            assert "event=succeeded" in old.text()
+            await half.stream.send_all(whole[9:])
+            assert (await half.answer())[0] == 200
+            for customer in range(10):  # on the very connection that the old process accepted
+                status, _, body = await idle.ask(ask(customer))
+                assert status == 200 and not body.startswith(b"s-0 ")
+            assert (await idle.ask(request(customer=9, api_plan="basic")))[0] == 429
+            assert (await call(new.door, put("/api/include", b'{"who":"s-0"}')))[0] == 200
+            second = Process(path, folder)  # and once more, right after
+            processes.append(second)
+            await second.up()
+            new.process.send_signal(signal.SIGTERM)
+            assert await ended(new) == 0
+            assert (await idle.ask(ask(3)))[0] == 200
+
+    trio.run(main)
+
+
+def test_a_new_version_that_dies_before_it_serves_changes_nothing(folder: Path) -> None:
+    async def main() -> None:
+        async with example_site(folder) as (path, place, processes):
+            old = Process(path, folder)
+            processes.append(old)
+            await old.up()
+            found = handover.place(str(folder), "n0", place[1])
+            assert found is not None
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:  # it takes all, and dies
+                peer.connect(str(found))
+                peer.send(handover._encode(succession.Hello(succession.VERSION)))
+                peer.recv(1 << 16)
+            assert (await (await client1(place)).ask(ask(1)))[0] == 200
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:  # it says it serves, and dies
+                peer.connect(str(found))
+                peer.send(handover._encode(succession.Hello(succession.VERSION)))
+                peer.recv(1 << 16)
+                peer.send(handover._encode(succession.Serving()))
+                peer.recv(1 << 16)
+            assert (await (await client1(place)).ask(ask(1)))[0] == 200
+            for raw in (b"\xc1garbage", b""):
+                with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:
+                    peer.connect(str(found))
+                    peer.send(raw)
+            assert (await (await client1(place)).ask(ask(1)))[0] == 200
+
+    trio.run(main)
+
+
+# The talk, both sides in one process.
+
+
+class Side:
+    """One process of an ingress as the hand-over sees it."""
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.done: list[str] = []
+        self.clients: list[tuple[socket.socket, bytes]] = []
+        self.draining = False
+        self.parts = [succession.State(open={"a": 5.0}), succession.State(last=True)]
+
+    def welcome(self) -> tuple[succession.Welcome, list[int]]:
+        return succession.Welcome(succession.VERSION, [b"s1"]), [self.listener.fileno()]
+
+    def pause(self, paused: bool) -> None:
+        self.done.append("pause" if paused else "accept")
+
+    def tell(self) -> list[succession.State]:
+        return self.parts
+
+    def gives(self) -> bool:
+        return self.draining
+
+    def take_client(self) -> tuple[socket.socket, bytes] | None:
+        return self.clients.pop() if self.clients else None
+
+    def adopt_client(self, sock: socket.socket, ahead: bytes) -> None:
+        self.clients.append((sock, ahead))
+        self.done.append("client")
+
+    def adopt(self, state: succession.State) -> None:
+        self.done.append(f"state {' '.join(state.open)}{state.last}")
+
+    def moved(self, server: api.ServerId, back: float | None) -> None:
+        self.done.append(f"moved {server.decode()} {back}")
+
+    def peer_holds(self, descriptors: int) -> None:
+        self.done.append(f"holds {descriptors}")
+
+    def holds(self) -> int:
+        return 7
+
+
+async def until(side: Side, word: str) -> None:
+    while word not in side.done:
+        await trio.sleep(0.005)
+
+
+def test_the_talk_in_its_order(folder: Path) -> None:
+    async def main() -> None:
+        old, new, path = Side(), Side(), folder / "a.sock"
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                before = Predecessor(path, old)
+                await nursery.start(before.run)
+                after = Successor(path, new)
+                assert await after.begin()
+                assert after.welcome is not None and after.welcome.out == [b"s1"]
+                assert after.listeners[0].getsockname() == old.listener.getsockname()
+                late = Successor(path, Side())
+                assert not await late.begin()  # one successor at a time
+                await before.tell_moved(b"s2", None)  # between the welcome and the state
+                await after.take(nursery)
+                assert old.done == ["pause"]
+                assert new.done[:3] == ["moved s2 None", "state aFalse", "state True"]
+                await after.tell_moved(b"s2", 9.0)
+                await until(old, "moved s2 9.0")
+                one, other = socket.socketpair()
+                old.clients.append((one, b"GET"))
+                await trio.sleep(0.05)
+                assert not new.clients  # nothing goes before SIGTERM
+                old.draining = True
+                await until(new, "client")
+                assert new.clients[0][1] == b"GET"
+                other.send(b"x")
+                assert new.clients[0][0].recv(1) == b"x"
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_the_old_process_accepts_again_where_its_successor_leaves(folder: Path) -> None:
+    async def main() -> None:
+        old, path = Side(), folder / "a.sock"
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await nursery.start(Predecessor(path, old).run)
+                after = Successor(path, Side())
+                async with trio.open_nursery() as life:
+                    assert await after.begin()
+                    await after.take(life)
+                    assert after.channel is not None
+                    after.channel.close()
+                    life.cancel_scope.cancel()
+                await until(old, "accept")
+                again = Successor(path, Side())
+                assert await again.begin()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("answer", [None, b"\xc1", b"", "other version", "no listeners"])
+def test_a_process_that_cannot_be_followed_is_passed_over(folder: Path, answer: object) -> None:
+    async def main() -> None:
+        path = folder / "a.sock"
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as server:
+            server.bind(str(path))
+            server.listen()
+
+            async def serve() -> None:
+                peer = await trio.to_thread.run_sync(lambda: server.accept()[0])
+                peer.recv(1 << 16)
+                if answer == "other version":
+                    peer.send(handover._encode(succession.Welcome(99)))
+                elif answer == "no listeners":
+                    peer.send(handover._encode(succession.Welcome(succession.VERSION)))
+                elif isinstance(answer, bytes) and answer:
+                    peer.send(answer)
+                if answer is not None:
+                    peer.close()
+
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(serve)
+                    assert not await Successor(path, Side()).begin()
+
+    trio.run(main)
+
+
+def test_no_socket_or_a_dead_ones_file_is_a_plain_start(folder: Path) -> None:
+    async def main() -> None:
+        path = folder / "a.sock"
+        assert not await Successor(path, Side()).begin()
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as dead:
+            dead.bind(str(path))
+        assert not await Successor(path, Side()).begin()
+
+    trio.run(main)
+
+
+def test_a_folder_that_cannot_hold_a_socket_is_no_place() -> None:
+    assert handover.place("", "n0", 1) is None
+    assert handover.place("/" + "x" * 100, "n0", 1) is None
+
+
+# What is told.
+
+
+def reducer() -> Reducer:
+    one = Reducer(make_settings(may_count=False))
+    one.reduce(0.0, listed(1, 2))
+    return one
+
+
+def test_the_state_goes_over_whole() -> None:
+    old, new = reducer(), reducer()
+    for number in range(600):  # more than one message holds
+        old.reduce(1.0, core.Arrived(api.Request(number, 0, 0, number, 4000.0, 1.0, 2, 0), f"id{number}"))
+    server = next(iter(old.policy.servers.values()))
+    server.fails, server.shun_until, server.pace.mean, server.pace.at = 3, 99.0, 0.7, 5.0
+    parts = list(succession.tell(old))
+    assert len(parts) > 2 and [part.last for part in parts] == [False] * (len(parts) - 1) + [True]
+    for part in parts:
+        sent = handover._decoder.decode(handover._encode(part))
+        assert isinstance(sent, succession.State)
+        assert len(handover._encode(part)) < handover.MOST_MESSAGE
+        succession.adopt(new, sent)
+    assert list(new.policy.accounts) == list(old.policy.accounts)
+    for customer, account in new.policy.accounts.items():
+        told = old.policy.accounts[customer]
+        assert (account.store, account.at, account.window) == (told.store, told.at, told.window)
+    assert new.policy.servers[server.entry.server].fails == 3
+    assert new.policy.servers[server.entry.server].pace == replace(server.pace, since=0.0)
+    assert new.policy.room == old.policy.room
+
+
+def test_an_id_under_way_at_the_old_process_is_not_taken_by_the_new_one() -> None:
+    settings = make_settings(kind={"effect": api.Effect.UNSAFE}, may_count=False)
+    old, new = Reducer(settings), Reducer(settings)
+    for one in (old, new):
+        one.reduce(0.0, listed(1, 2))
+    old.reduce(1.0, core.Arrived(api.Request(1, 0, 0, 7, 4000.0, 1.0, 2, 0), "x"))
+    for part in succession.tell(old):
+        succession.adopt(new, part)
+    effects = new.reduce(2.0, core.Arrived(api.Request(5, 0, 0, 7, 4000.0, 1.0, 2, 0), "x"))
+    assert [type(effect) for effect in effects] == [core.Answer]
+    assert not new.tally["attempts"]
+    later = new.reduce(9000.0, core.Sweep())
+    assert not later
+    effects = new.reduce(9001.0, core.Arrived(api.Request(6, 0, 0, 7, 12000.0, 1.0, 2, 0), "x"))
+    assert core.StartAttempt in [type(effect) for effect in effects]
+
+
+def test_a_server_started_anew_keeps_nothing_of_what_the_old_process_knew() -> None:
+    old, new = reducer(), reducer()
+    name = Gateway.entry(1).server
+    old.policy.servers[name].fails = 4
+    new.reduce(3.0, listed(1, kind=api.ListKind.CHANGES, started_at=2.0))
+    for part in succession.tell(old):
+        succession.adopt(new, part)
+    assert new.policy.servers[name].fails == 0
+
+
+def test_the_maintenance_set_is_kept_beside_the_socket(folder: Path) -> None:
+    path, held = folder / "a.sock", Maintenance()
+    assert keepsake.load(path) == ([], {})
+    held.listed(listed(1, 2))
+    held.exclude(Gateway.entry(1).server)
+    keepsake.save(path, held)
+    assert keepsake.load(path) == ([Gateway.entry(1).server], {})
+    path.with_suffix(".maintenance").write_bytes(b"\xc1")
+    assert keepsake.load(path) == ([], {})
+
