--- a/wickspring/agent/supervisor.py
+++ b/wickspring/agent/supervisor.py
@@ -142,6 +142,7 @@
         host, port = self.managed.listen
         env = {
             **os.environ, "GW_CONFIG": str(self.managed.config), "GW_NAME": self.managed.name,
+            **({"GW_ADMIN_ADDR": ":".join(map(str, self.managed.door))} if self.managed.door else {}),
             "GW_LISTEN": f"{host}:{port}", "GW_HTTP2": str(self.managed.http2),
         }  # fmt: skip
         if self.tenants is not None:
--- a/wickspring/config.py
+++ b/wickspring/config.py
@@ -371,6 +371,7 @@
     name: str
     config: str
     listen: str = ""  # in place of the configuration's, so that instances may share one
+    admin_addr: str = ""  # the same for the operators' door
     http2: str = ""
 
 
@@ -394,6 +395,7 @@
     http2: Path
     listen: tuple[str, int]
     plans: frozenset[str]
+    door: tuple[str, int] | None = None
 
 
 class Agent(msgspec.Struct, frozen=True):
@@ -415,11 +417,15 @@
     here, managed = path.parent, []
     for entry in file.instance:
         config, http2 = here / entry.config, here / entry.http2 if entry.http2 else HTTP2_FILE
-        env = {"GW_NAME": entry.name, **({"GW_LISTEN": entry.listen} if entry.listen else {})}
+        env = {"GW_NAME": entry.name}
+        env.update({"GW_LISTEN": entry.listen} if entry.listen else {})
+        env.update({"GW_ADMIN_ADDR": entry.admin_addr} if entry.admin_addr else {})
         instance = load_instance(config, env, http2)
         plans = frozenset(plan.name for plan in instance.settings.plans)
-        managed.append(Managed(entry.name, config, http2, instance.listen, plans))
-    for key, values in (("name", [m.name for m in managed]), ("listen", [m.listen for m in managed])):
+        managed.append(Managed(entry.name, config, http2, instance.listen, plans, instance.door))
+    doors = [m.door for m in managed if m.door is not None]
+    names, places = [m.name for m in managed], [m.listen for m in managed]
+    for key, values in (("name", names), ("listen", places), ("admin_addr", doors)):
         if len(set(values)) < len(values):
             raise ConfigError(f"{path.name}: instance: two have the same {key}")
     copy, password = None, ""
