--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -3,16 +3,23 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
+import threading
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
 
 import pytest
 import trio
+from click.testing import CliRunner
 
 from tests.gateway import Gateway, make_settings
 from tests.loopback import client1, request, site
+from tests.test_config import example
 from wickspring import interface as api
+from wickspring.commands import top
 from wickspring.interface import ListKind, Readiness
+from wickspring.lab.fleet import free_port
 from wickspring.maintenance import Maintenance
 from wickspring.net import door
 
@@ -226,3 +233,40 @@
                 assert (await client.ask(request()))[0] == 200
 
     trio.run(main)
+
+
+def test_the_command_line_calls_at_the_doors_and_names_who_did_not_follow(tmp_path: Path) -> None:
+    desk, begun = Desk(), threading.Event()
+    desk.serving = True
+    ends: list[Callable[[], None]] = []
+    places: list[tuple[str, int]] = []
+
+    async def serve() -> None:
+        async with opened(desk) as place:
+            places.append(place)
+            stop, token = trio.Event(), trio.lowlevel.current_trio_token()
+            ends.append(lambda: token.run_sync_soon(stop.set))
+            begun.set()
+            await stop.wait()
+
+    thread = threading.Thread(target=trio.run, args=(serve,))
+    thread.start()
+    begun.wait()
+    (tmp_path / "config.json").write_text(json.dumps(example()))
+    file, text = tmp_path / "agent.toml", f'control = "{tmp_path / "a.sock"}"\n'
+    for number, port in enumerate((places[0][1], free_port())):
+        text += f'[[instance]]\nname = "n{number}"\nconfig = "config.json"\n'
+        text += f'listen = "127.0.0.1:{5000 + number}"\nadmin_addr = "127.0.0.1:{port}"\n'
+    file.write_text(text)
+    try:
+        run = partial(CliRunner().invoke, top)
+        assert run(["ready", str(file), "n0"]).exit_code == 0
+        assert run(["exclude", str(file), "s1", "n0"]).exit_code == 0
+        assert desk.calls == [("exclude", b"s1")]
+        assert run(["include", str(file), "x1", "n0"]).exit_code == 1
+        got = run(["ready", str(file)])
+        assert got.exit_code == 1 and "did not follow: n1" in got.output
+        assert run(["ready", str(file), "n7"]).exit_code == 2
+    finally:
+        ends[0]()
+        thread.join()
