Let begun answers outlast a drain, and blame no server for a client that stops reading

Cause: server.py drain ended the process after the longest deadline whatever still flowed; Http1Link.run closed the connection as lost by its server where _pass_on had given up on the client, which shunned the server. Both found by reading. A drain now waits up to 60 s for what flows, and such an attempt ends as cancelled. Each test fails with its fix taken out.

--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 from wickspring.net import http1_front
 from wickspring.net.feed import PIECE
 from wickspring.net.runtime import TRANSFER_COST
+from wickspring.net.upstream import http1 as upstream
 
 LONG = os.urandom(3_000_000)
 
@@ -31,6 +33,10 @@
     return Answer(body=LONG)
 
 
+async def long_answers(_: Seen) -> Answer:
+    return Answer(body=LONG * 8)
+
+
 async def size_of_body(seen: Seen) -> Answer:
     return Answer(body=str(len(seen.body)).encode())
 
@@ -154,6 +160,36 @@
     run(main)
 
 
+def test_a_client_that_stops_reading_is_no_sign_of_a_bad_server(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "STALL_S", 0.3)
+
+    async def main() -> None:
+        async with site(ToyServer("s0", long_answers)) as here:
+            client = await client1(here.http1)
+            await client.send(request())
+            while here.runtime.reducer.tally["failed"] == 0:
+                await trio.sleep(0.02)
+            await here.owed_none()
+            (server,) = here.runtime.reducer.policy.servers.values()
+            assert (server.fails, server.out) == (0, 0) and not here.runtime.flowing
+
+    run(main)
+
+
+def test_a_drain_lets_an_answer_that_has_begun_go_out_whole() -> None:
+    async def main() -> None:
+        async with site(ToyServer("s0", long_answers)) as here:
+            client = await client1(here.http1)
+            await client.send(request(x_budget_ms="300"))
+            while not here.runtime.flowing:
+                await trio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.sleep(5.0)  # past the longest deadline
+            assert (await client.answer())[2] == LONG * 8
+
+    run(main)
+
+
 def test_a_server_that_does_not_read_stops_the_client_being_read() -> None:
     async def main() -> None:
         async with site(ToyServer("s0")) as here:
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -31,6 +31,7 @@
 
 BACKLOG = 1024
 FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in: what is known before may be old
+FLOW_ON_S = 60.0  # for long bodies and answers to end in a drain; who cannot wait sends SIGKILL
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
 
 Serve = Callable[[Link, Runtime], Awaitable[None]]
@@ -152,6 +153,9 @@
                 connection.finish()
         while runtime.owed or (runtime.handing and runtime.connections):
             await trio.sleep(0.01)
+    with trio.move_on_after(FLOW_ON_S):
+        while runtime.flowing:  # an answer that has begun is not cut off
+            await trio.sleep(0.01)
     await trio.sleep(0.05)  # for the last answers to leave
     log.info("stopped", extra=kv(**runtime.report()))
 
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -199,6 +199,7 @@
             except h11.RemoteProtocolError:
                 break
             if self.reader.long and self.reader.some and not await self._pass_on(self.job):
+                self._end(Reply(Status.CANCELLED))  # the client's doing, and no sign of a bad server
                 break
             if answer is not None:
                 self._answered(answer)
