--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -21,7 +21,7 @@
 from wickspring.interface import ListKind, Readiness
 from wickspring.lab.fleet import free_port
 from wickspring.maintenance import Maintenance
-from wickspring.net import door
+from wickspring.net import door, server
 
 
 def listed(*numbers: int, kind: ListKind = ListKind.COMPLETE, **changes: object) -> api.ServerList:
@@ -124,7 +124,7 @@
 
 @asynccontextmanager
 async def opened(desk: Desk) -> AsyncIterator[tuple[str, int]]:
-    listener = door.listen(("127.0.0.1", 0))
+    listener = server.listen(("127.0.0.1", 0), defer=False)
     with trio.fail_after(30):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(door.Door(listener, desk, nursery).run)
--- a/wickspring/net/door.py
+++ b/wickspring/net/door.py
@@ -19,7 +19,6 @@
 WHOLE_S = 5.0  # for a call to come whole
 LINGER_S = 1.0  # for the caller to read its answer and close
 MOST_HEAD, MOST_BODY = 8 * 1024, 4 * 1024
-BACKLOG = 128
 METHODS = {"/api/ready": "GET", "/api/exclude": "PUT", "/api/include": "PUT"}
 
 
@@ -187,17 +186,3 @@
         with trio.move_on_after(LINGER_S):  # read on, so that closing does not reset the answer
             while await link.receive():
                 pass
-
-
-def listen(address: tuple[str, int]) -> socket.socket:
-    """Open the door's listening socket."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
--- a/wickspring/net/handover.py
+++ b/wickspring/net/handover.py
@@ -354,5 +354,3 @@
         if self.channel is not None:
             with suppress(HandoverError):
                 await self.channel.send(succession.Moved(server, back))
-
-
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -37,15 +37,18 @@
 Serve = Callable[[Link, Runtime], Awaitable[None]]
 
 
-def listen(address: tuple[str, int], *, share: bool = False) -> socket.socket:
-    """Open a listening socket on this address only; shared, the process's successor may listen there too."""
+def listen(address: tuple[str, int], *, share: bool = False, defer: bool = True) -> socket.socket:
+    """Open a listening socket on this address only; shared, the process's successor may listen there too.
+
+    Deferred, connections are handed over with their first word, or after a while without one.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if share:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.setblocking(False)
-        if DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
+        if defer and DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
             # A crowd that connects and says nothing waits in the kernel and takes no descriptors.
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
         sock.bind(address)
@@ -319,7 +322,7 @@
             path = handover.place(instance.folder, instance.name, instance.listen[1])
             operated = Operated(runtime, path)
             if instance.door is not None:
-                nursery.start_soon(door.Door(door.listen(instance.door), operated, nursery).run)
+                nursery.start_soon(door.Door(listen(instance.door, defer=False), operated, nursery).run)
             taken: list[socket.socket] = []
             if path is not None:
                 operated.successor = Successor(path, operated)
