--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -199,9 +199,6 @@
             except h11.RemoteProtocolError:
                 break
             if self.reader.long and self.reader.some and not await self._pass_on(self.job):
-                if self._sink is not None:  # the client's doing, and no sign of a bad server
-                    self._leave()
-                    self._end(Reply(Status.CANCELLED))
                 break
             if answer is not None:
                 self._answered(answer)
@@ -225,17 +222,13 @@
         # An answer before the request is out (a server that turns work away early) leaves the
         # connection in no state to be used again.
         if not (self.link is not None and self.link.flushed and self.reader.reusable()):
-            self._leave()
+            self.closed = True
+            self.upstream.room(self.conn, 0)
+            if self.link is not None:
+                self.link.close()
         self.reader.long = False
         self._end(read_reply(*answer, self.upstream.settings.load_fields))
 
-    def _leave(self) -> None:
-        """Take no further job: the pool must not hand this connection out before it is closed."""
-        self.closed = True
-        self.upstream.room(self.conn, 0)
-        if self.link is not None:
-            self.link.close()
-
     def _end(self, reply: Reply) -> None:
         job, self.job, self.sent, self._sink = self.job, None, False, None
         if job is not None:
