--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -191,7 +191,16 @@
         self.clock, self.draining, self.crowded, self.flushed = Clock(), False, False, True
         self.taken, self.broken = 0, False
 
-    def ask(self, client: Client, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+    def ask(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        feed: object = None,
+    ) -> None:
+        assert feed is None
         self.asked.append((method, target, headers["x-call-id"], body))
         client.answer(200, "", b"ok")
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -215,10 +215,11 @@
         finally:
             self.advancing = False
 
-    def _take(self, request: h11.Request) -> None:
+    def _take(self, request: h11.Request, feed: Feed | None = None) -> None:
+        """Take a request with what is held of its body; a feed brings the rest."""
         method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
         self.served = True
-        self.runtime.ask(self, method, target, self.headers, bytes(self.body))
+        self.runtime.ask(self, method, target, self.headers, bytes(self.body), feed)
 
     def _take_long(self, request: h11.Request) -> None:
         """Take a request whose body is longer than what is held; the rest flows."""
@@ -227,13 +228,11 @@
             self.answer(503, f"{NO_ROOM_S:.3f}", b"too many long requests at once\n")
             return
         length = self.headers.get("content-length")
-        held, rest = bytes(self.body[:MOST_BODY]), bytes(self.body[MOST_BODY:])
+        self.feed = Feed(int(length) if length is not None else None)
+        self.feed.put(bytes(self.body[MOST_BODY:]))
+        del self.body[MOST_BODY:]
+        self._take(request, self.feed)
         self.body = bytearray()
-        feed = self.feed = Feed(int(length) if length is not None else None)
-        feed.put(rest)
-        method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
-        self.served = True
-        self.runtime.ask(self, method, target, self.headers, held, feed)
         if self.number is None:  # answered at once
             self.feed = None
 
