--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -19,7 +19,7 @@
 from wickspring.core.reducer import Reducer
 from wickspring.net import http1_front
 from wickspring.net.feed import PIECE
-from wickspring.net.runtime import TRANSFER_COST
+from wickspring.net.host import TRANSFER_COST
 
 LONG = os.urandom(3_000_000)
 
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -20,7 +20,7 @@
 from wickspring.commands import top
 from wickspring.interface import ListKind, Readiness
 from wickspring.lab.site import free_port
-from wickspring.net import door, server
+from wickspring.net import door, listening
 from wickspring.routing.maintenance import Maintenance
 
 
@@ -124,7 +124,7 @@
 
 @asynccontextmanager
 async def opened(desk: Desk) -> AsyncIterator[tuple[str, int]]:
-    listener = server.listen(("127.0.0.1", 0), defer=False)
+    listener = listening.listen(("127.0.0.1", 0), defer=False)
     with trio.fail_after(30):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(door.Door(listener, desk, nursery).run)
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -14,7 +14,7 @@
 from tests.loopback import BIG_PLAN, IDS, client1, client2, job, request, site
 from tests.test_http1 import abort, never
 from wickspring.net import link
-from wickspring.net.runtime import HELD_SHARE
+from wickspring.net.host import HELD_SHARE
 from wickspring.net.upstream.http1 import MOST_INTERIM, AnswerReader
 
 POST = b"POST /api?customer=0000000000000007 HTTP/1.1\r\nHost: a\r\n"
--- /dev/null
+++ b/wickspring/harbour/boot.py
@@ -0,0 +1,139 @@
+"""The settings file that a process is started with: lines `a.b=value`, lists joined by commas.
+
+A field that is not known is passed over, so that later files can be read; a known one that cannot be read is
+named. The file is read with a library for its format (Java's properties), and checked by type with msgspec.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import javaproperties
+import msgspec
+
+from wickspring.harbour.kinds import Fault, FaultError, Kind
+
+VARIABLE = "WICKSPRING_BOOT"
+_LISTS = frozenset({"serves", "seed_addrs", "in_force"})
+
+Address = tuple[str, int]
+
+
+class Bind(msgspec.Struct, frozen=True):
+    """Addresses to listen on for what the role serves; empty where it does not."""
+
+    front_http: str = ""
+    ready_addr: str = ""
+    control_addr: str = ""
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine gives: cores, MB, descriptors."""
+
+    cpu_share: float = 1.0
+    memory_mb: float = 256.0
+    max_fds: int = 1024
+    disk_mb: float = 0.0
+
+
+class Tolerates(msgspec.Struct, frozen=True):
+    """What may be lost at once."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+
+class Guarantees(msgspec.Struct, frozen=True):
+    """Bounds of the rules, in seconds unless the name says otherwise."""
+
+    seed_lag_s: float = 3.0
+    contact_s: float = 3.0
+    ack_s: float = 5.0
+    catch_up_s: float = 4.0
+    drain_s: float = 2.5
+    grace_s: float = 6.0
+    config_apply_s: float = 2.5
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
+    recovery_s: float = 15.0
+
+
+class Boot(msgspec.Struct, frozen=True):
+    """All that a process is told when it starts."""
+
+    node_name: str
+    ip: str
+    zone: str
+    port_range: str
+    seed_addrs: list[str]
+    serves: list[str] = []
+    bind: Bind = Bind()
+    region: str = ""
+    is_first_start: bool = False
+    counts_loss: bool = False
+    limits: Limits = Limits()
+    data_dir: str = ""
+    heartbeat_s: float = 1.5
+    tolerates: Tolerates = Tolerates()
+    guarantees: Guarantees = Guarantees()
+
+    @property
+    def talk_port(self) -> int:
+        """The port on which the system's own processes talk; the same on all machines."""
+        return int(self.port_range.split(",")[0])
+
+    def seed_ips(self) -> list[str]:
+        """Return the IPs of the seeds, in order and each once."""
+        return sorted({seed.rpartition(":")[0] for seed in self.seed_addrs})
+
+
+def parse_address(text: str) -> Address:
+    """Read `IP:port`."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise FaultError(Fault(Kind.BAD_SETTINGS, f"not an address: {text!r}"))
+    return host, int(port)
+
+
+def read(text: str) -> Boot:
+    """Read the text of a settings file; `FaultError` names the field at fault."""
+    tree: dict[str, Any] = {}
+    try:
+        flat = javaproperties.loads(text)
+    except (ValueError, javaproperties.InvalidUEscapeError) as error:
+        raise FaultError(Fault(Kind.BAD_SETTINGS, str(error))) from error
+    for name, value in flat.items():
+        *path, last = name.split(".")
+        at = tree
+        for step in path:
+            below = at.setdefault(step, {})
+            if not isinstance(below, dict):
+                raise FaultError(Fault(Kind.BAD_SETTINGS, f"{name}: {step} is a value already"))
+            at = below
+        at[last] = [one for one in value.split(",") if one] if name in _LISTS else value
+    try:
+        boot = msgspec.convert(tree, Boot, strict=False)
+        for text in (boot.bind.front_http, boot.bind.ready_addr, boot.bind.control_addr, *boot.seed_addrs):
+            if text:
+                parse_address(text)
+        if not 0 < boot.talk_port < 65536:
+            raise ValueError("port_range: not a port")
+    except (msgspec.ValidationError, ValueError) as error:
+        raise FaultError(Fault(Kind.BAD_SETTINGS, str(error))) from error
+    return boot
+
+
+def load(path: str = "") -> Boot:
+    """Read the file that the environment names."""
+    name = path or os.environ.get(VARIABLE, "")
+    try:
+        return read(Path(name).read_text())
+    except OSError as error:
+        raise FaultError(Fault(Kind.BAD_SETTINGS, f"{VARIABLE}: {error}")) from error
--- /dev/null
+++ b/wickspring/harbour/cable.py
@@ -0,0 +1,143 @@
+"""Cables between the system's own processes: msgpack messages, one after another, over TCP.
+
+A message is a list whose first part names it. Whoever holds the calling end dials again when a cable is
+silent for too long: after a cut, bytes that were under way may come seconds late or never.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+import msgpack
+import trio
+
+from wickspring.net.clock import Clock
+from wickspring.net.link import Link, connect
+
+MOST_MESSAGE = 4 << 20  # bytes of one message, and of all that waits to be read
+DIAL_MS = 400.0
+SILENT_MS = 1000.0  # after which the other side is taken for out of reach
+TICK_MS = 300.0  # how often something is said, so that silence means something
+REDIAL_MS = (120.0, 320.0)
+
+Message = list[Any]
+
+
+class Cable:
+    """One end of a connected cable."""
+
+    def __init__(self, link: Link, clock: Clock) -> None:
+        self.link, self.clock = link, clock
+        self.heard_at = clock.now()
+        self.name = ""  # of the process at the other end, once it has said hello
+        self.about: dict[str, Any] = {}  # what it said of itself
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MOST_MESSAGE, strict_map_key=False)
+
+    def send(self, *message: object) -> None:
+        """Say something; a broken cable swallows it."""
+        self.link.send(msgpack.packb(message))
+
+    @property
+    def live(self) -> bool:
+        """Tell whether the other side has been heard of late."""
+        return not self.link.broken and self.clock.now() - self.heard_at < SILENT_MS
+
+    async def read(self, take: Callable[[Cable, Message], None]) -> None:
+        """Take in messages until the cable ends; what is no message ends it."""
+        while True:
+            data = await self.link.receive()
+            if not data:
+                return
+            self.heard_at = self.clock.now()
+            try:
+                self._unpacker.feed(data)
+                for message in self._unpacker:
+                    if not isinstance(message, list) or not message or not isinstance(message[0], str):
+                        return
+                    take(self, message)
+            except (ValueError, msgpack.UnpackException, TypeError, KeyError, IndexError):
+                return
+
+    def close(self) -> None:
+        """End it."""
+        self.link.close()
+
+
+class Caller:
+    """The calling end of a cable to one address: dials, and dials again."""
+
+    def __init__(
+        self, address: tuple[str, int], clock: Clock, nursery: trio.Nursery, random: Random,
+        greet: Callable[[Cable], None], take: Callable[[Cable, Message], None],
+        lost: Callable[[Caller], None] = lambda _: None,
+    ) -> None:  # fmt: skip
+        self.address, self.clock, self.nursery, self.random = address, clock, nursery, random
+        self._greet, self._take, self._lost = greet, take, lost
+        self.cable: Cable | None = None
+        self.tried_at = -1e12
+        self.closed = False
+        self._scope = trio.CancelScope()
+
+    @property
+    def live(self) -> bool:
+        """Tell whether the other side is in reach as far as is known."""
+        return self.cable is not None and self.cable.live
+
+    def send(self, *message: object) -> bool:
+        """Say something; False where nobody will hear it."""
+        cable = self.cable
+        if cable is None or cable.link.broken:
+            return False
+        cable.send(*message)
+        return True
+
+    def close(self) -> None:
+        """End it for good."""
+        self.closed = True
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Keep a cable up until closed."""
+        with self._scope:
+            while not self.closed:
+                sock = await connect(self.address, DIAL_MS)
+                self.tried_at = self.clock.now()
+                if sock is not None:
+                    await self._use(sock)
+                await trio.sleep(self.random.uniform(*REDIAL_MS) / 1000.0)
+
+    async def _use(self, sock: socket.socket) -> None:
+        cable = self.cable = Cable(Link(sock, self.nursery), self.clock)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch, cable)
+                self._greet(cable)
+                await cable.read(self._take)
+                nursery.cancel_scope.cancel()
+        finally:
+            cable.close()
+            self.cable = None
+            self._lost(self)
+
+    async def _watch(self, cable: Cable) -> None:
+        while cable.live:
+            await trio.sleep(SILENT_MS / 4000.0)
+        cable.close()
+
+
+async def answer(
+    listener: socket.socket, clock: Clock, nursery: trio.Nursery, serve: Callable[[Cable], Awaitable[None]]
+) -> None:
+    """Accept cables for as long as the process lives."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            await trio.lowlevel.wait_readable(listener)
+        except OSError:
+            await trio.sleep(0.02)
+        else:
+            nursery.start_soon(serve, Cable(Link(sock, nursery), clock))
--- /dev/null
+++ b/wickspring/lighthouse/light.py
@@ -0,0 +1,325 @@
+"""A lighthouse process: calls of servers and operators, news to pilots, counts, and its part in the core."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+from functools import partial
+from random import Random
+from typing import Any
+
+import trio
+
+from wickspring.harbour import log
+from wickspring.harbour.boot import Boot, parse_address
+from wickspring.harbour.cable import Cable, Message, answer
+from wickspring.harbour.chart import Chart, lay_out
+from wickspring.harbour.kinds import Fault, Kind
+from wickspring.lighthouse.chain import Hold
+from wickspring.lighthouse.core import Core
+from wickspring.lighthouse.logbook import Logbook
+from wickspring.lighthouse.register import READY, Register, Server
+from wickspring.lighthouse.resources import RESOURCES, Call, Said, fault
+from wickspring.lighthouse.tally import Tally
+from wickspring.net.calls import Client
+from wickspring.net.feed import Feed
+from wickspring.net.host import Host
+from wickspring.net.http1_front import Http1Connection, Patience
+from wickspring.net.link import Link
+from wickspring.net.listening import accept, listen
+
+SWEEP_MS = 250.0
+ALIVE_MS = 500.0
+MOST_ORDER = 4 << 20  # bytes of a configuration
+TENURE_MS = 350.0  # after a view, until counts are given out: the pilots tell first what they sent on
+LEAVE_S = 2.0  # for the others to mend the chain before this machine ends
+
+
+class Light(Host):
+    """One lighthouse."""
+
+    def __init__(self, boot: Boot, nursery: trio.Nursery, seed: int) -> None:
+        super().__init__(nursery, boot.limits.memory_mb)
+        self.boot, self.random = boot, Random(seed)
+        self.core = Core(
+            boot, Logbook(boot.data_dir or "."), self.clock, nursery, self.random, self._safe, self._from_core
+        )
+        self.register = Register(1000.0 * boot.heartbeat_s)
+        bounds = boot.guarantees
+        self.tally = Tally(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+        self.resources = [make(self) for make in RESOURCES]
+        self.pilots: dict[Cable, str] = {}
+        self.chart = Chart()
+        self.document = b""  # packed, as pilots get it
+        self.tenure_at, self._epoch = self.clock.now(), -1
+        self._fresh: dict[str, int] = {}  # beats since the core was last told
+        self._last = 0
+
+    # Calls.
+
+    @property
+    def sockets(self) -> int:
+        """How many descriptors this process may have."""
+        return self.boot.limits.max_fds
+
+    @property
+    def flowing(self) -> int:
+        """How many long bodies are on their way."""
+        return 0
+
+    def ask(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        feed: Feed | None = None,
+    ) -> None:
+        """Find the resource of a call and have it answered."""
+        path = target.partition("?")[0]
+        for resource in self.resources:
+            found = resource.path.match(path)
+            if found is not None and resource.method == method:
+                self._last += 1
+                client.accepted(self._last, 0.0)
+                call = Call(method, path, body, found.groupdict())
+                self.nursery.start_soon(self._call, client, resource, call, feed)
+                return
+        said = fault(Fault(Kind.NOT_FOUND, path))
+        client.answer(said.status, "", said.body)
+
+    async def _call(self, client: Client, resource: Any, call: Call, feed: Feed | None) -> None:
+        while feed is not None and await feed.ready():
+            call.body += feed.take()
+            if len(call.body) > MOST_ORDER:
+                feed.close()
+                client.answer(413, "", b"")
+                return
+        try:
+            said = await resource.call(call)
+        except Exception as error:  # one call's trouble must not end the process
+            log.event("call_failed", path=call.path, reason=repr(error))
+            said = Said(500)
+        client.answer(said.status, said.retry_after, said.body)
+
+    def leave(self, number: int) -> None:
+        """A caller has gone away; what it asked goes on."""
+
+    # Servers.
+
+    def beat(self, server: Server) -> None:
+        """Take a beat that came to this machine."""
+        news = self.register.beat(self.clock.now(), server)
+        self._fresh[server.id] = server.seq
+        if news is not None:
+            log.event("server", id=news.id, service=news.service, state=news.state, address=news.address)
+            told = [news.pack(self.clock.now())]
+            self.core.say_all("servers", told)
+            self._tell("servers", told)
+
+    async def leaves(self, server: str, state: int) -> bool:
+        """Have it made safe that a server leaves; False where that did not come about in time."""
+        if self.core.chain.safe.leavers.get(server, READY) != READY:
+            if state > self.core.chain.safe.leavers[server]:
+                self.nursery.start_soon(self.core.enter, Hold(leavers={server: state}))
+            return True
+        safe = await self.core.enter(Hold(leavers={server: state}))
+        return safe is not None
+
+    def beat_target(self, zone: str) -> str:
+        """Name where a server's beats are best sent: here."""
+        return self.boot.bind.control_addr
+
+    # News.
+
+    def _tell(self, *message: object) -> None:
+        for cable in self.pilots:
+            cable.send(*message)
+
+    def _safe(self, hold: Hold) -> None:
+        """Tell the pilots what has become safe."""
+        if hold.version > self.chart.version:
+            try:
+                self.chart = lay_out(hold.document)
+                self.document = zlib.compress(hold.document, 6)
+                self._tell("chart", hold.version, self.document)
+                log.event("chart", version=hold.version)
+            except (KeyError, TypeError, ValueError) as error:
+                log.event("chart_unusable", version=hold.version, reason=repr(error))
+        fresh = {id_: state for id_, state in hold.leavers.items() if self.register.leavers.get(id_) != state}
+        if fresh:
+            self.register.leave(fresh)
+            self._tell("leavers", fresh)
+
+    def _view(self) -> tuple[Any, ...]:
+        chain = self.core.chain
+        cores = [self.boot.ip, *(ip for ip in self.core.callers if self.core.live(ip))]
+        return "view", chain.view.epoch, [ip for ip, _ in chain.view.members], cores, self.fleet
+
+    @property
+    def fleet(self) -> int:
+        """How many pilots are in reach."""
+        return len({name for cable, name in self.pilots.items() if cable.live})
+
+    def _whole(self, cable: Cable) -> None:
+        now = self.clock.now()
+        cable.send("whole", [one.pack(now) for one in self.register.whole()], self.register.leavers)
+
+    def digest(self) -> int:
+        """Return a number for all that is known of servers."""
+        known = sorted((one.id, one.state) for one in self.register.whole() if one.state == READY)
+        return zlib.crc32(repr(known).encode())
+
+    # Cables.
+
+    async def cable(self, cable: Cable) -> None:
+        """Serve one cable that another process has called."""
+        try:
+            await cable.read(self._take)
+        finally:
+            self.pilots.pop(cable, None)
+            cable.close()
+
+    def _take(self, cable: Cable, message: Message) -> None:
+        name = message[0]
+        if name == "hello":
+            cable.name = str(message[2])
+            if message[1] == "core":
+                cable.about = {"core": True}
+                self.core.know([cable.name])
+            else:
+                self.pilots[cable] = cable.name
+                cable.send(*self._view())
+                self._whole(cable)
+                if self.chart.version > int(message[3].get("version", 0)):
+                    cable.send("chart", self.chart.version, self.document)
+        elif cable.about.get("core"):
+            self.core.take(cable, message)
+        elif name == "add":
+            self._add(cable, int(message[1]), str(message[2]))
+        elif name == "back":
+            self.tally.give_back(self.clock.now(), str(message[1]), cable.name)
+        elif name == "past":
+            self.tally.past(self.clock.now(), str(message[1]), cable.name, message[2])
+        elif name == "tick":
+            cable.send("tock", self.core.chain.view.epoch, self.chart.version, self.fleet, self.digest())
+            if self.chart.version > int(message[1]):
+                cable.send("chart", self.chart.version, self.document)
+        elif name == "whole":
+            cable.send(*self._view())
+            self._whole(cable)
+
+    def _add(self, cable: Cable, number: int, name: str) -> None:
+        now = self.clock.now()
+        tenant = self.chart.tenants.get(name)
+        if tenant is None or not self.core.steady or now - self.tenure_at < TENURE_MS:
+            cable.send("moved", number)
+            return
+        total, limit, wait = self.tally.add(now, name, cable.name, tenant.rate, tenant.burst)
+        cable.send("sum", number, total, limit, round(wait))
+
+    def _from_core(self, ip: str, message: Message) -> None:
+        """Hear another core machine's news of servers."""
+        now = self.clock.now()
+        if message[0] == "servers":
+            for told in message[1]:
+                server = Server.unpack(told, now)
+                known = self.register.servers.get(server.id)
+                if self.register.beat(now, server) is not None and known is None:
+                    self._tell("servers", [server.pack(now)])
+        elif message[0] == "alive":
+            self.register.alive(now, [(str(id_), int(seq)) for id_, seq in message[1]])
+            missing = [id_ for id_, _ in message[1] if id_ not in self.register.servers]
+            if missing:
+                self.core.say(ip, "tell", missing)
+        elif message[0] == "tell":
+            asked = [self.register.servers.get(str(id_)) for id_ in message[1]]
+            self.core.say(ip, "servers", [one.pack(now) for one in asked if one is not None])
+
+    # Upkeep.
+
+    async def upkeep(self) -> None:
+        """Look after servers and views, again and again."""
+        told_at = 0.0
+        while True:
+            await trio.sleep(SWEEP_MS * self.random.uniform(0.9, 1.1) / 1000.0)
+            now = self.clock.now()
+            chain = self.core.chain
+            if chain.view.epoch != self._epoch:
+                self._epoch, self.tenure_at = chain.view.epoch, now
+                self._tell(*self._view())
+            if self._fresh and now - told_at >= ALIVE_MS:
+                told_at = now
+                self.core.say_all("alive", list(self._fresh.items()))
+                self._fresh = {}
+            members = [ip for ip, _ in chain.view.members]
+            lost = self.register.sweep(now)
+            if lost and sum(map(self.core.live, members)) > len(members) // 2:
+                log.event("servers_silent", ids=",".join(lost))
+                self._tell("lost", lost)
+
+    def status(self) -> dict[str, Any]:
+        """Return what is known here, for operators."""
+        chain, now = self.core.chain, self.clock.now()
+        return {
+            "node": self.boot.node_name,
+            "chain": {
+                "epoch": chain.view.epoch,
+                "members": [ip for ip, _ in chain.view.members],
+                "member": chain.member,
+                "frozen": chain.frozen,
+                "steady": self.core.steady,
+                "held": chain.hold.version,
+                "safe": chain.safe.version,
+                "disk": chain.me[1],
+            },
+            "core": {
+                ip: {"live": self.core.live(ip), **self.core.states.get(ip, {})} for ip in self.core.callers
+            },
+            "pilots": sorted({name for cable, name in self.pilots.items() if cable.live}),
+            "servers": [
+                {
+                    "id": one.id, "service": one.service, "address": one.address, "zone": one.zone,
+                    "state": ("ready", "draining", "gone")[one.state], "slots": one.slots,
+                    "silent_s": round((now - self.register.heard_at.get(one.id, now)) / 1000.0, 1),
+                }
+                for one in self.register.servers.values()
+            ],
+            "counts": {
+                name: {"in_span": count.total, "limit": self.tally.limit(tenant.rate, tenant.burst)}
+                for name, count in self.tally.counts.items()
+                if (tenant := self.chart.tenants.get(name)) is not None
+            },
+        }  # fmt: skip
+
+
+async def serve(link: Link, light: Host) -> None:
+    """Serve one caller's connection."""
+    patience = Patience(silent=10_000.0, head=5_000.0, body=10_000.0, idle=30_000.0)
+    await light.serve(Http1Connection(link, light, patience=patience), link)
+
+
+async def run(boot: Boot, seed: int, ended: trio.Event) -> None:
+    """Run a lighthouse until told to end."""
+    async with trio.open_nursery() as nursery:
+        light = Light(boot, nursery, seed)
+        core = light.core
+        nursery.start_soon(light.timers.run)
+        nursery.start_soon(core.run)
+        talk = listen((boot.ip, boot.talk_port), defer=False)
+        nursery.start_soon(partial(answer, talk, light.clock, nursery, light.cable))
+        nursery.start_soon(core.tick)
+        nursery.start_soon(light.upkeep)
+        light.tidy()
+        if boot.bind.control_addr:
+            front = listen(parse_address(boot.bind.control_addr), defer=False)
+            nursery.start_soon(accept, front, light, serve)
+        log.event("lit", disk=core.chain.me[1], epoch=core.chain.view.epoch, held=core.chain.hold.version)
+        await ended.wait()
+        light.draining = core.leaving = True
+        with trio.move_on_after(LEAVE_S):
+            while core.chain.member and len(core.chain.view.members) > 1:
+                await trio.sleep(0.05)
+        log.event("out", epoch=core.chain.view.epoch)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/wickspring/lighthouse/register.py
@@ -0,0 +1,118 @@
+"""Which servers there are, by their beats, as one core machine has heard them. No I/O; times are ms.
+
+Beats go to one core machine each; what is new in them is told to the other machines and to the pilots. A beat
+that says the same as the last is told to nobody but the core, and there only that it came.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Any
+
+SILENT_BEATS = 2.7  # beats after which a server that has not called is taken for lost
+FORGET_MS = 60_000.0  # after which a lost or gone one is forgotten; its id does not come back
+COLD_STEP_MS = 400.0  # by which the end of being slow must move to be news
+READY, DRAINING, GONE = 0, 1, 2
+
+
+@dataclass(slots=True, frozen=True)
+class Server:
+    """One life of one server."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: int = READY
+    seq: int = 0
+    cold_until: float = 0.0
+    generation: str = ""
+
+    def pack(self, now: float) -> list[Any]:
+        """Return it for a message; what is a time goes as what is left of it."""
+        left = max(0.0, self.cold_until - now)
+        return [
+            self.id, self.service, self.address, self.zone, self.slots, self.state, self.seq, round(left),
+            self.generation,
+        ]  # fmt: skip
+
+    @staticmethod
+    def unpack(told: Any, now: float) -> Server:
+        """Read it from a message."""
+        id_, service, address, zone, slots, state, seq, left, generation = told
+        until = now + float(left) if left else 0.0
+        return Server(
+            str(id_), str(service), str(address), str(zone), int(slots), int(state), int(seq), until,
+            str(generation),
+        )  # fmt: skip
+
+
+class Register:
+    """The servers."""
+
+    def __init__(self, beat_ms: float) -> None:
+        self.beat_ms = beat_ms
+        self.servers: dict[str, Server] = {}
+        self.heard_at: dict[str, float] = {}
+        self.lost: set[str] = set()  # silent for too long
+        self.leavers: dict[str, int] = {}  # as the chain holds them; the last word
+
+    def _state(self, server: Server) -> Server:
+        state = max(server.state, self.leavers.get(server.id, READY))
+        return server if state == server.state else replace(server, state=state)
+
+    def beat(self, now: float, told: Server) -> Server | None:
+        """Take a beat, or news of one; return the server where that is news for pilots."""
+        known = self.servers.get(told.id)
+        told = self._state(told)
+        if known is not None:
+            if told.seq < known.seq:
+                return None  # a late call
+            told = replace(told, state=max(told.state, known.state))
+        if told.state != GONE:
+            self.heard_at[told.id] = now
+        back = told.id in self.lost
+        self.lost.discard(told.id)
+        self.servers[told.id] = told
+        if known is None or back:
+            return told
+        moved = abs(told.cold_until - known.cold_until) > COLD_STEP_MS and told.cold_until > now
+        same = replace(told, seq=known.seq, cold_until=known.cold_until) == known
+        return None if same and not moved else told
+
+    def alive(self, now: float, told: Iterable[tuple[str, int]]) -> None:
+        """Note that beats have come to another core machine."""
+        for server, seq in told:
+            known = self.servers.get(server)
+            if known is not None and seq >= known.seq:
+                self.heard_at[server] = now
+
+    def leave(self, leavers: dict[str, int]) -> list[Server]:
+        """Take in who leaves, by the chain; return the servers for which that is news."""
+        self.leavers.update(leavers)
+        news = []
+        for id_, state in leavers.items():
+            known = self.servers.get(id_)
+            if known is not None and known.state < state:
+                self.servers[id_] = replace(known, state=state)
+                news.append(self.servers[id_])
+        return news
+
+    def sweep(self, now: float) -> list[str]:
+        """Return the servers that have just been taken for lost, and forget old ones."""
+        news = []
+        for id_, heard in list(self.heard_at.items()):
+            if now - heard > SILENT_BEATS * self.beat_ms and id_ not in self.lost:
+                self.lost.add(id_)
+                news.append(id_)
+            elif now - heard > FORGET_MS:
+                del self.heard_at[id_]
+                self.servers.pop(id_, None)
+                self.lost.discard(id_)
+        return news
+
+    def whole(self) -> list[Server]:
+        """Return all servers that are not taken for lost."""
+        return [one for one in self.servers.values() if one.id not in self.lost]
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -4,6 +4,8 @@
 
 import re
 import socket
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 import h11
 import trio
@@ -21,8 +23,8 @@
     read_head,
 )
 from wickspring.net.feed import Feed
+from wickspring.net.host import Host
 from wickspring.net.link import Link
-from wickspring.net.runtime import Runtime
 
 MOST_HEAD = 16 * 1024
 MOST_AHEAD = MOST_HEAD + MOST_BODY  # bytes of the next request, taken in while an answer is owed
@@ -52,13 +54,30 @@
     return rest if rest.startswith("/") else f"/{rest}"
 
 
+@dataclass(slots=True, frozen=True)
+class Patience:
+    """What a client may send, and how long it may take; milliseconds and bytes."""
+
+    silent: float = SILENT_MS
+    head: float = HEAD_MS
+    body: float = BODY_MS
+    idle: float = IDLE_MS
+    most_head: int = MOST_HEAD
+    most_body: int = MOST_LONG
+
+
+USUAL = Patience()
+
+
 class Http1Connection:
     """One client connection."""
 
-    def __init__(self, link: Link, runtime: Runtime, ahead: bytes | None = None) -> None:
-        self.link, self.runtime = link, runtime
+    def __init__(
+        self, link: Link, runtime: Host, ahead: bytes | None = None, patience: Patience = USUAL
+    ) -> None:
+        self.link, self.runtime, self.patience = link, runtime, patience
         self.ahead = ahead  # what the process before this one had read; None for a new connection
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=patience.most_head)
         self.request: h11.Request | None = None
         self.headers: dict[str, str] = {}
         self.body = bytearray()
@@ -152,11 +171,13 @@
         if self.ending or (self.number is not None and (feed is None or feed.full)):
             return
         idle = self.idle()
-        since, most = (self.heard_at, IDLE_MS) if self.served else (self.begun_at, SILENT_MS)
+        since, most = self.begun_at, self.patience.silent
+        if self.served:
+            since, most = self.heard_at, self.patience.idle
         if self.request is not None:
-            since, most = self.body_at, BODY_MS + self.body_size / BODY_LEAST
+            since, most = self.body_at, self.patience.body + self.body_size / BODY_LEAST
         elif not idle:
-            since, most = self.begun_at, HEAD_MS
+            since, most = self.begun_at, self.patience.head
         if now - since < most or self.link.peek() is not None:
             return  # what has come and is not read yet may be a whole request
         self.runtime.let_go["half_sent" if not idle else "idle" if self.served else "silent"] += 1
@@ -188,9 +209,9 @@
                 elif isinstance(event, h11.Data):
                     self.body_size += len(event.data)
                     if self.feed is not None:
-                        if self.body_size > MOST_LONG:
+                        if self.body_size > self.patience.most_body:
                             self.drop()
-                            self.answer(413, "", b"body over 64 MiB\n")
+                            self.answer(413, "", b"body too large\n")
                             return
                         self.feed.put(bytes(event.data))
                         continue
@@ -236,13 +257,23 @@
         if self.number is None:  # answered at once
             self.feed = None
 
+    def pairs(self) -> list[tuple[str, str]]:
+        """Return the headers of the request that is being taken, in order, their names in lower case."""
+        if self.request is None:
+            return []
+        return [(k.decode("latin-1"), v.decode("latin-1")) for k, v in self.request.headers]
+
     def accepted(self, number: int, budget: float) -> None:
         """Note that an answer is owed."""
         self.number = number
 
-    def answer(self, status: int, retry_after: str, body: bytes) -> None:
+    def answer(
+        self, status: int, retry_after: str, body: bytes, more: Sequence[tuple[str, str]] = ()
+    ) -> None:
         """Write the final answer, and go on to the next request where there may be one."""
-        headers = [("Content-Length", str(len(body)))]
+        headers = [*more]
+        if status >= 200 and status not in (204, 304):
+            headers.append(("Content-Length", str(len(body))))
         if retry_after:
             headers.append(("Retry-After", retry_after))
         # Who errs is not heard on and on; `ahead` is of requests sent without waiting for this answer.
@@ -276,14 +307,16 @@
         else:
             self.finish()
 
-    def begin(self, length: int | None) -> None:
+    def begin(self, length: int | None, status: int = 200, more: Sequence[tuple[str, str]] = ()) -> None:
         """Begin a good answer that is passed on as it comes."""
-        headers = [("Content-Length", str(length))] if length is not None else []
+        headers = [*more]
+        if length is not None:
+            headers.append(("Content-Length", str(length)))
         self._closes = self._ends()
         if self._closes or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.link.send(self.http.send(h11.Response(status_code=200, headers=headers)) or b"")
+            self.link.send(self.http.send(h11.Response(status_code=status, headers=headers)) or b"")
 
     def write(self, data: bytes) -> None:
         """Pass on a piece."""
@@ -330,6 +363,6 @@
             self.runtime.later(LINGER_MS, lambda: self._linger(taken, moved_at))
 
 
-async def serve(link: Link, runtime: Runtime, ahead: bytes | None = None) -> None:
+async def serve(link: Link, runtime: Host, ahead: bytes | None = None) -> None:
     """Serve one client connection, of which another process may have read something ahead."""
     await runtime.serve(Http1Connection(link, runtime, ahead), link)
--- /dev/null
+++ b/wickspring/net/listening.py
@@ -0,0 +1,86 @@
+"""Listening sockets: opening them, accepting on them, and ending without resetting who waits in line."""
+
+from __future__ import annotations
+
+import errno
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+
+from wickspring.logs import kv
+from wickspring.net.calls import DEFER_S
+from wickspring.net.host import Host
+from wickspring.net.link import Link
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+
+H = TypeVar("H", bound=Host)
+Serve = Callable[[Link, H], Awaitable[None]]
+
+
+def listen(address: tuple[str, int], *, share: bool = False, defer: bool = True) -> socket.socket:
+    """Open a listening socket on this address only; shared, the process's successor may listen there too.
+
+    Deferred, connections are handed over with their first word, or after a while without one.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if share:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.setblocking(False)
+        if defer and DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
+            # A crowd that connects and says nothing waits in the kernel and takes no descriptors.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def accept(listener: socket.socket, runtime: H, serve: Serve[H]) -> None:
+    """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
+    while True:
+        while len(runtime.connections) >= runtime.most_connections:
+            # Clients that hold connections and say nothing must not shut the others out.
+            runtime.let_go["waits_at_the_door"] += 1
+            runtime.make_room()
+            await trio.sleep(0.01)
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            try:
+                await trio.lowlevel.wait_readable(listener)
+            except trio.ClosedResourceError:
+                return
+        except OSError as error:
+            if error.errno == errno.EBADF:
+                return
+            log.warning("accept_failed", extra=kv(reason=error))
+            await trio.sleep(0.01)
+        else:
+            runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
+            await trio.lowlevel.checkpoint()  # a crowd at the door must not keep those inside waiting
+
+
+def close_listener(listener: socket.socket) -> None:
+    """Stop accepting."""
+    trio.lowlevel.notify_closing(listener)
+    listener.close()
+
+
+def take_rest(listener: socket.socket, runtime: H, serve: Serve[H]) -> None:
+    """Accept what waits in the kernel's line: closing the listener would reset it."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:  # none left, most of all
+            return
+        runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import logging
-import socket
 import time
-from collections import Counter as Tally
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from functools import partial
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -23,7 +21,6 @@
 from wickspring.logs import kv
 from wickspring.net.calls import (
     CALL_PATH,
-    IDLE_LEAST_MS,
     READY_PATH,
     STATUS,
     Call,
@@ -32,12 +29,10 @@
     Client,
     retry_after,
 )
-from wickspring.net.clock import Clock
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory, Discovery
 from wickspring.net.feed import Feed
-from wickspring.net.link import Link
-from wickspring.net.timers import Timers
+from wickspring.net.host import TIDY_MS, Host
 from wickspring.net.upstream.carrier import Carrier, Job, Reply
 from wickspring.net.upstream.http1 import Http1Link
 from wickspring.net.upstream.manager import Upstream
@@ -51,58 +46,19 @@
 log = logging.getLogger(__name__)
 
 SWEEP_MS = 100.0
-TIDY_MS = 200.0
-TRANSFER_SHARE, TRANSFER_COST = 0.15, 256 * 1024  # of the memory, for long bodies and answers; bytes that one
-# holds at most: what is kept for a further attempt, and a piece on its way at each side
-HELD_SHARE = 0.06  # of the memory, for unfinished requests; past it, who holds more than a little is ended
-CLIENT_SOCKETS = 0.7  # of the descriptors; the rest is left to ticket servers, counter and discovery
-CROWDED = 0.75  # of those, from which a connection ends with its answer instead of being kept
-LIGHT = 4096  # bytes; usual requests are smaller
-MAKE_ROOM = 8  # connections ended at a time, so that who knocks is let in at once
 REPORT_MS = 10_000.0
 PROBE_MS = 1000.0
 TENANTS_MS = 2000.0
 TRANSIT_MS = 2.0  # a budget runs from when the client sent the request; so much may have passed
 
 
-class Connection(Protocol):
-    """A client connection, of either front."""
-
-    async def run(self) -> None:
-        """Read until either side ends it."""
-
-    def drop(self) -> None:
-        """Withdraw whatever is still owed on it."""
-
-    def idle(self) -> bool:
-        """Tell whether no request is under way."""
-
-    def quiet_since(self) -> float | None:
-        """Return when it was last heard of; None while an answer is owed on it."""
-
-    def tidy(self, now: float) -> None:
-        """End it where the client has been silent, or has held a request half-sent, for too long."""
-
-    def end_quiet(self) -> None:
-        """End it now, unless something has come that is not read yet."""
-
-    def give(self) -> tuple[socket.socket, bytes] | None:
-        """Give it to another process, with what has been read ahead; None while that cannot be."""
-
-    def drain(self) -> None:
-        """Tell the client, where the protocol has words for it, that this ingress is about to end."""
-
-    def finish(self) -> None:
-        """End it after what has been written."""
-
-
-class Runtime:
+class Runtime(Host):
     """The ingress between its sockets and its reducer."""
 
     def __init__(self, instance: Instance, nursery: trio.Nursery) -> None:
+        super().__init__(nursery, instance.limits.memory_mb)
         settings = instance.settings
-        self.instance, self.nursery, self.clock = instance, nursery, Clock()
-        self.timers = Timers(self.clock)
+        self.instance = instance
         self.peers = self._join() if instance.peers.enabled else None
         shared = self.peers.shares if self.peers is not None else None
         self.reducer = Reducer(settings, shared)
@@ -114,7 +70,6 @@
             instance.discovery, self.directory, nursery, self.listed,
             settings.seed, settings.gateways, settings.drain_grace,
         )  # fmt: skip
-        self.connections: set[Connection] = set()
         self.upstream = Upstream(
             settings, within_grace(instance.connections, settings.drain_grace), lambda: self.sockets,
             lambda: len(self.connections), self.clock, self.timers, nursery, self.reducer.entries.get,
@@ -122,12 +77,7 @@
         )  # fmt: skip
         self.counter = Counter(instance.counter, settings, self.clock, self.timers, nursery, self._counted)
         self.ready = False
-        self.draining = False
-        self.handing = False  # another process of this ingress takes over the clients' connections
         self.peer_holds = 0  # descriptors that the other process has
-        self.let_go: Tally[str] = Tally()  # client connections ended from here, by reason
-        self._weights: dict[Connection, int] = {}  # bytes of unfinished requests
-        self._held = 0  # their sum
         self._clients: dict[int, tuple[Call, Client]] = {}
         self._feeds: dict[int, Feed] = {}  # of long bodies on their way
         self._passing: dict[int, int | None] = {}  # long answers on their way, with their lengths
@@ -136,7 +86,7 @@
         self._dispatching = False
         self._last_number = 0
         self.later(SWEEP_MS, self._sweep)
-        self.later(TIDY_MS, self._tidy)
+        self.later(TIDY_MS, self.tidy)
         self.later(REPORT_MS, self._report)
         self._read_tenants()
 
@@ -173,25 +123,8 @@
     def _expect(self, server: api.ServerId) -> int:
         return self.instance.settings.streams_per_connection if self._speaks2(server) else 1
 
-    def later(self, delay: float, action: Callable[[], None]) -> None:
-        """Call `action` after so many milliseconds."""
-        self.timers.at(self.clock.now() + delay, action)
-
     # From the fronts.
 
-    async def serve(self, connection: Connection, link: Link) -> None:
-        """Serve one client connection; its errors end it and nothing else."""
-        self.connections.add(connection)
-        try:
-            await connection.run()
-        except Exception as error:
-            log.exception("client_connection_failed", extra=kv(reason=error))
-        finally:
-            connection.drop()
-            self.weigh(connection, 0)
-            link.close()
-            self.connections.discard(connection)
-
     def ask(
         self,
         client: Client,
@@ -246,12 +179,6 @@
         """How many long bodies and answers are on their way."""
         return len(self._feeds.keys() | self._passing.keys())
 
-    @property
-    def may_flow(self) -> bool:
-        """Tell whether one more long body fits into what memory transfers may have together."""
-        most = TRANSFER_SHARE * self.instance.limits.memory_mb * 2**20
-        return (self.flowing + 1) * TRANSFER_COST <= most
-
     @property
     def owed(self) -> int:
         """How many clients wait for an answer."""
@@ -262,42 +189,6 @@
         """How many descriptors this process may have."""
         return max(self.instance.limits.sockets - self.peer_holds, self.instance.limits.sockets // 4)
 
-    @property
-    def most_connections(self) -> int:
-        """How many client connections there may be."""
-        return int(self.sockets * CLIENT_SOCKETS)
-
-    @property
-    def crowded(self) -> bool:
-        """Tell whether clients' connections are short.
-
-        Kept for two seconds after each answer, they would then shut out the very clients that they are for:
-        those give up waiting, come again on new ones, and the ingress stays full with nothing to do.
-        """
-        return len(self.connections) >= CROWDED * self.most_connections
-
-    def make_room(self) -> None:
-        """End the client connections that have been quiet for longest, whether idle or stuck in a request.
-
-        None is ended before its time: a request may be on its way, and those who knock can wait outside.
-        """
-        latest = self.clock.now() - IDLE_LEAST_MS
-        quiet = [(since, c) for c in self.connections if (since := c.quiet_since()) is not None]
-        for since, connection in sorted(quiet, key=lambda pair: pair[0])[:MAKE_ROOM]:
-            if since < latest:
-                self.let_go["for_room"] += 1
-                connection.end_quiet()
-
-    def weigh(self, connection: Connection, size: int) -> bool:
-        """Note the bytes of unfinished requests that a connection holds; False where it has to let go.
-
-        Each alone is bounded, but hundreds of them at their bounds would be more than a small instance has.
-        """
-        self._held += size - self._weights.pop(connection, 0)
-        if size:
-            self._weights[connection] = size
-        return size <= LIGHT or self._held <= HELD_SHARE * self.instance.limits.memory_mb * 2**20
-
     # News of ticket servers, from discovery and from operators.
 
     def listed(self, news: api.ServerList) -> None:
@@ -456,12 +347,6 @@
         self.dispatch(core.Sweep())
         self.later(SWEEP_MS, self._sweep)
 
-    def _tidy(self) -> None:
-        self.later(TIDY_MS, self._tidy)
-        now = self.clock.now()
-        for connection in list(self.connections):
-            connection.tidy(now)
-
     def _read_tenants(self) -> None:
         if self.book is None:
             return
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import errno
 import gc
 import logging
 import os
 import signal
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -21,85 +20,18 @@
 from wickspring.core.succession import VERSION, State, Welcome
 from wickspring.logs import kv
 from wickspring.net import door, handover, http1_front, keepsake
-from wickspring.net.calls import DEFER_S
 from wickspring.net.discovery import Directory, ListError
 from wickspring.net.handover import Predecessor, Successor
 from wickspring.net.link import Link
+from wickspring.net.listening import Serve, accept, close_listener, listen, take_rest
 from wickspring.net.runtime import Runtime
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 1024
 FIRST_LIST_S = 1.0  # for discovery's first word before clients are let in: what is known before may be old
 FLOW_ON_S = 60.0  # for long bodies and answers to end in a drain; who cannot wait sends SIGKILL
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
 
-Serve = Callable[[Link, Runtime], Awaitable[None]]
-
-
-def listen(address: tuple[str, int], *, share: bool = False, defer: bool = True) -> socket.socket:
-    """Open a listening socket on this address only; shared, the process's successor may listen there too.
-
-    Deferred, connections are handed over with their first word, or after a while without one.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if share:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.setblocking(False)
-        if defer and DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
-            # A crowd that connects and says nothing waits in the kernel and takes no descriptors.
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
-async def accept(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
-    """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
-    while True:
-        while len(runtime.connections) >= runtime.most_connections:
-            # Clients that hold connections and say nothing must not shut the others out.
-            runtime.let_go["waits_at_the_door"] += 1
-            runtime.make_room()
-            await trio.sleep(0.01)
-        try:
-            sock, _ = listener.accept()
-        except BlockingIOError:
-            try:
-                await trio.lowlevel.wait_readable(listener)
-            except trio.ClosedResourceError:
-                return
-        except OSError as error:
-            if error.errno == errno.EBADF:
-                return
-            log.warning("accept_failed", extra=kv(reason=error))
-            await trio.sleep(0.01)
-        else:
-            runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
-            await trio.lowlevel.checkpoint()  # a crowd at the door must not keep those inside waiting
-
-
-def close_listener(listener: socket.socket) -> None:
-    """Stop accepting."""
-    trio.lowlevel.notify_closing(listener)
-    listener.close()
-
-
-def take_rest(listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
-    """Accept what waits in the kernel's line: closing the listener would reset it."""
-    while True:
-        try:
-            sock, _ = listener.accept()
-        except OSError:  # none left, most of all
-            return
-        runtime.nursery.start_soon(serve, Link(sock, runtime.nursery), runtime)
-
-
 def start_known(runtime: Runtime, directory: Directory) -> None:
     """Begin with the list that the configuration gives; it may be old."""
     try:
@@ -111,7 +43,7 @@
 class Front:
     """One listening socket, and the task that accepts on it while it is open."""
 
-    def __init__(self, listener: socket.socket, runtime: Runtime, serve: Serve) -> None:
+    def __init__(self, listener: socket.socket, runtime: Runtime, serve: Serve[Runtime]) -> None:
         self.listener, self.runtime, self.serve = listener, runtime, serve
         self._scope: trio.CancelScope | None = None
 
@@ -339,7 +271,7 @@
                     runtime.peers.shares.overdue = True  # until the process before this one spends no more
                 await nursery.start(runtime.peers.run)
             listeners = open_listeners(instance, taken)
-            serves: list[Serve] = [http1_front.serve]
+            serves: list[Serve[Runtime]] = [http1_front.serve]
             if instance.http2.enabled:
                 from wickspring.net import http2_front  # a megabyte, paid for only where it is spoken
 
--- a/wickspring/net/upstream/carrier.py
+++ b/wickspring/net/upstream/carrier.py
@@ -48,6 +48,7 @@
     headers: list[tuple[str, str]]
     body: bytes
     done: Callable[[Reply], None]
+    host: str = "app.svc"  # named to the server
     feed: Feed | None = None  # the rest of a body that is longer than what is held
     flows: Callable[[], bool] = lambda: False  # asked before the first of that rest is taken
     uploaded: Callable[[], None] = lambda: None  # told when its last byte has been written
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -55,7 +55,7 @@
 
     def request(self, job: Job) -> bytes:
         """Return the bytes of a request, as far as they are held."""
-        headers = [("Host", "app.svc"), *job.headers]
+        headers = [("Host", job.host), *job.headers]
         feed = job.feed
         if feed is not None and feed.length is None:
             headers.append(("Transfer-Encoding", "chunked"))
@@ -114,6 +114,18 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("closed without an answer")
 
+    @property
+    def code(self) -> int:
+        """Return the status of the present answer; 0 while none has begun."""
+        return self._response.status_code if self._response is not None else 0
+
+    @property
+    def pairs(self) -> list[tuple[str, str]]:
+        """Return the headers of the present answer, in order, their names in lower case."""
+        if self._response is None:
+            return []
+        return [(k.decode("latin-1"), v.decode("latin-1")) for k, v in self._response.headers]
+
     def reusable(self) -> bool:
         """Make ready for the next request; False where the connection ends here."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
@@ -210,7 +222,7 @@
         """Pass on what has come of a long answer; False where nobody wants it any more."""
         if self._sink is None:
             job.untimed()
-            self._sink = job.begins(self.reader.length)
+            self._sink = self.begins(job)
         if self._sink is None or self.job is not job:
             return False
         self._sink.write(self.reader.take())
@@ -218,6 +230,10 @@
             return await self._sink.room() and self.job is job
         return False
 
+    def begins(self, job: Job) -> Sink | None:
+        """Say where a long answer goes; None where nobody takes it."""
+        return job.begins(self.reader.length)
+
     def _answered(self, answer: tuple[int, dict[str, str], bytes]) -> None:
         # An answer before the request is out (a server that turns work away early) leaves the
         # connection in no state to be used again.
@@ -227,7 +243,11 @@
             if self.link is not None:
                 self.link.close()
         self.reader.long = False
-        self._end(read_reply(*answer, self.upstream.settings.load_fields))
+        self._end(self.read(answer))
+
+    def read(self, answer: tuple[int, dict[str, str], bytes]) -> Reply:
+        """Say what a whole answer means."""
+        return read_reply(*answer, self.upstream.settings.load_fields)
 
     def _end(self, reply: Reply) -> None:
         job, self.job, self.sent, self._sink = self.job, None, False, None
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 from functools import partial
+from typing import Protocol
 
 import trio
 
@@ -25,12 +26,44 @@
 GONE = Standing(False)
 
 
+class Dialled(Protocol):
+    """What a program tells of the servers that it dials; `interface.Settings` among others has it."""
+
+    @property
+    def seed(self) -> int:
+        """Where chance begins."""
+
+    @property
+    def dial_timeout(self) -> float:
+        """Milliseconds for a connection to come up."""
+
+    @property
+    def idle_close(self) -> float:
+        """Milliseconds after which servers end idle connections."""
+
+    @property
+    def cold_capacity(self) -> float:
+        """Share of its connections that a server that has just started gets."""
+
+    @property
+    def cold_time(self) -> float:
+        """Milliseconds until a started server is warm."""
+
+    @property
+    def load_fields(self) -> tuple[str, ...]:
+        """Names of the figures in a load report."""
+
+    @property
+    def streams_per_connection(self) -> int:
+        """Requests that one connection carries at once, where the protocol lets it."""
+
+
 class Upstream:
     """Starts and stops jobs; owns the connections."""
 
     def __init__(
         self,
-        settings: api.Settings,
+        settings: Dialled,
         limits: ConnectionLimits,
         sockets: Callable[[], int],
         clients: Callable[[], int],
--- /dev/null
+++ b/wickspring/pilot/moorings.py
@@ -0,0 +1,218 @@
+"""A pilot's cables to the lighthouses: what it is told, and whom it asks for counts."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+import msgspec
+import trio
+
+from wickspring.harbour import log
+from wickspring.harbour.boot import Boot
+from wickspring.harbour.cable import TICK_MS, Cable, Caller, Message
+from wickspring.harbour.chart import Chart, lay_out
+from wickspring.lighthouse.register import READY, Server
+from wickspring.net.clock import Clock
+
+ADD_MS = 90.0  # for an add to be answered, beyond which the pilot rules alone
+SWEEP_S = 2.0  # between comparisons of what is known of servers with a lighthouse's
+FORGET_CORE_MS = 60_000.0  # that a lighthouse must be out of reach to be forgotten, unless it is a seed
+
+
+class Knows(Protocol):
+    """What is told of servers goes here."""
+
+    def heard(self, now: float, server: Server) -> None:
+        """Take in news of a server."""
+
+    def left(self, leavers: dict[str, int]) -> None:
+        """Take in who leaves."""
+
+    def silent(self, ids: list[str]) -> None:
+        """Take in whom the lighthouses no longer hear."""
+
+
+Answered = Callable[[int, int, float], None]  # total, limit (below 0: nobody said), ms to the window's end
+
+
+class Moorings:
+    """All cables of one pilot."""
+
+    def __init__(
+        self, boot: Boot, clock: Clock, nursery: trio.Nursery, random: Random, servers: Knows,
+        past: Callable[[], list[tuple[str, list[tuple[int, int]]]]],
+        digest: Callable[[], int],
+        charted: Callable[[Chart], None],
+    ) -> None:  # fmt: skip
+        self.boot, self.clock, self.nursery, self.random = boot, clock, nursery, random
+        self.servers, self._past, self._digest, self._charted = servers, past, digest, charted
+        self.chart = Chart()
+        self.epoch = -1
+        self.members: list[str] = []
+        self.fleet = 0  # pilots, as the lighthouses count them
+        self.whole_from: set[str] = set()  # lighthouses that have told all servers they know
+        self.callers: dict[str, Caller] = {}
+        self._adds: dict[int, Answered] = {}
+        self._number = 0
+        self._fleets: dict[str, int] = {}  # pilots, as each lighthouse counts them
+        self._keepers: dict[str, str] = {}
+        self.know(boot.seed_ips())
+
+    def know(self, ips: list[str]) -> None:
+        """Keep a cable to each of these lighthouses."""
+        for ip in ips:
+            if ip not in self.callers:
+                caller = Caller(
+                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self._take
+                )
+                self.callers[ip] = caller
+                self.nursery.start_soon(caller.run)
+
+    def _greet(self, cable: Cable) -> None:
+        cable.send("hello", "pilot", self.boot.ip, {"version": self.chart.version, "zone": self.boot.zone})
+        self._tell_past(cable)
+
+    def _tell_past(self, cable: Cable) -> None:
+        for tenant, told in self._past():
+            cable.send("past", tenant, told)
+
+    @property
+    def live(self) -> list[str]:
+        """Return the lighthouses in reach."""
+        return [ip for ip, caller in self.callers.items() if caller.live]
+
+    @property
+    def informed(self) -> bool:
+        """Tell whether enough has been told to serve by: a configuration, and servers by most lighthouses."""
+        known = len(self.members) or len(self.boot.seed_addrs)
+        return self.chart.version > 0 and len(self.whole_from & set(self.members)) > known // 2
+
+    # What is told.
+
+    def _take(self, cable: Cable, message: Message) -> None:
+        name, now = message[0], self.clock.now()
+        if name == "sum":
+            answer = self._adds.pop(int(message[1]), None)
+            if answer is not None:
+                answer(int(message[2]), int(message[3]), float(message[4]))
+        elif name == "moved":
+            answer = self._adds.pop(int(message[1]), None)
+            if answer is not None:
+                answer(0, -1, 0.0)
+        elif name == "servers":
+            for told in message[1]:
+                self.servers.heard(now, Server.unpack(told, now))
+        elif name == "leavers":
+            self.servers.left({str(id_): int(state) for id_, state in message[1].items()})
+        elif name == "lost":
+            self.servers.silent([str(id_) for id_ in message[1]])
+        elif name == "whole":
+            self.servers.left({str(id_): int(state) for id_, state in message[2].items()})
+            for told in message[1]:
+                self.servers.heard(now, Server.unpack(told, now))
+            self.whole_from.add(cable.name)
+        elif name == "chart":
+            self._take_chart(int(message[1]), bytes(message[2]))
+        elif name == "view":
+            cable.name = str(message[3][0])
+            self.know([str(ip) for ip in message[3]])
+            self.fleet = max(self.fleet, int(message[4]))
+            self._take_view(int(message[1]), [str(ip) for ip in message[2]])
+        elif name == "tock":
+            self._fleets[cable.name] = int(message[3])
+            self.fleet = max(self._fleets.values())
+            cable.about["digest"] = int(message[4])
+
+    def _take_chart(self, version: int, packed: bytes) -> None:
+        if version <= self.chart.version:
+            return  # an old copy: nothing ever goes back
+        try:
+            self.chart = lay_out(zlib.decompress(packed))
+        except (zlib.error, msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+            log.event("chart_unusable", version=version, reason=repr(error))
+            return
+        log.event("chart", version=version)
+        self._charted(self.chart)
+
+    def _take_view(self, epoch: int, members: list[str]) -> None:
+        if epoch <= self.epoch:
+            return
+        self.epoch, self.members = epoch, members
+        self._keepers.clear()
+        for ip in members:
+            caller = self.callers.get(ip)
+            if caller is not None and caller.cable is not None:
+                self._tell_past(caller.cable)
+
+    # Counts.
+
+    def keeper(self, tenant: str) -> str:
+        """Return the lighthouse that keeps a tenant's count: the one whose hash with it is highest."""
+        keeper = self._keepers.get(tenant)
+        if keeper is None:
+            def weight(ip: str) -> bytes:
+                return hashlib.blake2b(f"{tenant} {ip}".encode(), digest_size=8).digest()
+
+            keeper = self._keepers[tenant] = max(self.members, key=weight, default="")
+        return keeper
+
+    def add(self, tenant: str, answered: Answered) -> int:
+        """Add a unit to a tenant's count; a number to `give_up` by, or 0 where nobody can be asked."""
+        caller = self.callers.get(self.keeper(tenant))
+        if caller is None or not caller.live:
+            return 0
+        self._number += 1
+        self._adds[self._number] = answered
+        caller.send("add", self._number, tenant)
+        return self._number
+
+    def give_up(self, number: int) -> None:
+        """Wait no longer for an add; the unit may have been counted."""
+        self._adds.pop(number, None)
+
+    def give_back(self, tenant: str) -> None:
+        """Take back the unit of a request that has not run and never will."""
+        caller = self.callers.get(self.keeper(tenant))
+        if caller is not None:
+            caller.send("back", tenant)
+
+    # Upkeep.
+
+    async def tick(self) -> None:
+        """Say that this pilot is there, again and again, and mend what the news has missed."""
+        swept = self.clock.now()
+        while True:
+            for caller in list(self.callers.values()):
+                caller.send("tick", self.chart.version)
+            now = self.clock.now()
+            if now - swept > 1000.0 * SWEEP_S:
+                swept = now
+                self._compare()
+                self._forget(now)
+            await trio.sleep(TICK_MS * self.random.uniform(0.85, 1.15) / 1000.0)
+
+    def _compare(self) -> None:
+        mine = self._digest()
+        live = [one.cable for one in self.callers.values() if one.live and one.cable is not None]
+        differ = [cable for cable in live if cable.about.get("digest", mine) != mine]
+        if differ:
+            self.random.choice(differ).send("whole")
+
+    def _forget(self, now: float) -> None:
+        keep = {*self.boot.seed_ips(), *self.members}
+        for ip, caller in list(self.callers.items()):
+            if caller.live:
+                caller.tried_at = now
+            elif ip not in keep and now - caller.tried_at > FORGET_CORE_MS:
+                caller.close()
+                del self.callers[ip]
+
+
+def digest(servers: list[Server]) -> int:
+    """Return a number for servers that take work, as a lighthouse makes it."""
+    known = sorted((one.id, one.state) for one in servers if one.state == READY)
+    return zlib.crc32(repr(known).encode())
--- /dev/null
+++ b/wickspring/pilot/pilot.py
@@ -0,0 +1,508 @@
+"""A pilot process: clients on one side, servers on the other, and the decisions between them."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from functools import partial
+from random import Random
+
+import msgspec
+import trio
+
+from wickspring import interface as api
+from wickspring.connections.limits import ConnectionLimits
+from wickspring.connections.pools import Conn
+from wickspring.harbour import log
+from wickspring.harbour.boot import Address, Boot, parse_address
+from wickspring.harbour.chart import Chart, Route, Tenant
+from wickspring.harbour.kinds import ANSWERS, Kind
+from wickspring.interface import Readiness, Status
+from wickspring.net.calls import Client, retry_after
+from wickspring.net.feed import Feed
+from wickspring.net.host import Host
+from wickspring.net.http1_front import Http1Connection, Patience
+from wickspring.net.link import Link
+from wickspring.net.listening import accept, close_listener, listen, take_rest
+from wickspring.net.upstream.carrier import Carrier, Reply, Sink
+from wickspring.net.upstream.manager import Upstream
+from wickspring.pilot.moorings import ADD_MS, Moorings, digest
+from wickspring.pilot.policy.budget import Budget
+from wickspring.pilot.policy.choice import Berth, Choice
+from wickspring.pilot.policy.quota import Quota, Ruling
+from wickspring.pilot.policy.tries import END_MS, HEDGE_LEFT, Outcome, Tries
+from wickspring.pilot.upstream import ID, Dials, GatewayLink, Landing, Passage, own
+
+BACK_MS = (60.0, 160.0)  # until a client may come again where no server took its request
+CONN_SHARE = 0.9  # of a server's connections that all pilots together take
+CONNS_LEAST, CONNS_MOST = 3, 64
+KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
+FORGET_MS = 20_000.0
+READY_WITHOUT_MS = 2500.0  # after which a pilot with a configuration serves by what one lighthouse told
+FIGURES_MS = 10_000.0
+ACCEPT_ON_S = 0.4  # after SIGTERM, for connections that are on their way
+MOST_LEFT_MS = 600_000.0
+_STATUS = {
+    Status.OK: Outcome.ANSWERED, Status.FULL: Outcome.TURNED_AWAY, Status.CONNECT_FAILED: Outcome.UNSENT,
+    Status.MOOT: Outcome.UNSENT, Status.TIMEOUT: Outcome.SILENT, Status.ERROR: Outcome.ANSWERED,
+}  # fmt: skip
+_SET_HERE = frozenset({"host", "x-key", "x-tenant", "x-target-instance", "x-deadline-ms", "expect"})
+
+
+class Request:
+    """One client's try on its way."""
+
+    __slots__ = (
+        "body", "client", "feed", "headers", "hedge", "host", "id", "landing", "method", "number", "passing",
+        "target", "tenant", "timer", "tries",
+    )  # fmt: skip
+
+    def __init__(self, number: int, client: Client, method: str, target: str, tries: Tries) -> None:
+        self.number, self.method, self.target, self.tries = number, method, target, tries
+        self.client: Client | None = client
+        self.headers: list[tuple[str, str]] = []
+        self.host = self.id = ""
+        self.body = b""
+        self.feed: Feed | None = None
+        self.tenant: Tenant | None = None
+        self.passing = False  # its answer flows
+        self.landing: Landing | None = None  # a whole answer that is no success, kept while others are out
+        self.timer: Callable[[], None] = lambda: None  # cancels the end
+        self.hedge: Callable[[], None] = lambda: None
+
+
+class Pilot(Host):
+    """One pilot."""
+
+    def __init__(self, boot: Boot, nursery: trio.Nursery, seed: int) -> None:
+        super().__init__(nursery, boot.limits.memory_mb)
+        self.boot, self.random = boot, Random(seed)
+        bounds = boot.guarantees
+        self.choice = Choice(boot.zone, self.random.getrandbits(32))
+        self.quota = Quota(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+        self.budgets: dict[str, Budget] = {}
+        self.moorings = Moorings(
+            boot, self.clock, nursery, self.random, self.choice, lambda: self.quota.past(self.clock.now()),
+            self._digest, self._charted,
+        )  # fmt: skip
+        self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
+        self.addresses: dict[str, Address] = {}
+        self.limits = ConnectionLimits(
+            most_per_server=CONNS_LEAST, wait_ms=400.0, ahead_most=0, pause_first_ms=60.0, pause_most_ms=500.0
+        )
+        self.upstream = Upstream(
+            Dials(self.random.getrandbits(32)), self.limits, lambda: self.sockets,
+            lambda: len(self.connections), self.clock, self.timers, nursery, self._entry, self._carrier,
+        )  # fmt: skip
+        self.requests: dict[int, Request] = {}
+        self.ids: set[str] = set()  # of requests under way that may run once
+        self.patience = Patience()
+        self.begun_at = self.clock.now()
+        self.ready = False
+        self.tally: Counter[str] = Counter()
+        self._last = 0
+
+    @property
+    def sockets(self) -> int:
+        """How many descriptors this process may have."""
+        return self.boot.limits.max_fds - 200
+
+    @property
+    def flowing(self) -> int:
+        """How many long bodies and answers are on their way."""
+        return sum(one.feed is not None or one.passing for one in self.requests.values())
+
+    # What is told.
+
+    def _digest(self) -> int:
+        return digest(
+            [one.server for id_, one in self.choice.berths.items() if not one.lost and self.choice.takes(id_)]
+        )
+
+    def _charted(self, chart: Chart) -> None:
+        bounds = chart.bounds
+        self.patience = Patience(
+            silent=1000.0 * bounds.idle_s, head=1000.0 * bounds.header_s, idle=1000.0 * bounds.idle_s,
+            most_head=bounds.head, most_body=bounds.body,
+        )  # fmt: skip
+        caps = [one.most_conns for one in chart.services.values() if one.most_conns > 0]
+        part = CONN_SHARE * min(caps, default=CONNS_MOST) / max(1, self.moorings.fleet or 16)
+        most = max(CONNS_LEAST, min(CONNS_MOST, int(part)))
+        self.limits = msgspec.structs.replace(self.limits, most_per_server=most)
+        self.upstream.limits = self.upstream.pools.limits = self.limits
+
+    def _entry(self, server: api.ServerId) -> api.ServerEntry | None:
+        id_ = server.decode()
+        if id_ not in self.choice.berths:
+            self.entries.pop(id_, None)
+            return None
+        takes = self.choice.takes(id_)
+        known = self.entries.get(id_)
+        if known is None or known[0] != takes:
+            readiness = Readiness.READY if takes else Readiness.DRAINING
+            known = self.entries[id_] = takes, api.ServerEntry(server, 0, 0, readiness, 1.0, 0.0)
+        return known[1]
+
+    def _carrier(self, upstream: Upstream, conn: Conn) -> Carrier:
+        return GatewayLink(upstream, conn)
+
+    # Requests.
+
+    def ask(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        feed: Feed | None = None,
+    ) -> None:
+        """Find a request's route and tenant, and have its unit counted."""
+        now, chart = self.clock.now(), self.moorings.chart
+        self.tally["asked"] += 1
+        if not chart.version:
+            self._refuse(client, Kind.NOT_READY, self.random.uniform(*BACK_MS))
+            return
+        host = headers.get("host", "")
+        route = chart.route(host, target)
+        if route is None:
+            self._refuse(client, Kind.NO_ROUTE)
+            return
+        tenant = chart.keys.get(headers.get("x-key", ""))
+        if tenant is None and chart.guarded and not route.public:
+            self._refuse(client, Kind.NO_KEY)
+            return
+        id_, left = headers.get(ID, ""), headers.get("x-deadline-ms", "")
+        if not id_ or (left and not left.isdecimal()):
+            self._refuse(client, Kind.BAD_REQUEST)
+            return
+        if not route.pure and id_ in self.ids:
+            self._refuse(client, Kind.AT_WORK)
+            return
+        wait = min(float(left) if left else MOST_LEFT_MS, 1000.0 * route.timeout_s)
+        service = self._service(route)
+        self._last += 1
+        request = Request(
+            self._last, client, method, target, Tries(route, service, now, now + wait - END_MS)
+        )
+        pairs = client.pairs() if isinstance(client, Http1Connection) else list(headers.items())
+        request.headers = [pair for pair in own(pairs) if pair[0] not in _SET_HERE]
+        request.host, request.id, request.body, request.feed = host, id_, body, feed
+        if tenant is not None:
+            request.tenant = tenant
+            request.headers.append(("X-Tenant", tenant.name))
+        self.requests[request.number] = request
+        if not route.pure:
+            self.ids.add(id_)
+        client.accepted(request.number, wait)
+        timer = self.timers.at(request.tries.until, partial(self._due, request))
+        request.timer = timer.cancel
+        if tenant is not None and tenant.rate > 0 and not route.public:
+            self._count(request, tenant)
+        else:
+            self._send(request)
+
+    def _service(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0][0]
+        names = [name for name, _ in route.services]
+        return self.random.choices(names, [weight for _, weight in route.services])[0]
+
+    def _count(self, request: Request, tenant: Tenant) -> None:
+        """Add the request's unit to its tenant's count; what comes back rules on it."""
+        now = self.clock.now()
+        self.quota.sent(now, tenant.name)
+
+        def answered(total: int, limit: int, wait: float) -> None:
+            timer.cancel()
+            if limit < 0:
+                alone()
+            else:
+                ruled(self.quota.counted(self.clock.now(), tenant.name, total, limit, wait))
+
+        def alone() -> None:
+            self.moorings.give_up(number)
+            self.tally["counted_alone"] += 1
+            ruled(self.quota.alone(self.clock.now(), tenant, self.moorings.fleet))
+
+        def ruled(ruling: Ruling) -> None:
+            if request.tries.ended:
+                return
+            if ruling.goes:
+                self._send(request)
+            else:
+                self._end(request, Kind.OVER_QUOTA, ruling.wait * self.random.uniform(1.0, 1.2))
+
+        timer = self.timers.at(now + ADD_MS, alone)
+        number = self.moorings.add(tenant.name, answered)
+        if not number:
+            timer.cancel()
+            alone()
+
+    def _send(self, request: Request) -> None:
+        """Send a request to a first or further server, or end it."""
+        tries, now = request.tries, self.clock.now()
+        if not tries.may_send(now):
+            self._give_up(request)
+            return
+        berth = self.choice.pick(now, tries.service, tries.route.name, tries.tried)
+        if berth is None or not self._afford(tries, now):
+            self._give_up(request)
+            return
+        server = berth.server
+        tries.begin(server.id)
+        number = 16 * request.number + tries.sent
+        self.choice.sent(now, berth, number)
+        until = tries.until
+        left = max(1, int(until + END_MS - now))
+        headers = [*request.headers, ("X-Deadline-Ms", str(left)), ("X-Target-Instance", server.id)]
+        passage = Passage(
+            server.id.encode(), parse_address(server.address), not tries.route.pure, until, id=request.id,
+            host=request.host, method=request.method, target=request.target, headers=headers,
+            body=request.body, feed=request.feed, done=partial(self._ended, request, berth, number),
+            heard=self._headers,
+        )  # fmt: skip
+        passage.flowing = partial(self._flows, request)
+        passage.flows = lambda: not tries.ended
+        self.upstream.start(passage)
+        if tries.sent == 1 and tries.route.pure and tries.route.tries > 1 and request.feed is None:
+            at = tries.hedge_at(self.choice.usual.get(tries.route.name, 0.0))
+            if at < until:
+                request.hedge = self.timers.at(at, partial(self._hedge, request)).cancel
+
+    def _afford(self, tries: Tries, now: float) -> bool:
+        """Pay for a further try; a first one earns."""
+        budget = self._budget(tries.service)
+        if tries.sent == 0:
+            budget.first(now)
+            return True
+        if budget.take(now, self.moorings.fleet):
+            return True
+        self.tally["no_budget"] += 1
+        return False
+
+    def _budget(self, service: str) -> Budget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.boot.guarantees
+            budget = self.budgets[service] = Budget(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+            )
+        return budget
+
+    def _hedge(self, request: Request) -> None:
+        """Send a pure request that has had no word yet to another server as well."""
+        now, tries = self.clock.now(), request.tries
+        if not tries.may_send(now) or request.passing:
+            return
+        left = self._budget(tries.service).left(now, self.moorings.fleet)
+        other = self.choice.pick(now, tries.service, tries.route.name, tries.tried)
+        if left >= HEDGE_LEFT and other is not None:
+            self.tally["hedged"] += 1
+            self._send(request)
+
+    def _headers(self, headers: dict[str, str]) -> None:
+        """Learn from a server how long it keeps idle connections."""
+        told = headers.get("keep-alive", "")
+        if "timeout=" in told:
+            seconds = told.partition("timeout=")[2].split(",")[0].strip()
+            if seconds.isdecimal() and int(seconds) > 0:
+                pools = self.upstream.pools
+                pools.idle_close = min(pools.idle_close, 1000.0 * KEEP_ALIVE_SHARE * int(seconds))
+
+    def _flows(
+        self, request: Request, code: int, pairs: list[tuple[str, str]], length: int | None
+    ) -> Sink | None:
+        """Begin an answer that is longer than what is held."""
+        client = request.client
+        if request.tries.ended or request.passing or not isinstance(client, Http1Connection):
+            return None
+        request.passing = True
+        request.timer()
+        client.begin(length, code, own(pairs))
+        return client
+
+    def _ended(self, request: Request, berth: Berth, number: int, reply: Reply) -> None:
+        """Learn from a try's end, and go on from there."""
+        now, tries = self.clock.now(), request.tries
+        outcome = _STATUS.get(reply.status, Outcome.BROKEN)
+        tries.end(outcome)
+        good: bool | None = outcome is Outcome.ANSWERED and reply.status is Status.OK
+        if outcome is Outcome.TURNED_AWAY:
+            good = None
+        self.choice.ended(now, berth, number, tries.route.name, good)
+        self.tally[f"tries[{outcome.value}]"] += 1
+        if tries.ended:
+            return
+        if request.passing:
+            self._finish(request)
+            if isinstance(request.client, Http1Connection):
+                request.client.end(outcome is Outcome.ANSWERED)
+            return
+        if isinstance(reply, Landing) and outcome is Outcome.ANSWERED:
+            if reply.code < 500 or not tries.may_send(now):
+                self._land(request, reply)
+                return
+            request.landing = reply
+        if tries.may_send(now):
+            self._send(request)
+        elif tries.out == 0:
+            self._give_up(request)
+
+    def _land(self, request: Request, landing: Landing) -> None:
+        """Give the client the server's answer as it came."""
+        client = request.client
+        self._finish(request)
+        self.tally["answered"] += 1
+        if isinstance(client, Http1Connection):
+            client.answer(landing.code, "", landing.body, own(landing.pairs))
+
+    def _give_up(self, request: Request) -> None:
+        """End a request that nothing more can be done for, unless a try is still out."""
+        if request.tries.out > 0 and self.clock.now() < request.tries.until:
+            return
+        if request.landing is not None:
+            self._land(request, request.landing)
+            return
+        kind = request.tries.verdict
+        tenant, now = request.tenant, self.clock.now()
+        counted = tenant is not None and tenant.rate > 0 and not request.tries.route.public
+        unused = kind is Kind.NO_SERVER and counted
+        if unused and tenant is not None and self.quota.taken_back(now, tenant.name):
+            self.moorings.give_back(tenant.name)
+        self._end(request, kind, self.random.uniform(*BACK_MS))
+
+    def _due(self, request: Request) -> None:
+        """Its time is over."""
+        tries = request.tries
+        if not tries.ended and not request.passing:
+            tries.timed_out = True
+            self._end(request, tries.verdict, self.random.uniform(*BACK_MS))
+
+    def _end(self, request: Request, kind: Kind, wait: float = 0.0) -> None:
+        client = request.client
+        self._finish(request)
+        if client is not None:
+            self._refuse(client, kind, wait)
+
+    def _finish(self, request: Request) -> None:
+        request.tries.ended = True
+        request.timer()
+        request.hedge()
+        self.requests.pop(request.number, None)
+        self.ids.discard(request.id)
+        if request.feed is not None:
+            request.feed.close()
+
+    def _refuse(self, client: Client, kind: Kind, wait: float = 0.0) -> None:
+        self.tally[f"refused[{kind.value}]"] += 1
+        answer = ANSWERS[kind]
+        client.answer(answer.status, retry_after(wait) if answer.comes_back else "", b"")
+
+    def leave(self, number: int) -> None:
+        """The client has gone; what a server has begun it may end."""
+        request = self.requests.get(number)
+        if request is not None:
+            request.client = None
+            if request.tries.sent == 0 or request.passing:
+                self._finish(request)
+
+    # Upkeep.
+
+    def upkeep(self) -> None:
+        """Forget what is past, and tell the figures."""
+        self.later(FIGURES_MS * self.random.uniform(0.9, 1.1), self.upkeep)
+        self.choice.forget(self.clock.now(), FORGET_MS)
+        log.event(
+            "figures", owed=len(self.requests), connections=len(self.connections), **self.tally,
+            **self.upstream.report(),
+        )  # fmt: skip
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether clients are to come here."""
+        if self.draining:
+            return False
+        if not self.ready:
+            moorings = self.moorings
+            late = self.clock.now() - self.begun_at > READY_WITHOUT_MS
+            some = bool(moorings.chart.version) and bool(moorings.whole_from)
+            self.ready = bool(self.choice.services) and (moorings.informed or (late and some))
+            if self.ready:
+                log.event("ready", version=moorings.chart.version, servers=len(self.choice.berths))
+        return self.ready
+
+
+class Watch(Host):
+    """What answers the platform's question whether this pilot is ready."""
+
+    def __init__(self, pilot: Pilot) -> None:
+        super().__init__(pilot.nursery, pilot.memory_mb)
+        self.pilot = pilot
+
+    @property
+    def sockets(self) -> int:
+        """How many descriptors are for this."""
+        return 64
+
+    @property
+    def flowing(self) -> int:
+        """Nothing flows here."""
+        return 0
+
+    def ask(
+        self,
+        client: Client,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        feed: Feed | None = None,
+    ) -> None:
+        """Answer 200 while clients are to come."""
+        client.answer(200 if self.pilot.is_ready and target.startswith("/readiness") else 503, "", b"")
+
+    def leave(self, number: int) -> None:
+        """Nothing is owed here."""
+
+
+async def serve(link: Link, pilot: Pilot) -> None:
+    """Serve one client's connection."""
+    await pilot.serve(Http1Connection(link, pilot, patience=pilot.patience), link)
+
+
+async def serve_watch(link: Link, watch: Watch) -> None:
+    """Serve one connection of the platform."""
+    await watch.serve(Http1Connection(link, watch, patience=Patience(idle=15_000.0)), link)
+
+
+async def run(boot: Boot, seed: int, ended: trio.Event) -> None:
+    """Run a pilot until told to end."""
+    async with trio.open_nursery() as nursery:
+        pilot = Pilot(boot, nursery, seed)
+        nursery.start_soon(pilot.timers.run)
+        nursery.start_soon(pilot.moorings.tick)
+        pilot.tidy()
+        pilot.upkeep()
+        watch = Watch(pilot)
+        nursery.start_soon(watch.timers.run)
+        watch.tidy()
+        ready = listen(parse_address(boot.bind.ready_addr), defer=False)
+        nursery.start_soon(accept, ready, watch, serve_watch)
+        front = listen(parse_address(boot.bind.front_http), defer=False)
+        nursery.start_soon(accept, front, pilot, serve)
+        log.event("afloat", ip=boot.ip, zone=boot.zone)
+        await ended.wait()
+        pilot.draining = True
+        log.event("draining", owed=len(pilot.requests))
+        with trio.move_on_after(0.93 * boot.guarantees.grace_s):
+            await trio.sleep(ACCEPT_ON_S)
+            take_rest(front, pilot, serve)
+            close_listener(front)
+            while pilot.requests or any(not one.idle() for one in pilot.connections):
+                await trio.sleep(0.02)
+            for connection in list(pilot.connections):
+                connection.end_quiet()
+            await trio.sleep(0.1)
+        log.event("moored", owed=len(pilot.requests))
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/wickspring/pilot/policy/choice.py
@@ -0,0 +1,150 @@
+"""Which server a request goes to, by what this pilot has seen of each and what it has been told."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from wickspring.lighthouse.register import READY, Server
+
+DRAWS = 3  # servers that are drawn, of which the best is taken
+MEMORY = 10.0  # answers in a mean
+SLOW_LEAST, SLOW_MOST = 0.3, 5.0
+SHUN_MS, SHUN_MOST = 400.0, 4  # after a failure, doubled with each further one in a row
+COLD_COST = 2.0  # times as much a cold server costs
+OTHER_ZONE_COST = 1.15  # times as much as one in the own zone
+QUIET_TIMES = 2.5  # usual answer times that a server may be silent before each further one costs
+LOST_COST = 4.0  # times as much one costs that the lighthouses no longer hear
+
+
+@dataclass(slots=True, eq=False)
+class Berth:
+    """One server as this pilot knows it."""
+
+    server: Server
+    out: dict[int, float] = field(default_factory=dict)  # tries out, and when each was sent
+    slow: float = 1.0  # its answer times, by those of its service
+    failures: int = 0  # in a row
+    shunned_until: float = 0.0
+    lost: bool = False
+    heard_at: float = 0.0
+
+
+class Choice:
+    """The servers of all services, and which one to take."""
+
+    def __init__(self, zone: str, seed: int) -> None:
+        self.zone, self.random = zone, Random(seed)
+        self.berths: dict[str, Berth] = {}
+        self.services: dict[str, dict[str, Berth]] = {}  # those that take work
+        self.leavers: dict[str, int] = {}
+        self.usual: dict[str, float] = {}  # mean answer time of a route, ms
+
+    # News.
+
+    def heard(self, now: float, server: Server) -> None:
+        """Take in news of a server."""
+        known = self.berths.get(server.id)
+        if known is None:
+            known = self.berths[server.id] = Berth(server, heard_at=now)
+        elif server.seq >= known.server.seq or server.state > known.server.state:
+            state = max(server.state, known.server.state)
+            if state != server.state:
+                server = Server(
+                    server.id, server.service, server.address, server.zone, server.slots, state, server.seq,
+                    server.cold_until, server.generation,
+                )  # fmt: skip
+            if known.server.service != server.service:
+                self.services.get(known.server.service, {}).pop(server.id, None)
+            known.server = server
+        known.lost = False
+        self._place(known)
+
+    def left(self, leavers: dict[str, int]) -> None:
+        """Take in who leaves, for good."""
+        for id_, state in leavers.items():
+            self.leavers[id_] = max(state, self.leavers.get(id_, READY))
+            berth = self.berths.get(id_)
+            if berth is not None:
+                self._place(berth)
+
+    def silent(self, ids: list[str]) -> None:
+        """Take in whom the lighthouses no longer hear."""
+        for id_ in ids:
+            berth = self.berths.get(id_)
+            if berth is not None:
+                berth.lost = True
+
+    def _place(self, berth: Berth) -> None:
+        server = berth.server
+        takes = max(server.state, self.leavers.get(server.id, READY)) == READY
+        place = self.services.setdefault(server.service, {})
+        if takes:
+            place[server.id] = berth
+        else:
+            place.pop(server.id, None)
+
+    def takes(self, id_: str) -> bool:
+        """Tell whether new work may go to a server."""
+        berth = self.berths.get(id_)
+        return berth is not None and id_ in self.services.get(berth.server.service, ())
+
+    # Choosing.
+
+    def cost(self, now: float, berth: Berth, usual: float) -> float:
+        """Return about how long an answer takes there, by the usual time."""
+        slots = max(1, berth.server.slots)
+        cost = berth.slow * (1.0 + len(berth.out) / slots)
+        if berth.server.cold_until > now:
+            cost *= COLD_COST
+        if berth.server.zone != self.zone:
+            cost *= OTHER_ZONE_COST
+        if berth.lost:
+            cost *= LOST_COST
+        if berth.out and usual > 0:
+            quiet = (now - max(berth.heard_at, next(iter(berth.out.values())))) / usual
+            cost *= 1.0 + max(0.0, quiet - QUIET_TIMES)
+        if now < berth.shunned_until:
+            cost *= 10.0 + berth.failures
+        return cost
+
+    def pick(self, now: float, service: str, route: str, tried: set[str]) -> Berth | None:
+        """Choose a server of a service that has not been tried; None where there is none."""
+        takes = [one for id_, one in self.services.get(service, {}).items() if id_ not in tried]
+        if not takes:
+            return None
+        well = [one for one in takes if now >= one.shunned_until and not one.lost]
+        drawn = well or takes
+        if len(drawn) > DRAWS:
+            drawn = self.random.sample(drawn, DRAWS)
+        usual = self.usual.get(route, 0.0)
+        return min(drawn, key=lambda one: (self.cost(now, one, usual), self.random.random()))
+
+    # What becomes of tries.
+
+    def sent(self, now: float, berth: Berth, number: int) -> None:
+        """Note a try as out."""
+        berth.out[number] = now
+
+    def ended(self, now: float, berth: Berth, number: int, route: str, good: bool | None) -> None:
+        """Note how a try ended: a whole answer, a failure, or neither (turned away)."""
+        begun = berth.out.pop(number, now)
+        if good is None:
+            berth.heard_at = now
+        elif good:
+            berth.heard_at, berth.failures, berth.shunned_until, berth.lost = now, 0, 0.0, False
+            took = max(1.0, now - begun)
+            usual = self.usual.get(route, 0.0)
+            self.usual[route] = usual + (took - usual) / (4 * MEMORY) if usual else took
+            slow = min(SLOW_MOST, max(SLOW_LEAST, took / max(1.0, self.usual[route])))
+            berth.slow += (slow - berth.slow) / MEMORY
+        else:
+            berth.failures = min(SHUN_MOST, berth.failures + 1)
+            berth.shunned_until = now + SHUN_MS * 2.0 ** (berth.failures - 1) * self.random.uniform(0.7, 1.3)
+
+    def forget(self, now: float, after_ms: float) -> None:
+        """Forget servers that have left or are long lost and owe no answer."""
+        for id_, berth in list(self.berths.items()):
+            if not berth.out and (not self.takes(id_) or berth.lost) and now - berth.heard_at > after_ms:
+                self.services.get(berth.server.service, {}).pop(id_, None)
+                del self.berths[id_]
--- /dev/null
+++ b/wickspring/pilot/upstream.py
@@ -0,0 +1,102 @@
+"""Exchanges with servers: the shared connections, and what an answer must show to be the server's own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from wickspring.interface import Status
+from wickspring.net.upstream.carrier import Job, Reply, Sink
+from wickspring.net.upstream.http1 import Http1Link
+
+HOP = frozenset(
+    {
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+        "trailer", "transfer-encoding", "upgrade", "content-length",
+    }
+)  # fmt: skip
+ID, SEAL, NOT_RUN = "x-attempt-id", "x-server-seal", "x-not-executed"
+
+
+class Dials(msgspec.Struct, frozen=True):
+    """What the shared connections need to know of servers; milliseconds."""
+
+    seed: int
+    dial_timeout: float = 220.0
+    idle_close: float = 9000.0
+    cold_capacity: float = 1.0
+    cold_time: float = 1.0
+    load_fields: tuple[str, ...] = ()
+    streams_per_connection: int = 1
+
+
+@dataclass(slots=True)
+class Landing(Reply):
+    """A server's answer, whole."""
+
+    code: int = 0
+    pairs: list[tuple[str, str]] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False, kw_only=True)
+class Passage(Job):
+    """One try at one server."""
+
+    id: str
+    heard: Callable[[dict[str, str]], None] = lambda _: None  # of each answer's headers
+    flowing: Callable[[int, list[tuple[str, str]], int | None], Sink | None] = lambda *_: None
+
+
+def own(pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that are not of a single connection, nor named so by it."""
+    values = [value for name, value in pairs if name.lower() == "connection"]
+    named = {word.strip().lower() for value in values for word in value.split(",")}
+    return [(k, v) for k, v in pairs if k.lower() not in HOP and k.lower() not in named]
+
+
+def is_own(code: int, headers: dict[str, str], passage: Passage) -> bool:
+    """Tell whether an answer is the server's to this request, as far as its head can show."""
+    if headers.get(ID) != passage.id:
+        return False
+    return not (200 <= code < 300) or (SEAL in headers and "content-encoding" not in headers)
+
+
+class GatewayLink(Http1Link):
+    """A connection to a server of the gateway."""
+
+    def read(self, answer: tuple[int, dict[str, str], bytes]) -> Reply:
+        """Take a whole answer for the server's, or its connection for spoilt."""
+        code, headers, body = answer
+        passage = self.job
+        if not isinstance(passage, Passage):  # a probe
+            return Reply(Status.OK if code == 200 else Status.ERROR, body=body)
+        passage.heard(headers)
+        if headers.get(ID) != passage.id:
+            # Another request's answer, late: what comes next on this connection is not to be trusted.
+            self._spoilt()
+            return Reply(Status.RESET)
+        if NOT_RUN in headers or code == 421:
+            return Landing(Status.FULL, body=body, code=code, pairs=self.reader.pairs)
+        if not is_own(code, headers, passage):
+            self._spoilt()
+            return Reply(Status.RESET)
+        status = Status.OK if code < 500 else Status.ERROR
+        return Landing(status, body=body, code=code, pairs=self.reader.pairs)
+
+    def _spoilt(self) -> None:
+        self.closed = True
+        self.upstream.room(self.conn, 0)
+        if self.link is not None:
+            self.link.close()
+
+    def begins(self, job: Job) -> Sink | None:
+        """Let a long answer through once its head shows whose it is."""
+        if not isinstance(job, Passage):
+            return None
+        pairs = self.reader.pairs
+        code, headers = self.reader.code, dict(pairs)
+        if NOT_RUN in headers or not is_own(code, headers, job):
+            return None
+        return job.flowing(code, pairs, self.reader.length)
