--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -3,19 +3,19 @@
 What the chain holds (`Hold`) only grows: the highest version of the configuration, and the servers that
 have been acknowledged as leaving. So two copies can always be joined, and a copy never has to be taken back.
 
-A write enters at the head, is saved, goes to the next, and so on; the tail's word that it is saved
-there too comes back up the line, and only then is it acknowledged. Every member of the view has it on disk by then.
+A write enters at the head, is saved, goes to the next, and so on; the tail's word that it is saved there
+too comes back up the line, and only then is it acknowledged. Every member of the view has it by then.
 
 A view is an epoch and its members in order. The next view is agreed by a majority of the present one, by a
 single decree for each epoch (a ballot is prepared, then accepted). Who has promised for the next epoch passes
 nothing more in this one, and its promise brings what it holds; so whatever was acknowledged in a view is with
-at least one of the majority that ends it, and the next view begins by passing all of it down the new chain.
+at least one of the majority that ends it, and the next view begins by passing all of it down its chain.
 
 A member is an address with the id of its disk. One that comes back with an empty disk is another member: it
 has no vote, and is no copy, until a view takes it in.
 
-No I/O and no clock here; times are milliseconds. The host saves `durable()` whenever `dirty` is set, before it
-sends anything of `out` or tells anything of `done` and `news`.
+No I/O and no clock here; times are milliseconds. The host saves `durable()` whenever `dirty` is set, before
+it sends anything of `out` or tells anything of `done` and `news`.
 """
 
 from __future__ import annotations
--- a/wickspring/lighthouse/tally.py
+++ b/wickspring/lighthouse/tally.py
@@ -1,8 +1,8 @@
 """Tenants' counts: one add a request to a tenant's present window, kept by one core machine for each tenant.
 
-Windows are short and numbered by the steady clock of the machine that keeps the count, so nobody else
-needs to know what time it is. A window's limit is what the rule's ceiling over a sliding span leaves after the windows
-before it that the span can still touch. So every span of that length stays under the ceiling.
+Windows are short and numbered by the steady clock of the machine that keeps the count, so nobody else needs
+to know what time it is. A window's limit is what the rule's ceiling over a sliding span leaves after the
+windows before it that the span can still touch. So every span of that length stays under the ceiling.
 
 Each pilot's part is kept apart, and its own word replaces it when it comes to a keeper anew: so a count moves
 to another machine, or to one that has forgotten everything, with what the pilots know of it.
