Give a tenant's unspent rate on from window to window, first comers first

Change: a window's limit is what the rate brings in it and what earlier windows have left, up to the burst; come-backs leave a fifth of the burst to others.

--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -46,7 +46,7 @@
         )
         self.register = Register(1000.0 * boot.heartbeat_s)
         bounds = boot.guarantees
-        self.tally = Tally(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+        self.tally = Tally(bounds.quota_window_s)
         self.resources = [make(self) for make in RESOURCES]
         self.pilots: dict[Cable, str] = {}
         self.chart = Chart()
@@ -197,7 +197,7 @@
         elif cable.about.get("core"):
             self.core.take(cable, message)
         elif name == "add":
-            self._add(cable, int(message[1]), str(message[2]))
+            self._add(cable, int(message[1]), str(message[2]), bool(message[3]))
         elif name == "back":
             self.tally.give_back(self.clock.now(), str(message[1]), cable.name)
         elif name == "past":
@@ -210,13 +210,15 @@
             cable.send(*self._view())
             self._whole(cable)
 
-    def _add(self, cable: Cable, number: int, name: str) -> None:
+    def _add(self, cable: Cable, number: int, name: str, again: bool) -> None:
         now = self.clock.now()
         tenant = self.chart.tenants.get(name)
         if tenant is None or not self.core.steady or now - self.tenure_at < TENURE_MS:
             cable.send("moved", number)
             return
-        total, limit, wait = self.tally.add(now, name, cable.name, tenant.rate, tenant.burst)
+        total, limit, wait = self.tally.add(
+            now, name, cable.name, tenant.rate, tenant.burst, again
+        )
         cable.send("sum", number, total, limit, round(wait))
 
     def _from_core(self, ip: str, message: Message) -> None:
@@ -287,9 +289,8 @@
                 for one in self.register.servers.values()
             ],
             "counts": {
-                name: {"in_span": count.total, "limit": self.tally.limit(tenant.rate, tenant.burst)}
+                name: {"in_span": count.total, "left": round(max(0.0, count.level), 1)}
                 for name, count in self.tally.counts.items()
-                if (tenant := self.chart.tenants.get(name)) is not None
             },
         }  # fmt: skip
 
--- a/wickspring/lighthouse/tally.py
+++ b/wickspring/lighthouse/tally.py
@@ -1,8 +1,13 @@
 """Tenants' counts: one add a request to a tenant's present window, kept by one core machine for each tenant.
 
 Windows are short and numbered by the steady clock of the machine that keeps the count, so nobody else needs
-to know what time it is. A window's limit is what the rule's ceiling over a sliding span leaves after the
-windows before it that the span can still touch. So every span of that length stays under the ceiling.
+to know what time it is. A window's limit is what the tenant's rate brings in its length, and what the ones
+before have left of that, as far as the burst goes. So no window's edge lets a tenant spend two limits close
+together, and every sliding span stays under the rule's ceiling: it touches one window more than it is long.
+
+A client that comes back after a refusal shows it by the time that it has left. While a tenant asks for more
+than it may have, those who come for the first time go first: else the same few units are asked for again and
+again, and who was refused once is refused twice.
 
 Each pilot's part is kept apart, and its own word replaces it when it comes to a keeper anew: so a count moves
 to another machine, or to one that has forgotten everything, with what the pilots know of it.
@@ -13,8 +18,9 @@
 from collections import deque
 from collections.abc import Iterable
 
-WINDOWS = 20  # in a span of the rule
-CEILING_SHARE = 0.93  # of the rule's ceiling that is given out: the rest is for what nobody could count
+WINDOWS = 50  # in a span of the rule
+RATE_SHARE, BURST_SHARE, BURST_MORE = 1.03, 1.05, 3.0  # of the tenant's own, that are given out
+AGAIN_SHARE, AGAIN_LEAST = 0.2, 4.0  # of the burst that is kept for those who come for the first time
 
 
 def ceiling(rate: float, burst: float, span_s: float, excess: float, slack: float) -> float:
@@ -25,28 +31,43 @@
 class Count:
     """One tenant's windows of late."""
 
-    __slots__ = ("parts", "total", "windows")
+    __slots__ = ("level", "level_at", "parts", "total", "windows")
 
     def __init__(self) -> None:
         self.windows: deque[tuple[int, int]] = deque()  # number and units over all pilots, oldest first
         self.parts: dict[str, dict[int, int]] = {}  # by pilot
         self.total = 0
-
-    def advance(self, window: int) -> None:
-        """Let go of windows that no span can touch any more."""
-        oldest = window - WINDOWS
-        while self.windows and self.windows[0][0] < oldest:
+        self.level = -1.0  # units that the present window may still give; below 0: it is to be worked out
+        self.level_at = 0  # the window that it is of
+
+    def advance(self, window: int, brings: float, most: float) -> None:
+        """Go on to a window: what time has brought, and what no span can touch any more."""
+        if self.level < 0:
+            self._work_out(window, brings, most)
+        elif window > self.level_at:
+            self.level = min(most, self.level + (window - self.level_at) * brings)
+        self.level_at = window
+        while self.windows and self.windows[0][0] < window - WINDOWS:
             self.total -= self.windows.popleft()[1]
 
-    def add(self, window: int, pilot: str, units: int) -> None:
-        """Add to the present window."""
+    def _work_out(self, window: int, brings: float, most: float) -> None:
+        """Work out what is left from what was spent: at least what a keeper from the beginning would have."""
+        level, at = most, window - WINDOWS
+        for number, units in self.windows:
+            level = min(most, level + max(0, number - at) * brings) - units
+            at = number
+        self.level = max(0.0, min(most, level + max(0, window - at) * brings))
+
+    def add(self, window: int, pilot: str) -> None:
+        """Add a unit to the present window."""
         if self.windows and self.windows[-1][0] == window:
-            self.windows[-1] = window, self.windows[-1][1] + units
+            self.windows[-1] = window, self.windows[-1][1] + 1
         else:
-            self.windows.append((window, units))
-        self.total += units
+            self.windows.append((window, 1))
+        self.total += 1
+        self.level -= 1.0
         part = self.parts.setdefault(pilot, {})
-        part[window] = part.get(window, 0) + units
+        part[window] = part.get(window, 0) + 1
         if len(part) > 2 * WINDOWS:
             for old in [w for w in part if w < window - WINDOWS]:
                 del part[old]
@@ -64,56 +85,57 @@
                 if at >= window - WINDOWS:
                     sums[at] = sums.get(at, 0) + units
         self.windows = deque(sorted(sums.items()))
-        self.total = sum(sums.values())
+        self.total, self.level = sum(sums.values()), -1.0
 
 
 class Tally:
     """The counts that this machine keeps."""
 
-    def __init__(self, span_s: float, excess: float, slack: float) -> None:
-        self.span_s, self.excess, self.slack = span_s, excess, slack
+    def __init__(self, span_s: float) -> None:
         self.window_ms = 1000.0 * span_s / WINDOWS
         self.counts: dict[str, Count] = {}
 
-    def limit(self, rate: float, burst: float) -> int:
-        """Return what is given out in any span."""
-        return int(CEILING_SHARE * ceiling(rate, burst, self.span_s, self.excess, self.slack))
-
-    def _count(self, now: float, tenant: str) -> tuple[int, Count]:
+    def _count(self, now: float, tenant: str, rate: float, burst: float) -> tuple[int, float, Count]:
         window = int(now / self.window_ms)
         count = self.counts.get(tenant)
         if count is None:
             count = self.counts[tenant] = Count()
-        count.advance(window)
-        return window, count
+        brings = RATE_SHARE * rate * self.window_ms / 1000.0
+        count.advance(window, brings, max(1.0, BURST_SHARE * burst + BURST_MORE))
+        return window, brings, count
 
-    def add(self, now: float, tenant: str, pilot: str, rate: float, burst: float) -> tuple[int, int, float]:
-        """Add one unit; return the total in the span, the limit, and ms until the window's end.
+    def add(
+        self, now: float, tenant: str, pilot: str, rate: float, burst: float, again: bool = False
+    ) -> tuple[int, int, float]:
+        """Add one unit; return the total in the span, the limit on it, and ms until the window's end.
 
         What takes the total past the limit does not stay in it: the pilot refuses it by that total.
         """
-        window, count = self._count(now, tenant)
-        limit = self.limit(rate, burst)
+        window, brings, count = self._count(now, tenant, rate, burst)
+        kept = max(AGAIN_LEAST, AGAIN_SHARE * burst) if again else 0.0
+        limit = count.total + int(count.level - kept)
         if count.total + 1 > limit:
-            # The first window of the span to end takes its units with it.
-            freed = count.windows[0][0] + WINDOWS + 1 if count.windows else window + 1
-            return count.total + 1, limit, max(freed, window + 1) * self.window_ms - now
-        count.add(window, pilot, 1)
+            windows = max(1.0, (1.0 + kept - count.level) / max(brings, 1e-9))
+            return count.total + 1, limit, (window + windows) * self.window_ms - now
+        count.add(window, pilot)
         return count.total, limit, (window + 1) * self.window_ms - now
 
     def give_back(self, now: float, tenant: str, pilot: str) -> None:
         """Take a unit off again that was not used: its request has not run and never will."""
-        _, count = self._count(now, tenant)
-        part = count.parts.get(pilot, {})
+        count = self.counts.get(tenant)
+        part = count.parts.get(pilot, {}) if count is not None else {}
+        if count is None:
+            return
         for index in range(len(count.windows) - 1, -1, -1):
             at, units = count.windows[index]
             if part.get(at, 0) > 0 and units > 0:
                 part[at] -= 1
                 count.windows[index] = at, units - 1
                 count.total -= 1
+                count.level += 1.0
                 return
 
     def past(self, now: float, tenant: str, pilot: str, told: Iterable[tuple[int, int]]) -> None:
         """Take a pilot's own word of what it has sent on of late."""
-        window, count = self._count(now, tenant)
-        count.replace(window, pilot, told)
+        count = self.counts.setdefault(tenant, Count())
+        count.replace(int(now / self.window_ms), pilot, told)
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -160,14 +160,14 @@
             keeper = self._keepers[tenant] = max(self.members, key=weight, default="")
         return keeper
 
-    def add(self, tenant: str, answered: Answered) -> int:
+    def add(self, tenant: str, again: bool, answered: Answered) -> int:
         """Add a unit to a tenant's count; a number to `give_up` by, or 0 where nobody can be asked."""
         caller = self.callers.get(self.keeper(tenant))
         if caller is None or not caller.live:
             return 0
         self._number += 1
         self._adds[self._number] = answered
-        caller.send("add", self._number, tenant)
+        caller.send("add", self._number, tenant, again)
         return self._number
 
     def give_up(self, number: int) -> None:
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -37,6 +37,7 @@
 CONN_SHARE = 0.9  # of a server's connections that all pilots together take
 CONNS_LEAST, CONNS_MOST = 3, 64
 KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
+AGAIN_LEFT = 0.97  # of the time that a route's clients have at first, below which one comes again
 FORGET_MS = 20_000.0
 READY_WITHOUT_MS = 2500.0  # after which a pilot with a configuration serves by what one lighthouse told
 FIGURES_MS = 10_000.0
@@ -53,8 +54,8 @@
     """One client's try on its way."""
 
     __slots__ = (
-        "body", "client", "feed", "headers", "hedge", "host", "id", "landing", "method", "number", "passing",
-        "target", "tenant", "timer", "tries",
+        "again", "body", "client", "feed", "headers", "hedge", "host", "id", "landing", "method", "number",
+        "passing", "target", "tenant", "timer", "tries",
     )  # fmt: skip
 
     def __init__(self, number: int, client: Client, method: str, target: str, tries: Tries) -> None:
@@ -65,6 +66,7 @@
         self.body = b""
         self.feed: Feed | None = None
         self.tenant: Tenant | None = None
+        self.again = False  # its client has been here before, by the time that it has left
         self.passing = False  # its answer flows
         self.landing: Landing | None = None  # a whole answer that is no success, kept while others are out
         self.timer: Callable[[], None] = lambda: None  # cancels the end
@@ -100,6 +102,7 @@
         self.begun_at = self.clock.now()
         self.ready = False
         self.tally: Counter[str] = Counter()
+        self.told_ms: dict[str, float] = {}  # the longest time that clients of a route have told
         self._last = 0
 
     @property
@@ -191,6 +194,10 @@
         if tenant is not None:
             request.tenant = tenant
             request.headers.append(("X-Tenant", tenant.name))
+        has, most = float(left) if left else MOST_LEFT_MS, self.told_ms.get(route.name, 0.0)
+        if has > most:
+            self.told_ms[route.name] = most = has
+        request.again = has < AGAIN_LEFT * most
         self.requests[request.number] = request
         if not route.pure:
             self.ids.add(id_)
@@ -234,7 +241,7 @@
                 self._end(request, Kind.OVER_QUOTA, ruling.wait * self.random.uniform(1.0, 1.2))
 
         timer = self.timers.at(now + ADD_MS, alone)
-        number = self.moorings.add(tenant.name, answered)
+        number = self.moorings.add(tenant.name, request.again, answered)
         if not number:
             timer.cancel()
             alone()
--- a/wickspring/pilot/policy/quota.py
+++ b/wickspring/pilot/policy/quota.py
@@ -2,7 +2,7 @@
 
 The keeper of a tenant's count tells the total in the rule's span with each add; the pilot refuses where that
 is past the limit. It remembers what it has sent on itself, and which part of the total that was. While the
-keeper is silent it goes on within that part of the limit, less a margin: all parts together stay under the
+keeper is silent it goes on within that part of the ceiling, less a margin: all parts together stay under the
 ceiling, and what a pilot has sent on before counts in its part. It tells the next keeper all of it.
 """
 
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 
 from wickspring.harbour.chart import Tenant
-from wickspring.lighthouse.tally import CEILING_SHARE, WINDOWS, ceiling
+from wickspring.lighthouse.tally import WINDOWS, ceiling
 
-ALONE_SHARE = 0.7  # of its part of the limit that a pilot sends on without an answer
+ALONE_SHARE = 0.65  # of its part of the ceiling that a pilot sends on without an answer
 PART_LEAST = 0.25  # of an even part, for a pilot that does not know its own
 PART_MEMORY = 12.0  # answers in the mean of the part
 FEW = 6  # units in a total that says nothing yet of parts
@@ -85,7 +85,7 @@
     def alone(self, now: float, tenant: Tenant, pilots: int) -> Ruling:
         """Rule on a request whose add nobody has answered; its unit is noted already."""
         _, account = self._account(now, tenant.name)
-        whole = CEILING_SHARE * ceiling(tenant.rate, tenant.burst, self.span_s, self.excess, self.slack)
+        whole = ceiling(tenant.rate, tenant.burst, self.span_s, self.excess, self.slack)
         part = account.part if account.part >= 0 else PART_LEAST / max(1, pilots)
         if account.own <= ALONE_SHARE * part * whole:
             return Ruling(True)
