--- /dev/null
+++ b/tests/test_gateway_processes.py
@@ -0,0 +1,164 @@
+"""A whole gateway of real processes on loopback, with faults between them."""
+
+from __future__ import annotations
+
+import shutil
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from wickspring.lab.harbour import Harbour, document
+
+STEP_S = 0.02
+
+
+@asynccontextmanager
+async def gateway(folder: Path, net: int) -> AsyncIterator[Harbour]:
+    harbour = Harbour(folder, net=net)
+    try:
+        async with trio.open_nursery() as nursery:
+            for ip in (*harbour.lights, *harbour.pilots):
+                harbour.start(ip)
+            for one in harbour.servers():
+                nursery.start_soon(one.run)
+            assert await harbour.order(document(1)) == 200
+            await harbour.ready()
+            yield harbour
+            nursery.cancel_scope.cancel()
+    finally:
+        harbour.stop()
+
+
+async def until_served(harbour: Harbour, pilot: int, path: str, name: str) -> int:
+    """Ask again under new ids until an answer is 200; how often it took."""
+    for number in range(400):
+        if (await harbour.ask(pilot, path, f"{name}-{number}"))[0] == 200:
+            return number + 1
+        await trio.sleep(STEP_S)
+    raise AssertionError("never served")
+
+
+def ran(harbour: Harbour) -> dict[str, int]:
+    return {id_: times for one in harbour.standins for id_, times in one.ran.items()}
+
+
+async def asked_in_vain(harbour: Harbour, path: str, count: int, name: str) -> int:
+    """Ask both pilots in turn; how many were not served."""
+    failed = 0
+    for number in range(count):
+        status, _ = await harbour.ask(number % 2, path, f"{name}-{number}")
+        failed += status != 200
+    return failed
+
+
+def test_what_is_acknowledged_outlives_the_head_a_wiped_disk_and_all_processes(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with gateway(tmp_path, 11) as harbour:
+            assert await harbour.order(document(5)) == 200
+            head, second, tail = harbour.lights
+            harbour.kill(head)  # while it is away, orders go on in a view of the other two
+            assert await harbour.order(document(9)) == 200
+            assert await harbour.read() == 9
+            assert await asked_in_vain(harbour, "/look/1", 20, "away") == 0
+            shutil.rmtree(tmp_path / head / "data")  # its disk is lost: it comes back as another member
+            harbour.start(head, first=False)
+            assert await harbour.order(document(12)) == 200
+            for ip in (head, second, tail):
+                harbour.kill(ip)
+            assert await asked_in_vain(harbour, "/look/1", 20, "alone") == 0  # pilots go on by what they know
+            for ip in (head, second, tail):
+                harbour.start(ip, first=False)
+            assert await harbour.read() == 12
+            assert await harbour.order(document(11)) == 200  # an older one changes nothing
+            assert await harbour.read() == 12
+            assert await harbour.order(b'{"generation":"r20"}') == 400
+
+    trio.run(play)
+
+
+def test_an_acknowledged_drain_reaches_pilots_that_were_not_there(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with gateway(tmp_path, 12) as harbour:
+            leaving = harbour.standins[0]
+            leaving.state = "draining"
+            with trio.fail_after(5.0):
+                while not leaving.acknowledged:
+                    await trio.sleep(STEP_S)
+            pilot = harbour.pilots[0]
+            harbour.kill(pilot)
+            for ip in harbour.lights:  # what is durable has to carry it, not what they remember
+                harbour.kill(ip)
+                harbour.start(ip, first=False)
+            harbour.start(pilot, first=False)
+            await harbour.ready()
+            before = sum(leaving.ran.values())
+            assert await asked_in_vain(harbour, "/look/1", 60, "after") == 0
+            assert sum(leaving.ran.values()) == before
+
+    trio.run(play)
+
+
+def test_what_may_run_once_runs_once_while_servers_and_pilots_end(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with gateway(tmp_path, 13) as harbour:
+            answers: dict[str, int] = {}
+
+            async def ask(number: int) -> None:
+                id_ = f"once-{number}"
+                answers[id_] = (await harbour.ask(number % 2, "/do/1", id_, method="POST"))[0]
+
+            for one in harbour.standins:
+                one.slots, one.work_s = 1, 0.03  # so that many are turned away, and go to another
+            async with trio.open_nursery() as nursery:
+                for number in range(120):
+                    nursery.start_soon(ask, number)
+                    await trio.sleep(STEP_S / 2)
+                    if number == 60:
+                        harbour.kill(harbour.pilots[1])
+                        harbour.start(harbour.pilots[1], first=False)
+            times = ran(harbour)
+            assert max(times.values()) == 1
+            assert sum(status == 200 for status in answers.values()) > 40
+            for id_, status in answers.items():
+                if status == 200:
+                    assert times.get(id_) == 1
+                elif status in (429, 503):
+                    assert id_ not in times  # a promise
+            await until_served(harbour, 1, "/look/1", "back")
+            assert {name for one in harbour.standins for name in one.tenants} == {"toy"}
+            assert (await harbour.ask(0, "/look/1", "stranger", key="no-key"))[0] == 401
+            assert (await harbour.ask(0, "/nowhere/", "lost"))[0] == 404
+
+    trio.run(play)
+
+
+def test_quotas_hold_over_all_pilots_while_their_keeper_ends(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with gateway(tmp_path, 14) as harbour:
+            assert await harbour.order(document(2, rate=20.0)) == 200
+            served: list[float] = []
+            refused = 0
+
+            async def ask(number: int) -> None:
+                nonlocal refused
+                status, _ = await harbour.ask(number % 2, "/look/1", f"q-{number}")
+                if status == 200:
+                    served.append(trio.current_time())
+                refused += status == 429
+
+            async with trio.open_nursery() as nursery:
+                begun, number = trio.current_time(), 0
+                while trio.current_time() < begun + 4.0:
+                    number += 1
+                    nursery.start_soon(ask, number)
+                    await trio.sleep(0.012)
+                    if number == 100:
+                        for ip in harbour.lights:
+                            harbour.kill(ip)
+                            harbour.start(ip, first=False)
+            assert 20 < len(served) <= (20 * 5 + 20) * 1.1 + 20
+            assert refused > 50
+
+    trio.run(play)
--- /dev/null
+++ b/wickspring/helm/__main__.py
@@ -0,0 +1,133 @@
+"""`python -m wickspring.helm`: status of members, servers, configuration, counts and chain; orders.
+
+Exits with 0 where it went well, 1 where the gateway refused or nobody answered, 2 where words are at fault.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+
+from wickspring.helm.calls import NobodyError, call
+
+LIGHTS = "127.0.1.1:8783,127.0.1.2:8783,127.0.1.3:8783"
+
+
+def _table(rows: list[dict[str, Any]]) -> str:
+    if not rows:
+        return "none"
+    names = list(rows[0])
+    cells = [names, *([str(row.get(name, "")) for name in names] for row in rows)]
+    widths = [max(len(line[at]) for line in cells) for at in range(len(names))]
+    lines = ("  ".join(c.ljust(w) for c, w in zip(line, widths, strict=True)) for line in cells)
+    return "\n".join(line.rstrip() for line in lines)
+
+
+class Helm:
+    """Operate a gateway. `--at` names its lighthouses' control addresses, `--json` asks for JSON."""
+
+    def __init__(self, at: str | tuple[str, ...] = LIGHTS, json: bool = False) -> None:
+        self._at = at if isinstance(at, str) else ",".join(at)
+        self._json = json
+
+    def _status(self) -> Any:
+        return call(self._at, "GET", "/status").tree
+
+    def _show(self, tree: Any, text: str) -> str:
+        return json.dumps(tree, indent=1) if self._json else text
+
+    def status(self) -> str:
+        """Show who is there: lighthouses, pilots, and how many servers."""
+        rows: list[dict[str, Any]] = []
+        for address in self._at.split(","):
+            try:
+                one = call(address, "GET", "/status").tree
+            except NobodyError as error:
+                rows.append({"lighthouse": address, "state": f"no answer ({error})"})
+                continue
+            chain = one["chain"]
+            state = "steady" if chain["steady"] else "frozen" if chain["frozen"] else "spare"
+            if chain["member"] and not chain["steady"] and not chain["frozen"]:
+                state = "alone"
+            rows.append(
+                {
+                    "lighthouse": address, "state": state, "epoch": chain["epoch"],
+                    "held": f"r{chain['held']}", "safe": f"r{chain['safe']}",
+                    "servers": len(one["servers"]), "pilots": ",".join(one["pilots"]) or "-",
+                }
+            )  # fmt: skip
+        names = ("lighthouse", "state", "epoch", "held", "safe", "servers", "pilots")
+        return self._show(rows, _table([{name: row.get(name, "") for name in names} for row in rows]))
+
+    def chain(self) -> str:
+        """Show the chain: its view, and which copy is behind."""
+        one = self._status()
+        view = one["chain"]
+        rows = [{"place": at, "machine": ip} for at, ip in enumerate(view["members"])]
+        for row in rows:
+            told = one["core"].get(row["machine"])
+            if told is None:
+                row |= {"live": True, "safe": f"r{view['safe']}", "disk": view["disk"]}
+            else:
+                safe, disk = f"r{told.get('version', '?')}", told.get("disk", "?")
+                row |= {"live": told["live"], "safe": safe, "disk": disk}
+        return self._show(view, f"epoch {view['epoch']}\n{_table(rows)}")
+
+    def servers(self) -> str:
+        """Show the servers as one lighthouse knows them."""
+        rows = self._status()["servers"]
+        return self._show(rows, _table(rows))
+
+    def counts(self) -> str:
+        """Show the tenants' counts that one lighthouse keeps."""
+        counts = self._status()["counts"]
+        return self._show(counts, _table([{"tenant": name, **one} for name, one in counts.items()]))
+
+    def read(self) -> str:
+        """Print the newest configuration."""
+        answered = call(self._at, "GET", "/config/read")
+        if answered.status != 200:
+            raise SystemExit(f"{answered.at}: {answered.status} {answered.body.decode()}")
+        return json.dumps(answered.tree, indent=1)
+
+    def check(self, file: str) -> str:
+        """Check a configuration file here, without sending it."""
+        from wickspring.lighthouse.check import check
+
+        found = check(Path(file).read_bytes())
+        if found.is_error():
+            raise SystemExit(f"{file}: {found.error.reason}")
+        return f"{file}: r{found.ok} is valid"
+
+    def replace(self, file: str) -> str:
+        """Send a configuration file, and say which version holds then."""
+        answered = call(self._at, "POST", "/config/replace", Path(file).read_bytes())
+        if answered.status != 200:
+            raise SystemExit(f"{answered.at}: {answered.status} {answered.body.decode()}")
+        return f"{answered.at}: acknowledged, {answered.tree['generation']} holds"
+
+    def up(self, seconds: float = 0.0) -> None:
+        """Run a toy gateway on loopback until interrupted: two pilots, three lighthouses, six servers."""
+        from wickspring.lab.harbour import up
+
+        up(seconds)
+
+
+def main() -> None:
+    """Run one command."""
+    try:
+        fire.Fire(Helm, name="wickspring.helm")
+    except NobodyError as error:
+        sys.stderr.write(f"no clear answer: {error}\n")
+        sys.exit(1)
+    except OSError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
