Let pilots pass news on among themselves, and keepers remember debts and tell shadows

Change: the rate itself is given out; a keeper's debt stays; counts that run low are told to the other lighthouses; pilots probe each other and pass news on. Ruled out: the breach is no matter of time-outs of single adds.

--- a/tests/test_pilot_policy.py
+++ b/tests/test_pilot_policy.py
@@ -202,3 +202,22 @@
             sent.append(now)
     most = ceiling(tenant.rate, tenant.burst, SPAN_S, EXCESS, SLACK)
     assert (most_in_a_span(sent, 1000.0 * SPAN_S) <= most) == kept
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_what_ended_together_with_its_keeper_is_not_forgotten(told: bool) -> None:
+    keeper, other, units = Tally(SPAN_S, EXCESS, SLACK), Tally(SPAN_S, EXCESS, SLACK), 0
+    for step in range(2000):
+        now = float(step)
+        total, limit, _ = keeper.add(now, "t", "p", 63.0, 63.0)
+        units += total <= limit
+        if told and step % 250 == 0:
+            for name, windows in keeper.much_used(now, {"t": 63.0}).items():
+                other.shadowed(now, name, windows)
+    other.begin(2000.0)  # and pilot p, which alone could tell, has ended too
+    given = 0
+    for step in range(2000, 5000):
+        total, limit, _ = other.add(float(step), "t", "q", 63.0, 63.0)
+        given += total <= limit
+    most = ceiling(63.0, 63.0, SPAN_S, EXCESS, SLACK)
+    assert (units + given <= most) == told
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -33,6 +33,7 @@
 ALIVE_MS = 500.0
 MOST_ORDER = 4 << 20  # bytes of a configuration
 TENURE_MS = 350.0  # after a view, until counts are given out: the pilots tell first what they sent on
+INTRODUCED = 3  # pilots that a new one is told of
 LEAVE_S = 2.0  # for the others to mend the chain before this machine ends
 
 
@@ -192,6 +193,8 @@
                 self.pilots[cable] = cable.name
                 self.tally.back(cable.name)
                 cable.send(*self._view())
+                others = sorted(set(self.pilots.values()) - {cable.name})
+                cable.send("pilots", self.random.sample(others, min(INTRODUCED, len(others))))
                 self._whole(cable)
                 if self.chart.version > int(message[3].get("version", 0)):
                     cable.send("chart", self.chart.version, self.document)
@@ -231,6 +234,9 @@
                 known = self.register.servers.get(server.id)
                 if self.register.beat(now, server) is not None and known is None:
                     self._tell("servers", [server.pack(now)])
+        elif message[0] == "shadow":
+            for name, told in message[1].items():
+                self.tally.shadowed(now, str(name), [(int(ago), int(units)) for ago, units in told])
         elif message[0] == "alive":
             self.register.alive(now, [(str(id_), int(seq)) for id_, seq in message[1]])
             missing = [id_ for id_, _ in message[1] if id_ not in self.register.servers]
@@ -251,11 +257,16 @@
             chain = self.core.chain
             if chain.view.epoch != self._epoch:
                 self._epoch, self.tenure_at = chain.view.epoch, now
+                self.tally.begin(now)
                 self._tell(*self._view())
             if self._fresh and now - told_at >= ALIVE_MS:
                 told_at = now
                 self.core.say_all("alive", list(self._fresh.items()))
                 self._fresh = {}
+            bursts = {name: tenant.burst for name, tenant in self.chart.tenants.items()}
+            much_used = self.tally.much_used(now, bursts)
+            if much_used and self.core.steady:
+                self.core.say_all("shadow", much_used)
             for cable, name in list(self.pilots.items()):
                 if not cable.live:  # silent, and no reset: it may be cut off, and go on alone
                     del self.pilots[cable]
@@ -296,7 +307,7 @@
                 for one in self.register.servers.values()
             ],
             "counts": {
-                name: {"in_span": count.total, "left": round(max(0.0, count.level), 1)}
+                name: {"in_span": count.total, "left": round(max(0.0, count.level or 0.0), 1)}
                 for name, count in self.tally.counts.items()
             },
         }  # fmt: skip
--- a/wickspring/lighthouse/tally.py
+++ b/wickspring/lighthouse/tally.py
@@ -12,6 +12,9 @@
 A pilot that has gone silent may be cut off, and then goes on alone within its part (`pilot.policy.quota`). So
 what it may send on is kept back for a while; one whose cable was reset has ended, and sends on nothing.
 
+The machines that do not keep a count are told, while it runs low, how it went of late: so what pilots have
+sent on that ended together with the keeper is not forgotten.
+
 Each pilot's part is kept apart, and its own word replaces it when it comes to a keeper anew: so a count moves
 to another machine, or to one that has forgotten everything, with what the pilots know of it.
 """
@@ -19,11 +22,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from wickspring.harbour.quotas import ALONE_SHARE, WINDOWS, ceiling
 
-RATE_SHARE, BURST_SHARE, BURST_MORE = 1.03, 1.05, 3.0  # of the tenant's own, that are given out
+BURST_MORE = 2.0  # units above the burst that are given out: windows are not cut where the rule's are
+SHADOW_WINDOWS = 8  # that are told to the other machines, of tenants that have used up much
+MUCH = 0.5  # of what may be left, below which a tenant has used up much
 AWAY_MS = 30_000.0  # for which the part of a silent pilot is kept back
 LEFT_LEAST = 0.15  # of what a window brings that is given out whatever is kept back
 AGAIN_SHARE, AGAIN_LEAST = 0.2, 4.0  # of the burst that is kept for those who come for the first time
@@ -32,33 +37,34 @@
 class Count:
     """One tenant's windows of late."""
 
-    __slots__ = ("away", "level", "level_at", "parts", "total", "windows")
+    __slots__ = ("away", "level", "level_at", "parts", "shadow", "total", "windows")
 
     def __init__(self) -> None:
         self.windows: deque[tuple[int, int]] = deque()  # number and units over all pilots, oldest first
         self.parts: dict[str, dict[int, int]] = {}  # by pilot
+        self.shadow: dict[int, int] = {}  # units by window, as another machine counted them
         self.away: dict[str, tuple[float, float]] = {}  # silent pilots: share of the count, until when
         self.total = 0
-        self.level = -1.0  # units that the present window may still give; below 0: it is to be worked out
+        self.level: float | None = None  # units that the window may still give; None: it is to be worked out
         self.level_at = 0  # the window that it is of
 
     def advance(self, window: int, brings: float, most: float) -> None:
         """Go on to a window: what time has brought, and what no span can touch any more."""
-        if self.level < 0:
-            self._work_out(window, brings, most)
+        if self.level is None:
+            self.level = self._work_out(window, brings, most)
         elif window > self.level_at:
             self.level = min(most, self.level + (window - self.level_at) * brings)
         self.level_at = window
         while self.windows and self.windows[0][0] < window - WINDOWS:
             self.total -= self.windows.popleft()[1]
 
-    def _work_out(self, window: int, brings: float, most: float) -> None:
-        """Work out what is left from what was spent: at least what a keeper from the beginning would have."""
+    def _work_out(self, window: int, brings: float, most: float) -> float:
+        """Work out what is left from what was spent; below 0 where that was more than there was."""
         level, at = most, window - WINDOWS
         for number, units in self.windows:
             level = min(most, level + max(0, number - at) * brings) - units
             at = number
-        self.level = max(0.0, min(most, level + max(0, window - at) * brings))
+        return min(most, level + max(0, window - at) * brings)
 
     def add(self, window: int, pilot: str) -> None:
         """Add a unit to the present window."""
@@ -67,7 +73,7 @@
         else:
             self.windows.append((window, 1))
         self.total += 1
-        self.level -= 1.0
+        self.level = (self.level or 0.0) - 1.0
         part = self.parts.setdefault(pilot, {})
         part[window] = part.get(window, 0) + 1
         if len(part) > 2 * WINDOWS:
@@ -81,13 +87,20 @@
             if 0 <= ago <= WINDOWS and units > 0:
                 part[window - ago] = part.get(window - ago, 0) + units
         self.parts[pilot] = part
+        self.sum_up(window)
+
+    def sum_up(self, window: int) -> None:
+        """Add up all parts; of what pilots that have ended sent on, the keeper before has told."""
         sums: dict[int, int] = {}
         for held in self.parts.values():
             for at, units in held.items():
                 if at >= window - WINDOWS:
                     sums[at] = sums.get(at, 0) + units
+        for at, units in self.shadow.items():
+            if at >= window - WINDOWS:
+                sums[at] = max(units, sums.get(at, 0))
         self.windows = deque(sorted(sums.items()))
-        self.total, self.level = sum(sums.values()), -1.0
+        self.total, self.level = sum(sums.values()), None
 
 
 class Tally:
@@ -103,10 +116,10 @@
         count = self.counts.get(tenant)
         if count is None:
             count = self.counts[tenant] = Count()
-        brings = RATE_SHARE * rate * self.window_ms / 1000.0
+        brings = rate * self.window_ms / 1000.0
         if count.away:
             brings = max(LEFT_LEAST * brings, brings - self._kept_back(now, count, rate, burst))
-        count.advance(window, brings, brings + BURST_SHARE * burst + BURST_MORE)
+        count.advance(window, brings, brings + burst + BURST_MORE)
         return window, brings, count
 
     def _kept_back(self, now: float, count: Count, rate: float, burst: float) -> float:
@@ -139,9 +152,10 @@
         """
         window, brings, count = self._count(now, tenant, rate, burst)
         kept = max(AGAIN_LEAST, AGAIN_SHARE * burst) if again else 0.0
-        limit = count.total + int(count.level - kept)
+        level = count.level or 0.0
+        limit = count.total + max(0, int(level - kept))
         if count.total + 1 > limit:
-            windows = max(1.0, (1.0 + kept - count.level) / max(brings, 1e-9))
+            windows = max(1.0, (1.0 + kept - level) / max(brings, 1e-9))
             return count.total + 1, limit, (window + windows) * self.window_ms - now
         count.add(window, pilot)
         return count.total, limit, (window + 1) * self.window_ms - now
@@ -158,10 +172,36 @@
                 part[at] -= 1
                 count.windows[index] = at, units - 1
                 count.total -= 1
-                count.level += 1.0
+                count.level = None if count.level is None else count.level + 1.0
                 return
 
     def past(self, now: float, tenant: str, pilot: str, told: Iterable[tuple[int, int]]) -> None:
         """Take a pilot's own word of what it has sent on of late."""
         count = self.counts.setdefault(tenant, Count())
         count.replace(int(now / self.window_ms), pilot, told)
+
+    def much_used(self, now: float, bursts: Mapping[str, float]) -> dict[str, list[tuple[int, int]]]:
+        """Return the last windows of tenants that have used up much, for who may follow as keeper."""
+        window = int(now / self.window_ms)
+        told = {}
+        oldest = window - SHADOW_WINDOWS
+        for tenant, count in self.counts.items():
+            if count.level is not None and count.level < MUCH * bursts.get(tenant, 0.0):
+                last = [(window - at, units) for at, units in count.windows if at >= oldest]
+                if last:
+                    told[tenant] = last
+        return told
+
+    def shadowed(self, now: float, tenant: str, told: Iterable[tuple[int, int]]) -> None:
+        """Take in what another machine has counted of late while it kept this tenant's count."""
+        window = int(now / self.window_ms)
+        shadow = self.counts.setdefault(tenant, Count()).shadow
+        for ago, units in told:
+            shadow[window - ago] = max(units, shadow.get(window - ago, 0))
+        for old in [at for at in shadow if at < window - WINDOWS]:
+            del shadow[old]
+
+    def begin(self, now: float) -> None:
+        """Begin to keep: whatever was counted by others is in what is left from here on."""
+        for count in self.counts.values():
+            count.sum_up(int(now / self.window_ms))
--- /dev/null
+++ b/wickspring/pilot/flotilla.py
@@ -0,0 +1,259 @@
+"""How pilots know each other, and pass on what one of them has been told.
+
+Each pilot probes the others in turn with datagrams. One that does not answer is asked after through a few
+others; one whom none of them reaches is doubted, and the doubt goes round before it counts as gone
+(`gossip.members`). Each probe and its answer carry what the sender holds: the version of the configuration,
+how many servers it knows to leave, and a number for all that it knows. News goes to a few others at once;
+whoever finds itself behind fetches the rest over a cable. So a pilot that no lighthouse reaches still hears
+what the others hear, and nothing ever goes back: all that is taken in only grows.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+import msgpack
+import trio
+
+from wickspring.gossip.book import Digest, Entry
+from wickspring.gossip.members import Doubt, Members, Place
+from wickspring.harbour import log
+from wickspring.harbour.cable import Cable, Message
+from wickspring.net.clock import Clock
+from wickspring.net.link import Link, connect
+
+ROUND_S = 0.7
+WORD_S = 0.25  # for an answer to a probe
+FETCH_S = 1.5
+MATES = 3  # pilots that a piece of news is passed to
+ENTRIES = 8  # of members in one datagram
+DOUBTS = 4
+MOST_DATAGRAM = 1200  # bytes; more than a packet of the network would be lost with any part of it
+PIECE = 6  # servers in one datagram of news
+DIAL_MS = 300.0
+
+State = tuple[int, int, int]  # version of the configuration, servers that leave, a number for all servers
+
+
+class Holds(Protocol):
+    """What a pilot holds, and where what is fetched goes."""
+
+    def state(self) -> State:
+        """Return the state to compare."""
+
+    def tell_all(self, cable: Cable, version: int) -> None:
+        """Tell all that is held; the configuration only where it is above a version."""
+
+    def take(self, cable: Cable, message: Message) -> None:
+        """Take in what another pilot tells."""
+
+    def alone(self) -> bool:
+        """Tell whether no lighthouse is in reach."""
+
+
+class Flotilla:
+    """One pilot among the others."""
+
+    def __init__(
+        self, ip: str, port: int, clock: Clock, nursery: trio.Nursery, random: Random, holds: Holds
+    ) -> None:
+        self.ip, self.port, self.clock, self.nursery, self.random = ip, port, clock, nursery, random
+        self.holds = holds
+        now = clock.now() / 1000.0
+        self.members: Members[Place] = Members(ip, now, Place(ip), ROUND_S, random.getrandbits(32), now)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.bind((ip, port))
+        self._number = 0
+        self._waits: dict[int, Callable[[], None]] = {}
+        self._fetching = False
+
+    @property
+    def size(self) -> int:
+        """How many pilots are not gone, this one among them."""
+        return self.members.size
+
+    def introduce(self, ips: list[str]) -> None:
+        """Talk to these pilots, which a lighthouse has named."""
+        for ip in ips:
+            if ip != self.ip and self.members.about(ip) is None:
+                self._probe(ip)
+
+    def pass_on(self, kind: str, told: Any) -> None:
+        """Tell a piece of news to a few others."""
+        living = self.members.living()
+        for name in self.random.sample(living, min(MATES, len(living))):
+            self._send(name, kind, told)
+
+    # Datagrams.
+
+    def _send(self, ip: str, *message: object) -> None:
+        data = msgpack.packb([message[0], self.ip, *message[1:]])
+        if len(data) <= MOST_DATAGRAM:
+            try:
+                self.socket.sendto(data, (ip, self.port))
+            except OSError:
+                return  # as good as lost
+
+    def _entries(self, entries: tuple[Entry[Place], ...]) -> list[Any]:
+        told = []
+        for one in entries[:ENTRIES]:
+            left = None if one.content is None else one.content.left
+            told.append([one.owner, one.incarnation, one.beat, one.number, left])
+        return told
+
+    def _hear(self, told: list[Any]) -> None:
+        entries = [
+            Entry(str(o), float(i), int(b), int(n), None if left is None else Place(str(o), bool(left)))
+            for o, i, b, n, left in told
+        ]
+        self.members.hear(entries)
+
+    def _doubts(self, ip: str) -> list[Any]:
+        return [[one.name, one.incarnation, one.beat, one.by] for one in self.members.doubts(ip, DOUBTS)]
+
+    def _probe(self, ip: str, answered: Callable[[], None] = lambda: None) -> int:
+        self._number += 1
+        self._waits[self._number] = answered
+        digest = self.members.digest(ENTRIES)
+        heard = [digest.low, digest.high, digest.heard]
+        self._send(ip, "probe", self._number, heard, list(self.holds.state()), self._doubts(ip))
+        return self._number
+
+    async def run(self) -> None:
+        """Probe one of the others after another, and give up those that are gone."""
+        self.nursery.start_soon(self._receive)
+        while True:
+            await trio.sleep(ROUND_S * self.random.uniform(0.8, 1.2))
+            for name in self.members.tick(self.clock.now() / 1000.0):
+                log.event("pilot_gone", pilot=name, left=self.members.size)
+            self.members.write(Place(self.ip))
+            target = self.members.target()
+            if target is not None:
+                self.nursery.start_soon(self._ask, target)
+
+    async def _ask(self, ip: str) -> None:
+        """Probe one; through others where it does not answer."""
+        answered = trio.Event()
+        number = self._probe(ip, answered.set)
+        with trio.move_on_after(WORD_S):
+            await answered.wait()
+        self._waits.pop(number, None)
+        if answered.is_set():
+            self.members.reached(ip)
+            return
+        for helper in self.members.helpers(ip):
+            self._number += 1
+            self._waits[self._number] = answered.set
+            self._send(helper, "reach", self._number, ip)
+        with trio.move_on_after(2 * WORD_S):
+            await answered.wait()
+        if answered.is_set():
+            self.members.vouched(ip)
+        else:
+            self.members.unreached(ip)
+
+    async def _reach(self, asker: str, number: int, ip: str) -> None:
+        answered = trio.Event()
+        mine = self._probe(ip, answered.set)
+        with trio.move_on_after(WORD_S):
+            await answered.wait()
+        self._waits.pop(mine, None)
+        if answered.is_set():
+            self._send(asker, "reached", number)
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data, (ip, _) = self.socket.recvfrom(65536)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self.socket)
+                continue
+            except OSError:
+                continue
+            try:
+                message = msgpack.unpackb(data)
+                if message[1] == ip:
+                    self._take(ip, message)
+            except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException):
+                continue  # not of this system, or spoilt
+
+    def _take(self, ip: str, message: list[Any]) -> None:
+        name = message[0]
+        if name == "probe":
+            _, _, number, (low, high, heard), state, doubts = message
+            known = {str(k): (float(v[0]), int(v[1]), int(v[2])) for k, v in heard.items()}
+            news = self.members.answer(Digest(ip, known, low, high), ENTRIES)
+            entries = (*news.entries, *self.members.fresh(ENTRIES - len(news.entries)))
+            self._send(ip, "word", number, self._entries(entries), list(self.holds.state()), self._doubts(ip))
+            self._hear([[ip, *heard[ip], False]] if ip in heard else [])
+            self._doubted(doubts)
+            self._compare(ip, state)
+        elif name == "word":
+            _, _, number, entries, state, doubts = message
+            self._hear(entries)
+            answered = self._waits.pop(int(number), None)
+            if answered is not None:
+                answered()
+            self._doubted(doubts)
+            self._compare(ip, state)
+        elif name == "reach":
+            self.nursery.start_soon(self._reach, ip, int(message[2]), str(message[3]))
+        elif name == "reached":
+            answered = self._waits.pop(int(message[2]), None)
+            if answered is not None:
+                answered()
+        elif name in ("servers", "leavers"):
+            self.holds.take(Cable(_NOWHERE, self.clock), [name, message[2]])
+
+    def _doubted(self, doubts: list[Any]) -> None:
+        self.members.doubted(Doubt(str(n), float(i), int(b), str(by)) for n, i, b, by in doubts)
+
+    # Gaps.
+
+    def _compare(self, ip: str, told: list[Any]) -> None:
+        """Fetch from a pilot that is ahead, or, where no lighthouse is in reach, from one that differs."""
+        mine = self.holds.state()
+        ahead = told[0] > mine[0] or told[1] > mine[1]
+        if (ahead or (self.holds.alone() and told[2] != mine[2])) and not self._fetching:
+            self._fetching = True
+            self.nursery.start_soon(self._fetch, ip)
+
+    async def _fetch(self, ip: str) -> None:
+        try:
+            with trio.move_on_after(FETCH_S):
+                sock = await connect((ip, self.port), DIAL_MS)
+                if sock is None:
+                    return
+                cable = Cable(Link(sock, self.nursery), self.clock)
+                try:
+                    cable.send("fetch", self.holds.state()[0])
+                    await cable.read(self.holds.take)
+                finally:
+                    cable.close()
+        finally:
+            self._fetching = False
+
+    async def serve(self, cable: Cable) -> None:
+        """Tell all to a pilot that fetches."""
+
+        def take(cable: Cable, message: Message) -> None:
+            if message[0] == "fetch":
+                self.holds.tell_all(cable, int(message[1]))
+                cable.link.finish()
+
+        with trio.move_on_after(FETCH_S):
+            await cable.read(take)
+        cable.close()
+
+
+class _Nowhere:
+    """The link of news that came by datagram: nothing is said back on it."""
+
+    broken = True
+
+
+_NOWHERE: Any = _Nowhere()
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -26,11 +26,11 @@
 class Knows(Protocol):
     """What is told of servers goes here."""
 
-    def heard(self, now: float, server: Server) -> None:
-        """Take in news of a server."""
+    def heard(self, now: float, server: Server) -> bool:
+        """Take in what is told of a server; True where that is news."""
 
-    def left(self, leavers: dict[str, int]) -> None:
-        """Take in who leaves."""
+    def left(self, leavers: dict[str, int]) -> dict[str, int]:
+        """Take in who leaves; return those for whom that is news."""
 
     def silent(self, ids: list[str]) -> None:
         """Take in whom the lighthouses no longer hear."""
@@ -47,9 +47,13 @@
         past: Callable[[], list[tuple[str, list[tuple[int, int]]]]],
         digest: Callable[[], int],
         charted: Callable[[Chart], None],
+        passed_on: Callable[[str, object], None],
+        introduced: Callable[[list[str]], None],
     ) -> None:  # fmt: skip
         self.boot, self.clock, self.nursery, self.random = boot, clock, nursery, random
         self.servers, self._past, self._digest, self._charted = servers, past, digest, charted
+        self._passed_on, self._introduced = passed_on, introduced
+        self.packed = b""  # the configuration, as it came
         self.chart = Chart()
         self.epoch = -1
         self.members: list[str] = []
@@ -67,7 +71,7 @@
         for ip in ips:
             if ip not in self.callers:
                 caller = Caller(
-                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self._take
+                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self.take
                 )
                 self.callers[ip] = caller
                 self.nursery.start_soon(caller.run)
@@ -93,7 +97,8 @@
 
     # What is told.
 
-    def _take(self, cable: Cable, message: Message) -> None:
+    def take(self, cable: Cable, message: Message) -> None:
+        """Take in what a lighthouse, or another pilot, tells."""
         name, now = message[0], self.clock.now()
         if name == "sum":
             answer = self._adds.pop(int(message[1]), None)
@@ -104,10 +109,15 @@
             if answer is not None:
                 answer(0, -1, 0.0)
         elif name == "servers":
-            for told in message[1]:
-                self.servers.heard(now, Server.unpack(told, now))
+            news = [one for told in message[1] if self.servers.heard(now, one := Server.unpack(told, now))]
+            if news:
+                self._passed_on("servers", [one.pack(now) for one in news])
         elif name == "leavers":
-            self.servers.left({str(id_): int(state) for id_, state in message[1].items()})
+            left = self.servers.left({str(id_): int(state) for id_, state in message[1].items()})
+            if left:
+                self._passed_on("leavers", left)
+        elif name == "pilots":
+            self._introduced([str(ip) for ip in message[1]])
         elif name == "lost":
             self.servers.silent([str(id_) for id_ in message[1]])
         elif name == "whole":
@@ -135,6 +145,7 @@
         except (zlib.error, msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
             log.event("chart_unusable", version=version, reason=repr(error))
             return
+        self.packed = packed
         log.event("chart", version=version)
         self._charted(self.chart)
 
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -15,6 +15,7 @@
 from wickspring.connections.pools import Conn
 from wickspring.harbour import log
 from wickspring.harbour.boot import Address, Boot, parse_address
+from wickspring.harbour.cable import Cable, Message, answer
 from wickspring.harbour.chart import Chart, Route, Tenant
 from wickspring.harbour.kinds import ANSWERS, Kind
 from wickspring.harbour.servers import digest
@@ -27,8 +28,9 @@
 from wickspring.net.listening import accept, close_listener, listen, take_rest
 from wickspring.net.upstream.carrier import Carrier, Reply, Sink
 from wickspring.net.upstream.manager import Upstream
+from wickspring.pilot.flotilla import Flotilla, State
 from wickspring.pilot.moorings import ADD_MS, Moorings
-from wickspring.pilot.policy.budget import Budget
+from wickspring.pilot.policy.budget import UNKNOWN_FLEET, Budget
 from wickspring.pilot.policy.choice import Berth, Choice
 from wickspring.pilot.policy.quota import Quota, Ruling
 from wickspring.pilot.policy.tries import END_MS, HEDGE_LEFT, Outcome, Tries
@@ -86,8 +88,9 @@
         self.budgets: dict[str, Budget] = {}
         self.moorings = Moorings(
             boot, self.clock, nursery, self.random, self.choice, lambda: self.quota.past(self.clock.now()),
-            self._digest, self._charted,
+            self._digest, self._charted, self._pass_on, self._introduced,
         )  # fmt: skip
+        self.flotilla = Flotilla(boot.ip, boot.talk_port, self.clock, nursery, self.random, self)
         self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
         self.addresses: dict[str, Address] = {}
         self.limits = ConnectionLimits(
@@ -111,6 +114,12 @@
         """How many descriptors this process may have."""
         return self.boot.limits.max_fds - 200
 
+    @property
+    def fleet(self) -> int:
+        """How many pilots there are, as many as anybody counts; 0 where nobody has said."""
+        others = self.flotilla.size
+        return max(self.moorings.fleet, others if others > 1 else 0)
+
     @property
     def flowing(self) -> int:
         """How many long bodies and answers are on their way."""
@@ -123,6 +132,33 @@
             [one.server for id_, one in self.choice.berths.items() if not one.lost and self.choice.takes(id_)]
         )
 
+    def _pass_on(self, kind: str, told: object) -> None:
+        self.flotilla.pass_on(kind, told)
+
+    def _introduced(self, ips: list[str]) -> None:
+        self.flotilla.introduce(ips)
+
+    def state(self) -> State:
+        """Return what the other pilots compare with theirs."""
+        return self.moorings.chart.version, len(self.choice.leavers), self._digest()
+
+    def tell_all(self, cable: Cable, version: int) -> None:
+        """Tell another pilot all that is held here."""
+        now = self.clock.now()
+        if self.moorings.chart.version > version:
+            cable.send("chart", self.moorings.chart.version, self.moorings.packed)
+        known = [one.server.pack(now) for one in self.choice.berths.values() if not one.lost]
+        cable.send("whole", known, self.choice.leavers)
+
+    def take(self, cable: Cable, message: Message) -> None:
+        """Take in what another pilot tells."""
+        if message[0] in ("chart", "whole", "servers", "leavers"):
+            self.moorings.take(cable, message)
+
+    def alone(self) -> bool:
+        """Tell whether no lighthouse is in reach."""
+        return not self.moorings.live
+
     def _charted(self, chart: Chart) -> None:
         bounds = chart.bounds
         self.patience = Patience(
@@ -130,7 +166,7 @@
             most_head=bounds.head, most_body=bounds.body,
         )  # fmt: skip
         caps = [one.most_conns for one in chart.services.values() if one.most_conns > 0]
-        part = CONN_SHARE * min(caps, default=CONNS_MOST) / max(1, self.moorings.fleet or 16)
+        part = CONN_SHARE * min(caps, default=CONNS_MOST) / max(1, self.fleet or 16)
         most = max(CONNS_LEAST, min(CONNS_MOST, int(part)))
         self.limits = msgspec.structs.replace(self.limits, most_per_server=most)
         self.upstream.limits = self.upstream.pools.limits = self.limits
@@ -231,7 +267,7 @@
         def alone() -> None:
             self.moorings.give_up(number)
             self.tally["counted_alone"] += 1
-            ruled(self.quota.alone(self.clock.now(), tenant, self.moorings.fleet))
+            ruled(self.quota.alone(self.clock.now(), tenant, self.fleet or UNKNOWN_FLEET))
 
         def ruled(ruling: Ruling) -> None:
             if request.tries.ended:
@@ -284,7 +320,7 @@
         if tries.sent == 0:
             budget.first(now)
             return True
-        if budget.take(now, self.moorings.fleet):
+        if budget.take(now, self.fleet):
             return True
         self.tally["no_budget"] += 1
         return False
@@ -303,7 +339,7 @@
         now, tries = self.clock.now(), request.tries
         if not tries.may_send(now) or request.passing:
             return
-        left = self._budget(tries.service).left(now, self.moorings.fleet)
+        left = self._budget(tries.service).left(now, self.fleet)
         other = self.choice.pick(now, tries.service, tries.route.name, tries.tried)
         if left >= HEDGE_LEFT and other is not None:
             self.tally["hedged"] += 1
@@ -490,6 +526,9 @@
         pilot = Pilot(boot, nursery, seed)
         nursery.start_soon(pilot.timers.run)
         nursery.start_soon(pilot.moorings.tick)
+        nursery.start_soon(pilot.flotilla.run)
+        talk = listen((boot.ip, boot.talk_port), defer=False)
+        nursery.start_soon(answer, talk, pilot.clock, nursery, pilot.flotilla.serve)
         pilot.tidy()
         pilot.upkeep()
         watch = Watch(pilot)
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -42,9 +42,10 @@
 
     # News.
 
-    def heard(self, now: float, server: Server) -> None:
-        """Take in news of a server."""
+    def heard(self, now: float, server: Server) -> bool:
+        """Take in what is told of a server; True where that is news."""
         known = self.berths.get(server.id)
+        news = known is None or known.lost or server.state > known.server.state
         if known is None:
             known = self.berths[server.id] = Berth(server, heard_at=now)
         elif server.seq >= known.server.seq or server.state > known.server.state:
@@ -59,14 +60,17 @@
             known.server = server
         known.lost = False
         self._place(known)
+        return news
 
-    def left(self, leavers: dict[str, int]) -> None:
-        """Take in who leaves, for good."""
-        for id_, state in leavers.items():
+    def left(self, leavers: dict[str, int]) -> dict[str, int]:
+        """Take in who leaves, for good; return those for whom that is news."""
+        news = {id_: state for id_, state in leavers.items() if self.leavers.get(id_, READY) < state}
+        for id_, state in news.items():
             self.leavers[id_] = max(state, self.leavers.get(id_, READY))
             berth = self.berths.get(id_)
             if berth is not None:
                 self._place(berth)
+        return news
 
     def silent(self, ids: list[str]) -> None:
         """Take in whom the lighthouses no longer hear."""
