Keep requests, beats and talk within the zone where that costs nothing

Change: servers of the own zone are drawn first, others at 1.4 of their cost; warm connections go first and are kept longer; beats go to a lighthouse of the server's zone; ticks are shorter and rarer. Ruled out: nothing; which part brought what was not measured apart.

--- a/wickspring/harbour/cable.py
+++ b/wickspring/harbour/cable.py
@@ -19,8 +19,8 @@
 
 MOST_MESSAGE = 4 << 20  # bytes of one message, and of all that waits to be read
 DIAL_MS = 400.0
-SILENT_MS = 1000.0  # after which the other side is taken for out of reach
-TICK_MS = 300.0  # how often something is said, so that silence means something
+SILENT_MS = 1300.0  # after which the other side is taken for out of reach
+TICK_MS = 420.0  # how often something is said, so that silence means something
 REDIAL_MS = (120.0, 320.0)
 
 Message = list[Any]
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -5,6 +5,7 @@
 import secrets
 import sqlite3
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
@@ -22,9 +23,24 @@
 BUSY_MS = 600.0  # that a save may take until this machine says that its disk does not come back
 FIRST_DISK = "first"  # the disk's id on the very first start, which all machines can know of each other
 SAVE_AGAIN_S = 0.2
+ASK_CORES = 0.3  # odds of asking a machine that counts otherwise which core machines it knows
 ENTER_MS = 850.0  # for a write to become safe; callers give up after a second
 
 
+@dataclass(slots=True, frozen=True)
+class Told:
+    """What a core machine says of itself with each tick."""
+
+    disk: str
+    epoch: int
+    version: int
+    leavers: int
+    ill: bool
+    zone: str
+    control: str
+    cores: int
+
+
 class Core:
     """This machine's part in the core."""
 
@@ -36,7 +52,7 @@
         self._told, self._heard = told, heard
         self.ip = boot.ip
         self.callers: dict[str, Caller] = {}
-        self.states: dict[str, dict[str, Any]] = {}  # what the others said of themselves last
+        self.states: dict[str, Told] = {}  # what the others said of themselves last
         self.leaving = False
         self.saving_since = 0.0
         self.frozen_seen = False
@@ -97,27 +113,31 @@
         cable = caller.cable if caller is not None else None
         return cable is not None and cable.live and self.clock.now() - cable.heard_at < LIVE_MS
 
-    def state(self) -> dict[str, Any]:
-        """Return what this machine tells of itself."""
+    def state(self) -> list[Any]:
+        """Return what this machine tells of itself, in the order of `Told`."""
         chain = self.chain
         busy = bool(self.saving_since) and self.clock.now() - self.saving_since > BUSY_MS
-        return {
-            "disk": chain.me[1], "epoch": chain.view.epoch, "version": chain.safe.version,
-            "leavers": len(chain.safe.leavers), "ill": busy or self.leaving,
-            "cores": [self.ip, *(ip for ip in self.callers if self.live(ip))],
-        }  # fmt: skip
+        return [
+            chain.me[1], chain.view.epoch, chain.safe.version, len(chain.safe.leavers), busy or self.leaving,
+            self.boot.zone, self.boot.bind.control_addr, len(self.callers),
+        ]  # fmt: skip
 
     def _take(self, cable: Cable, message: Message) -> None:
         """Hear an answer on a cable that this machine called."""
         if message[0] == "tock":
-            self.states[cable.name or message[1]] = dict(message[2])
-            self.know([str(ip) for ip in message[2].get("cores", ())])
+            told = self.states[str(message[1])] = Told(*message[2])
+            if told.cores != len(self.callers) and self.random.random() < ASK_CORES:
+                cable.send("cores")  # it knows more of them, or fewer
+        elif message[0] == "cores":
+            self.know([str(ip) for ip in message[1]])
 
     def take(self, cable: Cable, message: Message) -> bool:
         """Hear another core machine on a cable that it called; False where it says no such thing."""
         name, ip = message[0], cable.name
         if name == "tick":
             cable.send("tock", self.ip, self.state())
+        elif name == "cores":
+            cable.send("cores", [ip for ip in self.callers if self.live(ip)])
         elif name == "chain":
             self._queue(lambda: self.chain.receive(self.clock.now(), ip, message[1]))
         elif name == "enter":
@@ -185,8 +205,7 @@
     def _reaches(self) -> dict[str, Reach]:
         return {
             ip: Reach(
-                self.live(ip), str(told.get("disk", "")), bool(told.get("ill")), int(told.get("epoch", 0)),
-                int(told.get("version", 0)), int(told.get("leavers", 0)),
+                self.live(ip), told.disk, told.ill, told.epoch, told.version, told.leavers
             )
             for ip, told in self.states.items()
         }  # fmt: skip
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -4,6 +4,7 @@
 
 import zlib
 from collections.abc import Mapping
+from dataclasses import asdict
 from functools import partial
 from random import Random
 from typing import Any
@@ -130,7 +131,11 @@
         return safe is not None
 
     def beat_target(self, zone: str) -> str:
-        """Name where a server's beats are best sent: here."""
+        """Name where a server's beats are best sent: to a lighthouse in its own zone, else here."""
+        if zone != self.boot.zone:
+            for ip, told in self.core.states.items():
+                if told.zone == zone and not told.ill and self.core.live(ip):
+                    return told.control
         return self.boot.bind.control_addr
 
     # News.
@@ -295,7 +300,9 @@
                 "disk": chain.me[1],
             },
             "core": {
-                ip: {"live": self.core.live(ip), **self.core.states.get(ip, {})} for ip in self.core.callers
+                ip: {"live": self.core.live(ip), **(asdict(told) if told is not None else {})}
+                for ip in self.core.callers
+                for told in (self.core.states.get(ip),)
             },
             "pilots": sorted({name for cable, name in self.pilots.items() if cable.live}),
             "servers": [
--- a/wickspring/pilot/flotilla.py
+++ b/wickspring/pilot/flotilla.py
@@ -25,7 +25,7 @@
 from wickspring.net.clock import Clock
 from wickspring.net.link import Link, connect
 
-ROUND_S = 0.7
+ROUND_S = 1.0
 WORD_S = 0.25  # for an answer to a probe
 FETCH_S = 1.5
 MATES = 3  # pilots that a piece of news is passed to
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -39,6 +39,7 @@
 BACK_MS = (60.0, 160.0)  # until a client may come again where no server took its request
 CONN_SHARE = 0.9  # of a server's connections that all pilots together take
 CONNS_LEAST, CONNS_MOST = 3, 64
+IDLE_SHARE = 0.85  # of that time, that connections are kept
 KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
 AGAIN_LEFT = 0.97  # of the time that a route's clients have at first, below which one comes again
 FORGET_MS = 20_000.0
@@ -83,7 +84,7 @@
         super().__init__(nursery, boot.limits.memory_mb)
         self.boot, self.random = boot, Random(seed)
         bounds = boot.guarantees
-        self.choice = Choice(boot.zone, self.random.getrandbits(32))
+        self.choice = Choice(boot.zone, self.random.getrandbits(32), self._warm)
         self.quota = Quota(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
         self.budgets: dict[str, Budget] = {}
         self.moorings = Moorings(
@@ -94,11 +95,13 @@
         self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
         self.addresses: dict[str, Address] = {}
         self.limits = ConnectionLimits(
-            most_per_server=CONNS_LEAST, wait_ms=400.0, ahead_most=0, pause_first_ms=60.0, pause_most_ms=500.0
+            most_per_server=CONNS_LEAST, wait_ms=400.0, ahead_most=0, pause_first_ms=60.0, pause_most_ms=500.0,
+            idle_share=IDLE_SHARE,
         )
         self.upstream = Upstream(
             Dials(self.random.getrandbits(32)), self.limits, lambda: self.sockets,
-            lambda: len(self.connections), self.clock, self.timers, nursery, self._entry, self._carrier,
+            lambda: len(self.connections), self.clock, self.timers, nursery, self._entry,
+            self._carrier,
         )  # fmt: skip
         self.requests: dict[int, Request] = {}
         self.ids: set[str] = set()  # of requests under way that may run once
@@ -183,6 +186,11 @@
             known = self.entries[id_] = takes, api.ServerEntry(server, 0, 0, readiness, 1.0, 0.0)
         return known[1]
 
+    def _warm(self, id_: str) -> bool:
+        """Tell whether a connection to a server is up and idle."""
+        pool = self.upstream.pools.pools.get(id_.encode())
+        return pool is not None and any(conn.free > 0 for conn in pool.conns)
+
     def _carrier(self, upstream: Upstream, conn: Conn) -> Carrier:
         return GatewayLink(upstream, conn)
 
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
 from wickspring.harbour.servers import READY, Server
 
-DRAWS = 3  # servers that are drawn, of which the best is taken
+NEAR_DRAWS, FAR_DRAWS = 3, 2  # servers drawn of the own zone and of others, of which the best is taken
 MEMORY = 10.0  # answers in a mean
 SLOW_LEAST, SLOW_MOST = 0.3, 5.0
 SHUN_MS, SHUN_MOST = 400.0, 4  # after a failure, doubled with each further one in a row
 COLD_COST = 2.0  # times as much a cold server costs
-OTHER_ZONE_COST = 1.15  # times as much as one in the own zone
+OTHER_ZONE_COST = 1.4  # times as much as one in the own zone
 QUIET_TIMES = 2.5  # usual answer times that a server may be silent before each further one costs
+DIAL_COST = 1.1  # times as much one costs to which a connection must be opened
 LOST_COST = 4.0  # times as much one costs that the lighthouses no longer hear
 
 
@@ -33,8 +35,8 @@
 class Choice:
     """The servers of all services, and which one to take."""
 
-    def __init__(self, zone: str, seed: int) -> None:
-        self.zone, self.random = zone, Random(seed)
+    def __init__(self, zone: str, seed: int, warm: Callable[[str], bool] = lambda _: True) -> None:
+        self.zone, self.random, self.warm = zone, Random(seed), warm
         self.berths: dict[str, Berth] = {}
         self.services: dict[str, dict[str, Berth]] = {}  # those that take work
         self.leavers: dict[str, int] = {}
@@ -105,6 +107,8 @@
             cost *= OTHER_ZONE_COST
         if berth.lost:
             cost *= LOST_COST
+        if not self.warm(berth.server.id):
+            cost *= DIAL_COST
         if berth.out and usual > 0:
             quiet = (now - max(berth.heard_at, next(iter(berth.out.values())))) / usual
             cost *= 1.0 + max(0.0, quiet - QUIET_TIMES)
@@ -118,9 +122,10 @@
         if not takes:
             return None
         well = [one for one in takes if now >= one.shunned_until and not one.lost]
-        drawn = well or takes
-        if len(drawn) > DRAWS:
-            drawn = self.random.sample(drawn, DRAWS)
+        near = [one for one in well or takes if one.server.zone == self.zone]
+        far = [one for one in well or takes if one.server.zone != self.zone]
+        drawn = self.random.sample(near, min(NEAR_DRAWS, len(near)))
+        drawn += self.random.sample(far, min(FAR_DRAWS + NEAR_DRAWS - len(drawn), len(far)))
         usual = self.usual.get(route, 0.0)
         return min(drawn, key=lambda one: (self.cost(now, one, usual), self.random.random()))
 
