--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -95,7 +95,8 @@
         self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
         self.addresses: dict[str, Address] = {}
         self.limits = ConnectionLimits(
-            most_per_server=CONNS_LEAST, wait_ms=400.0, ahead_most=0, pause_first_ms=60.0, pause_most_ms=500.0,
+            most_per_server=CONNS_LEAST, wait_ms=400.0, ahead_most=0, pause_first_ms=60.0,
+            pause_most_ms=500.0,
             idle_share=IDLE_SHARE,
         )
         self.upstream = Upstream(
