--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -61,6 +61,7 @@
         self._away: dict[int, Callable[[bool, list[Any]], None]] = {}  # writes at the head, elsewhere
         self._events: list[Callable[[], None]] = []
         self._stirred = trio.Event()
+        self._disk = trio.Lock()  # one thread at a time writes
         self._epoch = -1
         self.chain = self._begin()
 
@@ -258,13 +259,22 @@
         self.saving_since = self.clock.now()
         while True:
             try:
-                await trio.to_thread.run_sync(self.keeper.save, durable, hold)
+                async with self._disk:
+                    await trio.to_thread.run_sync(self.keeper.save, durable, hold)
                 break
             except (sqlite3.Error, OSError) as error:
                 log.event("save_failed", reason=error)
                 await trio.sleep(SAVE_AGAIN_S)
         self.saving_since = 0.0
 
+    async def save_servers(self, servers: list[Any]) -> None:
+        """Save the servers that are known; where the disk refuses, the next change tries again."""
+        try:
+            async with self._disk:
+                await trio.to_thread.run_sync(self.keeper.save_servers, servers)
+        except (sqlite3.Error, OSError) as error:
+            log.event("save_failed", reason=error)
+
     @property
     def steady(self) -> bool:
         """Tell whether this machine is a member that reaches a majority of an unfrozen view."""
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -32,6 +32,7 @@
 
 SWEEP_MS = 250.0
 ALIVE_MS = 500.0
+SAVE_MS = 1500.0  # between two saves of which servers there are
 MOST_ORDER = 4 << 20  # bytes of a configuration
 TENURE_MS = 350.0  # after a view, until counts are given out: the pilots tell first what they sent on
 INTRODUCED = 3  # pilots that a new one is told of
@@ -55,9 +56,20 @@
         self.chart = Chart()
         self.document = b""  # packed, as pilots get it
         self.tenure_at, self._epoch = self.clock.now(), -1
+        self._saved: set[str] = set()  # servers on disk
+        self._begin()
         self._fresh: dict[str, int] = {}  # beats since the core was last told
         self._last = 0
 
+    def _begin(self) -> None:
+        """Begin with what this machine's disk holds: it is in force, or may be, until the chain says more."""
+        now = self.clock.now()
+        self._safe(self.core.chain.hold)
+        for told in self.core.keeper.load_servers():
+            server = Server.unpack(told, now)
+            self.register.beat(now, server)
+            self._saved.add(server.id)
+
     # Calls.
 
     @property
@@ -255,7 +267,7 @@
 
     async def upkeep(self) -> None:
         """Look after servers and views, again and again."""
-        told_at = 0.0
+        told_at = saved_at = 0.0
         while True:
             await trio.sleep(SWEEP_MS * self.random.uniform(0.9, 1.1) / 1000.0)
             now = self.clock.now()
@@ -278,6 +290,10 @@
                     if name not in self.pilots.values():
                         self.tally.away(now, name)
                     cable.close()
+            known = [one for one in self.register.whole() if one.state == READY]
+            if now - saved_at >= SAVE_MS and self._saved != {one.id for one in known}:
+                saved_at, self._saved = now, {one.id for one in known}
+                await self.core.save_servers([one.pack(now) for one in known])
             members = [ip for ip, _ in chain.view.members]
             lost = self.register.sweep(now)
             if lost and sum(map(self.core.live, members)) > len(members) // 2:
--- a/wickspring/lighthouse/logbook.py
+++ b/wickspring/lighthouse/logbook.py
@@ -101,6 +101,20 @@
             "hold": msgpack.packb([hold.version, hold.leavers]),
             "document": hold.document,
         }
+        self._write(parts)
+
+    def load_servers(self) -> list[Any]:
+        """Return the servers that were saved last; they may be gone by now."""
+        try:
+            return list(msgpack.unpackb(self._saved["servers"])) if "servers" in self._saved else []
+        except (ValueError, TypeError, msgpack.UnpackException):
+            return []
+
+    def save_servers(self, servers: list[Any]) -> None:
+        """Save the servers that are known, so that all may start again without waiting for beats."""
+        self._write({"servers": msgpack.packb(servers)})
+
+    def _write(self, parts: dict[str, bytes]) -> None:
         changed = {name: data for name, data in parts.items() if self._saved.get(name) != data}
         if not changed:
             return
@@ -113,7 +127,7 @@
             with suppress(sqlite3.Error):
                 self.db.execute("rollback")
             raise
-        self._saved = parts
+        self._saved |= parts
 
     def close(self) -> None:
         """Let go of the file."""
