Listen before the rest of a process is loaded, and let first requests wait for news

Change: a process opens its sockets first; callers wait in the kernel's line; a pilot keeps requests for 0.18 s after its start until it knows where they go. Ruled out: loading less; trio alone is half of what is loaded.

--- a/wickspring/harbour/process.py
+++ b/wickspring/harbour/process.py
@@ -1,22 +1,22 @@
-"""How either program starts and ends: settings, logs, signals, garbage."""
+"""How either program runs and ends: logs, signals, garbage."""
 
 from __future__ import annotations
 
 import gc
 import secrets
 import signal
-import sys
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from wickspring.harbour import boot as boots
 from wickspring.harbour import log
+from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import FaultError
 
 GC_AFTER = 50_000  # new objects; fewer runs of the collector, each over more
 
-Run = Callable[[boots.Boot, int, trio.Event], Awaitable[None]]
+Run = Callable[[Started, int, trio.Event], Awaitable[None]]
 
 
 async def _signals(ended: trio.Event, reread: Callable[[], None]) -> None:
@@ -37,21 +37,18 @@
         log.event("settings_bad", reason=error)
 
 
-async def _main(run: Run, boot: boots.Boot) -> None:
+async def _main(run: Run, started: Started) -> None:
     ended = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_signals, ended, _reread)
-        await run(boot, secrets.randbits(32), ended)
+        await run(started, secrets.randbits(32), ended)
         nursery.cancel_scope.cancel()
 
 
-def main(run: Run) -> None:
+def main(run: Run, started: Started) -> None:
     """Run a program to its end."""
-    try:
-        boot = boots.load()
-    except FaultError as error:
-        sys.stderr.write(f"{error}\n")
-        sys.exit(2)
-    log.setup(boot.node_name)
+    log.setup(started.boot.node_name)
+    gc.freeze()
     gc.set_threshold(GC_AFTER, 20, 20)
-    trio.run(_main, run, boot)
+    gc.enable()
+    trio.run(_main, run, started)
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -12,9 +12,10 @@
 import trio
 
 from wickspring.harbour import log
-from wickspring.harbour.boot import Boot, parse_address
+from wickspring.harbour.boot import Boot
 from wickspring.harbour.cable import Cable, Message, answer
 from wickspring.harbour.chart import Chart, lay_out
+from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import Fault, Kind
 from wickspring.harbour.servers import READY, Server, digest
 from wickspring.lighthouse.chain import Hold
@@ -28,7 +29,7 @@
 from wickspring.net.host import Host
 from wickspring.net.http1_front import Http1Connection, Patience
 from wickspring.net.link import Link
-from wickspring.net.listening import accept, listen
+from wickspring.net.listening import accept
 
 SWEEP_MS = 250.0
 ALIVE_MS = 500.0
@@ -342,21 +343,20 @@
     await light.serve(Http1Connection(link, light, patience=patience), link)
 
 
-async def run(boot: Boot, seed: int, ended: trio.Event) -> None:
+async def run(started: Started, seed: int, ended: trio.Event) -> None:
     """Run a lighthouse until told to end."""
+    boot = started.boot
     async with trio.open_nursery() as nursery:
         light = Light(boot, nursery, seed)
         core = light.core
         nursery.start_soon(light.timers.run)
         nursery.start_soon(core.run)
-        talk = listen((boot.ip, boot.talk_port), defer=False)
-        nursery.start_soon(partial(answer, talk, light.clock, nursery, light.cable))
+        nursery.start_soon(partial(answer, started.talk, light.clock, nursery, light.cable))
         nursery.start_soon(core.tick)
         nursery.start_soon(light.upkeep)
         light.tidy()
-        if boot.bind.control_addr:
-            front = listen(parse_address(boot.bind.control_addr), defer=False)
-            nursery.start_soon(accept, front, light, serve)
+        if started.control is not None:
+            nursery.start_soon(accept, started.control, light, serve)
         log.event("lit", disk=core.chain.me[1], epoch=core.chain.view.epoch, held=core.chain.hold.version)
         await ended.wait()
         light.draining = core.leaving = True
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -10,6 +10,7 @@
 
 from wickspring import interface as api
 from wickspring.core.effects import Verdict
+from wickspring.net.sockets import DEFER_S as DEFER_S
 from wickspring.tenants import PlanBook
 
 MOST_BODY = 64 * 1024  # bytes of a body that are held; a longer one goes on as it comes
@@ -32,7 +33,6 @@
     }
 )  # fmt: skip
 # How long a client may take, in ms. None waits longer than 3 s; what is idle may end after 2 s, not sooner.
-DEFER_S = 1  # silence after which the kernel hands a new connection over without a word
 SILENT_MS = 2600.0  # until a new connection says its first word
 HEAD_MS = 2600.0  # from connecting, or from its first byte, until a request's head has come
 BODY_MS, BODY_LEAST = 2500.0, 32.0  # for a body, and 1 ms more for so many bytes: half of a good rate
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -11,40 +11,16 @@
 import trio
 
 from wickspring.logs import kv
-from wickspring.net.calls import DEFER_S
 from wickspring.net.host import Host
 from wickspring.net.link import Link
+from wickspring.net.sockets import listen as listen
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 1024
-
 H = TypeVar("H", bound=Host)
 Serve = Callable[[Link, H], Awaitable[None]]
 
 
-def listen(address: tuple[str, int], *, share: bool = False, defer: bool = True) -> socket.socket:
-    """Open a listening socket on this address only; shared, the process's successor may listen there too.
-
-    Deferred, connections are handed over with their first word, or after a while without one.
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if share:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.setblocking(False)
-        if defer and DEFER_S and hasattr(socket, "TCP_DEFER_ACCEPT"):
-            # A crowd that connects and says nothing waits in the kernel and takes no descriptors.
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_S)
-        sock.bind(address)
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 async def accept(listener: socket.socket, runtime: H, serve: Serve[H]) -> None:
     """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
     while True:
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -49,10 +49,11 @@
         charted: Callable[[Chart], None],
         passed_on: Callable[[str, object], None],
         introduced: Callable[[list[str]], None],
+        told: Callable[[], None],
     ) -> None:  # fmt: skip
         self.boot, self.clock, self.nursery, self.random = boot, clock, nursery, random
         self.servers, self._past, self._digest, self._charted = servers, past, digest, charted
-        self._passed_on, self._introduced = passed_on, introduced
+        self._passed_on, self._introduced, self._told = passed_on, introduced, told
         self.packed = b""  # the configuration, as it came
         self.chart = Chart()
         self.epoch = -1
@@ -125,6 +126,7 @@
             for told in message[1]:
                 self.servers.heard(now, Server.unpack(told, now))
             self.whole_from.add(cable.name)
+            self._told()
         elif name == "chart":
             self._take_chart(int(message[1]), bytes(message[2]))
         elif name == "view":
@@ -148,6 +150,7 @@
         self.packed = packed
         log.event("chart", version=version)
         self._charted(self.chart)
+        self._told()
 
     def _take_view(self, epoch: int, members: list[str]) -> None:
         if epoch <= self.epoch:
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -17,7 +17,8 @@
 from wickspring.harbour.boot import Address, Boot, parse_address
 from wickspring.harbour.cable import Cable, Message, answer
 from wickspring.harbour.chart import Chart, Route, Tenant
-from wickspring.harbour.kinds import ANSWERS, Kind
+from wickspring.harbour.early import Started
+from wickspring.harbour.kinds import ANSWERS, Fault, FaultError, Kind
 from wickspring.harbour.servers import digest
 from wickspring.interface import Readiness, Status
 from wickspring.net.calls import Client, retry_after
@@ -25,7 +26,7 @@
 from wickspring.net.host import Host
 from wickspring.net.http1_front import Http1Connection, Patience
 from wickspring.net.link import Link
-from wickspring.net.listening import accept, close_listener, listen, take_rest
+from wickspring.net.listening import accept, close_listener, take_rest
 from wickspring.net.upstream.carrier import Carrier, Reply, Sink
 from wickspring.net.upstream.manager import Upstream
 from wickspring.pilot.flotilla import Flotilla, State
@@ -43,6 +44,8 @@
 KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
 AGAIN_LEFT = 0.97  # of the time that a route's clients have at first, below which one comes again
 FORGET_MS = 20_000.0
+START_MS = 3000.0  # since its start in which a pilot lets requests wait for its first news,
+WAIT_MS = 180.0  # and how long each
 READY_WITHOUT_MS = 2500.0  # after which a pilot with a configuration serves by what one lighthouse told
 FIGURES_MS = 10_000.0
 ACCEPT_ON_S = 0.4  # after SIGTERM, for connections that are on their way
@@ -89,7 +92,7 @@
         self.budgets: dict[str, Budget] = {}
         self.moorings = Moorings(
             boot, self.clock, nursery, self.random, self.choice, lambda: self.quota.past(self.clock.now()),
-            self._digest, self._charted, self._pass_on, self._introduced,
+            self._digest, self._charted, self._pass_on, self._introduced, self._informed,
         )  # fmt: skip
         self.flotilla = Flotilla(boot.ip, boot.talk_port, self.clock, nursery, self.random, self)
         self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
@@ -105,6 +108,7 @@
             self._carrier,
         )  # fmt: skip
         self.requests: dict[int, Request] = {}
+        self.waiting: dict[int, tuple[Client, str, str, dict[str, str], bytes]] = {}  # for the first news
         self.ids: set[str] = set()  # of requests under way that may run once
         self.patience = Patience()
         self.begun_at = self.clock.now()
@@ -209,8 +213,8 @@
         """Find a request's route and tenant, and have its unit counted."""
         now, chart = self.clock.now(), self.moorings.chart
         self.tally["asked"] += 1
-        if not chart.version:
-            self._refuse(client, Kind.NOT_READY, self.random.uniform(*BACK_MS))
+        if not chart.version or not self.choice.services:
+            self._await(client, method, target, headers, body, feed)
             return
         host = headers.get("host", "")
         route = chart.route(host, target)
@@ -255,6 +259,36 @@
         else:
             self._send(request)
 
+    def _await(
+        self, client: Client, method: str, target: str, headers: Mapping[str, str], body: bytes,
+        feed: Feed | None,
+    ) -> None:  # fmt: skip
+        """Keep a request for a moment after the start, until it is known where requests go."""
+        if self.clock.now() - self.begun_at > START_MS or feed is not None:
+            self._refuse(client, Kind.NOT_READY, self.random.uniform(*BACK_MS))
+            return
+        self._last += 1
+        number = self._last
+        client.accepted(number, START_MS)
+        self.waiting[number] = client, method, target, dict(headers), body
+        self.later(WAIT_MS, partial(self._awaited, number, True))
+
+    def _awaited(self, number: int, late: bool = False) -> None:
+        waiting = self.waiting.get(number)
+        known = self.moorings.chart.version and self.choice.services
+        if waiting is None or not (known or late):
+            return
+        del self.waiting[number]
+        if known:
+            self.ask(*waiting)
+        else:
+            self._refuse(waiting[0], Kind.NOT_READY, self.random.uniform(*BACK_MS))
+
+    def _informed(self) -> None:
+        """Take up what waited for the first news."""
+        for number in list(self.waiting):
+            self._awaited(number)
+
     def _service(self, route: Route) -> str:
         if len(route.services) == 1:
             return route.services[0][0]
@@ -454,6 +488,7 @@
 
     def leave(self, number: int) -> None:
         """The client has gone; what a server has begun it may end."""
+        self.waiting.pop(number, None)
         request = self.requests.get(number)
         if request is not None:
             request.client = None
@@ -529,23 +564,23 @@
     await watch.serve(Http1Connection(link, watch, patience=Patience(idle=15_000.0)), link)
 
 
-async def run(boot: Boot, seed: int, ended: trio.Event) -> None:
+async def run(started: Started, seed: int, ended: trio.Event) -> None:
     """Run a pilot until told to end."""
+    boot, front, ready = started.boot, started.front, started.ready
+    if front is None or ready is None:
+        raise FaultError(Fault(Kind.BAD_SETTINGS, "bind: a pilot needs front_http and ready_addr"))
     async with trio.open_nursery() as nursery:
         pilot = Pilot(boot, nursery, seed)
         nursery.start_soon(pilot.timers.run)
         nursery.start_soon(pilot.moorings.tick)
         nursery.start_soon(pilot.flotilla.run)
-        talk = listen((boot.ip, boot.talk_port), defer=False)
-        nursery.start_soon(answer, talk, pilot.clock, nursery, pilot.flotilla.serve)
+        nursery.start_soon(answer, started.talk, pilot.clock, nursery, pilot.flotilla.serve)
         pilot.tidy()
         pilot.upkeep()
         watch = Watch(pilot)
         nursery.start_soon(watch.timers.run)
         watch.tidy()
-        ready = listen(parse_address(boot.bind.ready_addr), defer=False)
         nursery.start_soon(accept, ready, watch, serve_watch)
-        front = listen(parse_address(boot.bind.front_http), defer=False)
         nursery.start_soon(accept, front, pilot, serve)
         log.event("afloat", ip=boot.ip, zone=boot.zone)
         await ended.wait()
