Let stand-in servers lie, and hold the gateway to it that no client takes a lie

Change: stand-ins spoil answers in seven ways; a test of processes with half of all answers spoilt. Result: 300 requests, over 150 served, none with a body that is not its own, no effectful one run twice. Ruled out: nothing.

--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from wickspring.lab.harbour import Harbour, document
+from wickspring.lab.harbour import LIES, Harbour, document
 
 STEP_S = 0.02
 
@@ -162,3 +162,36 @@
             assert refused > 50
 
     trio.run(play)
+
+
+def test_no_client_takes_a_lie_for_an_answer(tmp_path: Path) -> None:
+    """Half of all answers are spoilt: what is told as a success is the server's own, to this request."""
+
+    async def play() -> None:
+        async with gateway(tmp_path, 15) as harbour:
+            for one in harbour.standins:
+                one.lies = 0.5
+            answers: dict[str, tuple[int, bytes]] = {}
+
+            async def ask(number: int) -> None:
+                id_, path = f"l{number}", "/do/1" if number % 3 == 0 else "/look/1"
+                answers[id_] = await harbour.ask(number % 2, path, id_)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(300):
+                    nursery.start_soon(ask, number)
+                    await trio.sleep(STEP_S / 4)
+            times = ran(harbour)
+            for id_, (status, body) in answers.items():
+                if status == 200:
+                    assert body.startswith(f"{id_} by i-".encode()) and body.endswith(b"\n")
+                    assert times[id_] >= 1
+                elif status in (429, 503):
+                    assert id_ not in times
+                if int(id_[1:]) % 3 == 0:
+                    assert times.get(id_, 0) <= 1
+            assert sum(status == 200 for status, _ in answers.values()) > 150
+            told = [kind for one in harbour.standins for kind in one.told]
+            assert set(told) == set(LIES)
+
+    trio.run(play)
--- a/wickspring/lab/harbour.py
+++ b/wickspring/lab/harbour.py
@@ -2,7 +2,7 @@
 
 Each machine is an address of 127.0.0.0/8, so ports are alike on all machines, as in a deployment. Servers
 speak the published protocol: they seal, count their runs by id, turn away when full, answer 421 for another,
-beat to the lighthouses and drain before they go.
+beat to the lighthouses and drain before they go; and they lie, where they are told to (`LIES`).
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 CONTROL, FRONT, READY, SERVER = 8783, 8782, 8789, 8080
 ROOT = Path(__file__).resolve().parents[2]
 BEAT_S = 0.5
+LIES = ("other_id", "no_seal", "encoded", "cut", "surplus", "junk", "failure")  # ways to spoil an answer
 HOST, PREFIX, KEY = "toy.example", "/look/", "key-of-toy"
 
 
@@ -62,6 +63,9 @@
     ran: Counter[str] = field(default_factory=Counter)  # by attempt id
     tenants: Counter[str] = field(default_factory=Counter)
     acknowledged: bool = False  # its draining
+    lies: float = 0.0  # share of its answers that it spoils
+    random: Random = field(default_factory=lambda: Random(1))
+    told: Counter[str] = field(default_factory=Counter)  # lies, by kind
 
     async def run(self) -> None:
         """Serve and beat until cancelled."""
@@ -126,13 +130,46 @@
             self.tenants[headers.get("x-tenant", "")] += 1
             await trio.sleep(self.work_s)
             self.busy -= 1
-            more, body = [*more, ("X-Server-Seal", f"seal.{self.id}")], f"by {self.id}\n".encode()
+            more, body = [*more, ("X-Server-Seal", f"seal.{id_}")], f"{id_} by {self.id}\n".encode()
+            if self.random.random() < self.lies:
+                return await self._lie(http, stream, self.random.choice(LIES), more, body)
         response = h11.Response(status_code=status, headers=[*more, ("Content-Length", str(len(body)))])
         data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
         await stream.send_all(data + (http.send(h11.EndOfMessage()) or b""))
         return http.our_state is h11.DONE
 
 
+    async def _lie(
+        self, http: h11.Connection, stream: trio.SocketStream, kind: str, more: list[tuple[str, str]],
+        body: bytes,
+    ) -> bool:  # fmt: skip
+        """Spoil an answer; True where the connection goes on."""
+        self.told[kind] += 1
+        status = 200
+        if kind == "junk":
+            await stream.send_all(b"no answer at all\r\n\r\n")
+            return False
+        if kind == "other_id":
+            more = [("X-Attempt-Id", "another"), *more[1:]]
+        elif kind == "no_seal":
+            more = more[:1]
+        elif kind == "encoded":
+            more = [*more, ("Content-Encoding", "odd")]
+        elif kind == "failure":
+            status = 500
+        response = h11.Response(status_code=status, headers=[*more, ("Content-Length", str(len(body)))])
+        head = http.send(response) or b""
+        if kind == "cut":
+            await stream.send_all(head + body[:4])
+            return False
+        whole = head + (http.send(h11.Data(data=body)) or b"") + (http.send(h11.EndOfMessage()) or b"")
+        await stream.send_all(whole)
+        if kind == "surplus":  # late, in the place of the next answer
+            await trio.sleep(self.work_s / 2)
+            await stream.send_all(whole)
+        return http.our_state is h11.DONE
+
+
 async def call(
     ip: str, port: int, method: str, path: str, body: str | bytes = "", headers: dict[str, str] | None = None,
     timeout_s: float = 2.0,
