--- a/wickspring/harbour/boot.py
+++ b/wickspring/harbour/boot.py
@@ -1,26 +1,22 @@
 """The settings file that a process is started with: lines `a.b=value`, lists joined by commas.
 
 A field that is not known is passed over, so that later files can be read; a known one that cannot be read is
-named. The file is read with a library for its format (Java's properties), and checked by type with msgspec.
+named. `lines` reads the file with a library for its format; here it is checked by type with msgspec.
 """
 
 from __future__ import annotations
 
-import os
-from pathlib import Path
 from typing import Any
 
-import javaproperties
 import msgspec
 
 from wickspring.harbour.kinds import Fault, FaultError, Kind
+from wickspring.harbour.lines import Address as Address
+from wickspring.harbour.lines import parse_address as parse_address
+from wickspring.harbour.lines import split
 
-VARIABLE = "WICKSPRING_BOOT"
 _LISTS = frozenset({"serves", "seed_addrs", "in_force"})
 
-Address = tuple[str, int]
-
-
 class Bind(msgspec.Struct, frozen=True):
     """Addresses to listen on for what the role serves; empty where it does not."""
 
@@ -94,22 +90,10 @@
         return sorted({seed.rpartition(":")[0] for seed in self.seed_addrs})
 
 
-def parse_address(text: str) -> Address:
-    """Read `IP:port`."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise FaultError(Fault(Kind.BAD_SETTINGS, f"not an address: {text!r}"))
-    return host, int(port)
-
-
 def read(text: str) -> Boot:
     """Read the text of a settings file; `FaultError` names the field at fault."""
     tree: dict[str, Any] = {}
-    try:
-        flat = javaproperties.loads(text)
-    except (ValueError, javaproperties.InvalidUEscapeError) as error:
-        raise FaultError(Fault(Kind.BAD_SETTINGS, str(error))) from error
-    for name, value in flat.items():
+    for name, value in split(text).items():
         *path, last = name.split(".")
         at = tree
         for step in path:
@@ -128,12 +112,3 @@
     except (msgspec.ValidationError, ValueError) as error:
         raise FaultError(Fault(Kind.BAD_SETTINGS, str(error))) from error
     return boot
-
-
-def load(path: str = "") -> Boot:
-    """Read the file that the environment names."""
-    name = path or os.environ.get(VARIABLE, "")
-    try:
-        return read(Path(name).read_text())
-    except OSError as error:
-        raise FaultError(Fault(Kind.BAD_SETTINGS, f"{VARIABLE}: {error}")) from error
--- a/wickspring/harbour/early.py
+++ b/wickspring/harbour/early.py
@@ -9,31 +9,36 @@
 import socket
 import sys
 
-from wickspring.harbour.boot import Boot, load, parse_address
-from wickspring.harbour.kinds import FaultError
+from wickspring.harbour.kinds import Fault, FaultError, Kind
+from wickspring.harbour.lines import load, parse_address, split
 from wickspring.net.sockets import listen
 
 
 class Started:
     """What a process begins with: its settings and its listening sockets."""
 
-    def __init__(self, boot: Boot) -> None:
-        self.boot = boot
-        self.talk = listen((boot.ip, boot.talk_port), defer=False)
-        bind = boot.bind
-        self.front = _open(bind.front_http)
-        self.ready = _open(bind.ready_addr)
-        self.control = _open(bind.control_addr)
+    def __init__(self, text: str) -> None:
+        flat = split(text)
+        for name in ("ip", "port_range"):
+            if name not in flat:
+                raise FaultError(Fault(Kind.BAD_SETTINGS, f"{name} is missing"))
+        self.talk = listen(parse_address(f"{flat['ip']}:{flat['port_range'].split(',')[0]}"), defer=False)
+        self.front = _open(flat, "bind.front_http")
+        self.ready = _open(flat, "bind.ready_addr")
+        self.control = _open(flat, "bind.control_addr")
+        from wickspring.harbour.boot import read
 
+        self.boot = read(text)
 
-def _open(address: str) -> socket.socket | None:
-    return listen(parse_address(address), defer=False) if address else None
+
+def _open(flat: dict[str, str], name: str) -> socket.socket | None:
+    return listen(parse_address(flat[name]), defer=False) if flat.get(name) else None
 
 
 def start() -> Started:
     """Begin a process; with faulty settings it ends, and says which field."""
     try:
         return Started(load())
-    except FaultError as error:
+    except (FaultError, OSError) as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(2)
--- a/wickspring/harbour/process.py
+++ b/wickspring/harbour/process.py
@@ -10,7 +10,7 @@
 import trio
 
 from wickspring.harbour import boot as boots
-from wickspring.harbour import log
+from wickspring.harbour import lines, log
 from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import FaultError
 
@@ -32,7 +32,7 @@
 def _reread() -> None:
     """Read the settings file again; what it says of seeds is for later lives, but a fault in it is news."""
     try:
-        boots.load()
+        boots.read(lines.load())
     except FaultError as error:
         log.event("settings_bad", reason=error)
 
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -8,14 +8,14 @@
 
 from wickspring.harbour.servers import READY, Server
 
-NEAR_DRAWS, FAR_DRAWS = 3, 2  # servers drawn of the own zone and of others, of which the best is taken
+NEAR_DRAWS, FAR_DRAWS = 4, 2  # servers drawn of the own zone and of others, of which the best is taken
 MEMORY = 10.0  # answers in a mean
 SLOW_LEAST, SLOW_MOST = 0.3, 5.0
 SHUN_MS, SHUN_MOST = 400.0, 4  # after a failure, doubled with each further one in a row
 COLD_COST = 2.0  # times as much a cold server costs
 OTHER_ZONE_COST = 1.4  # times as much as one in the own zone
 QUIET_TIMES = 2.5  # usual answer times that a server may be silent before each further one costs
-DIAL_COST = 1.1  # times as much one costs to which a connection must be opened
+DIAL_COST = 1.3  # times as much one costs to which a connection must be opened
 LOST_COST = 4.0  # times as much one costs that the lighthouses no longer hear
 
 
