Tell a keeper of every unit that was sent on without its word

Cause: a test of processes saw 155 to 186 units of a tenant where 152 were allowed, with all lighthouses killed: units ruled on alone between a pilot's first word and the keeper's first grant were told to nobody. Change: such units are told one by one; an add answered late is settled against what was ruled meanwhile; adds of an ended cable are forgotten, as the next begins with all. Seeds are read again while no lighthouse is in reach. Ruled out: the count of parts, and the time for which a new keeper waits.

--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -13,6 +13,7 @@
 from wickspring.harbour import boot
 from wickspring.harbour.chart import lay_out
 from wickspring.harbour.kinds import ANSWERS, FaultError, Kind
+from wickspring.harbour.seeds import Seeds
 from wickspring.harbour.servers import DRAINING, GONE, READY, Server
 from wickspring.lighthouse.chain import Chain, Hold, View
 from wickspring.lighthouse.check import check
@@ -192,3 +193,18 @@
     assert register.sweep(8100.0) == ["i1"] and register.sweep(8100.0) == []
     assert register.sweep(12_000.0) == ["i2"]
     assert register.beat(12_100.0, beat(9, id_="i2")) is not None  # it is back
+
+
+def test_seeds_are_read_again_while_nobody_is_in_reach(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "node.conf"
+    file.write_text(SETTINGS.replace("10.2.0.25:8783", "10.9.0.1:8783"))
+    monkeypatch.setenv("WICKSPRING_BOOT", str(file))
+    seeds = Seeds(boot.read(SETTINGS))
+    old, new = ["10.1.0.33", "10.2.0.25"], ["10.1.0.33", "10.9.0.1"]
+    assert seeds.ips(0.0, False) == old and seeds.ips(1900.0, False) == old
+    assert seeds.ips(1950.0, True) == old and seeds.ips(3900.0, False) == old
+    assert seeds.ips(4000.0, False) == new
+    file.write_text("nonsense")
+    assert seeds.ips(7000.0, False) == new  # what was known holds
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -14,6 +14,7 @@
 from wickspring.harbour import log
 from wickspring.harbour.boot import Boot
 from wickspring.harbour.cable import Cable, Caller, Message
+from wickspring.harbour.seeds import Seeds
 from wickspring.lighthouse.chain import Chain, Hold, Member, Reach, View
 from wickspring.lighthouse.logbook import Logbook
 from wickspring.net.clock import Clock
@@ -54,6 +55,7 @@
         self.callers: dict[str, Caller] = {}
         self.states: dict[str, Told] = {}  # what the others said of themselves last
         self.leaving = False
+        self.seeds = Seeds(boot)
         self.saving_since = 0.0
         self.frozen_seen = False
         self._tickets = 0
@@ -213,9 +215,9 @@
 
     async def tick(self) -> None:
         """Say how this machine is, again and again, and have the chain look round."""
-        self.know(self.boot.seed_ips())
         self._queue(lambda: self.chain.begin(self.clock.now()))
         while True:
+            self.know(self.seeds.ips(self.clock.now(), any(map(self.live, self.callers))))
             for caller in self.callers.values():
                 caller.send("tick")
             self._queue(lambda: self.chain.tick(self.clock.now(), self._reaches()))
@@ -231,7 +233,7 @@
             for event in events:
                 try:
                     event()
-                except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
+                except (ValueError, TypeError, KeyError, IndexError, AttributeError, AssertionError) as error:
                     log.event("core_message_bad", reason=error)
             out, done, news = chain.out, chain.done, chain.news
             chain.out, chain.done, chain.news = [], [], []
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -220,6 +220,10 @@
             self.core.take(cable, message)
         elif name == "add":
             self._add(cable, int(message[1]), str(message[2]), bool(message[3]))
+        elif name == "spent":
+            tenant = self.chart.tenants.get(str(message[1]))
+            if tenant is not None:
+                self.tally.spent(self.clock.now(), tenant.name, cable.name, tenant.rate, tenant.burst)
         elif name == "back":
             self.tally.give_back(self.clock.now(), str(message[1]), cable.name)
         elif name == "past":
--- a/wickspring/lighthouse/tally.py
+++ b/wickspring/lighthouse/tally.py
@@ -160,6 +160,11 @@
         count.add(window, pilot)
         return count.total, limit, (window + 1) * self.window_ms - now
 
+    def spent(self, now: float, tenant: str, pilot: str, rate: float, burst: float) -> None:
+        """Count a unit that a pilot has sent on by itself while this machine gave nothing out."""
+        window, _, count = self._count(now, tenant, rate, burst)
+        count.add(window, pilot)
+
     def give_back(self, now: float, tenant: str, pilot: str) -> None:
         """Take a unit off again that was not used: its request has not run and never will."""
         count = self.counts.get(tenant)
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -15,6 +15,7 @@
 from wickspring.harbour.boot import Boot
 from wickspring.harbour.cable import TICK_MS, Cable, Caller, Message
 from wickspring.harbour.chart import Chart, lay_out
+from wickspring.harbour.seeds import Seeds
 from wickspring.harbour.servers import Server
 from wickspring.net.clock import Clock
 
@@ -61,10 +62,11 @@
         self.fleet = 0  # pilots, as the lighthouses count them
         self.whole_from: set[str] = set()  # lighthouses that have told all servers they know
         self.callers: dict[str, Caller] = {}
-        self._adds: dict[int, Answered] = {}
+        self._adds: dict[int, tuple[Caller, Answered]] = {}
         self._number = 0
         self._fleets: dict[str, int] = {}  # pilots, as each lighthouse counts them
         self._keepers: dict[str, str] = {}
+        self.seeds = Seeds(boot)
         self.know(boot.seed_ips())
 
     def know(self, ips: list[str]) -> None:
@@ -72,8 +74,9 @@
         for ip in ips:
             if ip not in self.callers:
                 caller = Caller(
-                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self.take
-                )
+                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self.take,
+                    self._lost,
+                )  # fmt: skip
                 self.callers[ip] = caller
                 self.nursery.start_soon(caller.run)
 
@@ -102,13 +105,13 @@
         """Take in what a lighthouse, or another pilot, tells."""
         name, now = message[0], self.clock.now()
         if name == "sum":
-            answer = self._adds.pop(int(message[1]), None)
-            if answer is not None:
-                answer(int(message[2]), int(message[3]), float(message[4]))
+            asked = self._adds.pop(int(message[1]), None)
+            if asked is not None:
+                asked[1](int(message[2]), int(message[3]), float(message[4]))
         elif name == "moved":
-            answer = self._adds.pop(int(message[1]), None)
-            if answer is not None:
-                answer(0, -1, 0.0)
+            asked = self._adds.pop(int(message[1]), None)
+            if asked is not None:
+                asked[1](0, -1, 0.0)
         elif name == "servers":
             news = [one for told in message[1] if self.servers.heard(now, one := Server.unpack(told, now))]
             if news:
@@ -180,13 +183,25 @@
         if caller is None or not caller.live:
             return 0
         self._number += 1
-        self._adds[self._number] = answered
+        self._adds[self._number] = caller, answered
         caller.send("add", self._number, tenant, again)
         return self._number
 
-    def give_up(self, number: int) -> None:
-        """Wait no longer for an add; the unit may have been counted."""
-        self._adds.pop(number, None)
+    def give_up(self, number: int, late: Answered) -> None:
+        """Wait no longer for an add; what it came to after all is told late, unless the cable ends before."""
+        if number in self._adds:
+            self._adds[number] = self._adds[number][0], late
+
+    def _lost(self, caller: Caller) -> None:
+        """Forget what was asked on a cable that has ended: the next one begins with all that was sent on."""
+        for number in [n for n, (asked, _) in self._adds.items() if asked is caller]:
+            del self._adds[number]
+
+    def spent(self, tenant: str) -> None:
+        """Tell a keeper of a unit that it has not counted, and that was sent on all the same."""
+        caller = self.callers.get(self.keeper(tenant))
+        if caller is not None:
+            caller.send("spent", tenant)
 
     def give_back(self, tenant: str) -> None:
         """Take back the unit of a request that has not run and never will."""
@@ -200,6 +215,7 @@
         """Say that this pilot is there, again and again, and mend what the news has missed."""
         swept = self.clock.now()
         while True:
+            self.know(self.seeds.ips(self.clock.now(), bool(self.live)))
             for caller in list(self.callers.values()):
                 caller.send("tick", self.chart.version)
             now = self.clock.now()
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -303,14 +303,25 @@
         def answered(total: int, limit: int, wait: float) -> None:
             timer.cancel()
             if limit < 0:
-                alone()
+                alone(told=True)
             else:
                 ruled(self.quota.counted(self.clock.now(), tenant.name, total, limit, wait))
 
-        def alone() -> None:
-            self.moorings.give_up(number)
+        def alone(told: bool = False) -> None:
             self.tally["counted_alone"] += 1
-            ruled(self.quota.alone(self.clock.now(), tenant, self.fleet or UNKNOWN_FLEET))
+            ruling = self.quota.alone(self.clock.now(), tenant, self.fleet or UNKNOWN_FLEET)
+            self.moorings.give_up(number, partial(settle, ruling.goes))
+            if ruling.goes and told:
+                self.moorings.spent(tenant.name)
+            ruled(ruling)
+
+        def settle(goes: bool, total: int, limit: int, wait: float) -> None:
+            """Put right what a late answer shows the keeper to have counted otherwise than was ruled here."""
+            counted = 0 <= total <= limit
+            if goes and not counted:
+                self.moorings.spent(tenant.name)
+            elif counted and not goes:
+                self.moorings.give_back(tenant.name)
 
         def ruled(ruling: Ruling) -> None:
             if request.tries.ended:
