--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -117,6 +117,19 @@
         up(seconds)
 
 
+    def drill(self, name: str = "", seed: int = 1, seconds: float = 9.0, file: str = "") -> str:
+        """Play a drill on loopback and judge it by the rules; without a name, list them."""
+        from wickspring.lab.drill import DRILLS, play
+
+        if name not in DRILLS:
+            return "\n".join(DRILLS) if not name else f"no drill {name}; there are {', '.join(DRILLS)}"
+        result = play(name, seed, seconds)
+        text = json.dumps(result, indent=1)
+        if file:
+            Path(file).write_text(text + "\n")
+        return text
+
+
 def main() -> None:
     """Run one command."""
     try:
--- a/wickspring/lab/harbour.py
+++ b/wickspring/lab/harbour.py
@@ -26,7 +26,7 @@
 
 CONTROL, FRONT, READY, SERVER = 8783, 8782, 8789, 8080
 ROOT = Path(__file__).resolve().parents[2]
-BEAT_S = 0.5
+BEAT_S, DRAIN_S = 0.5, 2.5
 LIES = ("other_id", "no_seal", "encoded", "cut", "surplus", "junk", "failure")  # ways to spoil an answer
 HOST, PREFIX, KEY = "toy.example", "/look/", "key-of-toy"
 
@@ -63,6 +63,8 @@
     ran: Counter[str] = field(default_factory=Counter)  # by attempt id
     tenants: Counter[str] = field(default_factory=Counter)
     acknowledged: bool = False  # its draining
+    acknowledged_at: float = float("inf")
+    late: int = 0  # requests that came later than DRAIN_S after that
     lies: float = 0.0  # share of its answers that it spoils
     random: Random = field(default_factory=lambda: Random(1))
     told: Counter[str] = field(default_factory=Counter)  # lies, by kind
@@ -89,7 +91,8 @@
             light = self.lights[at % len(self.lights)]
             status, _ = await call(light, CONTROL, "POST", path, json.dumps(told))
             if status == 200:
-                self.acknowledged = state == "draining"
+                if state == "draining" and not self.acknowledged:
+                    self.acknowledged, self.acknowledged_at = True, trio.current_time()
                 await trio.sleep(BEAT_S)
             else:
                 at += 1
@@ -118,6 +121,7 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return False
         id_ = headers.get("x-attempt-id", "")
+        self.late += trio.current_time() > self.acknowledged_at + DRAIN_S
         more = [("X-Attempt-Id", id_)]
         status, body = 200, b""
         if headers.get("x-target-instance", self.id) != self.id:
