Tell pilots which servers are best taken, by what all of them have out

Change: a lighthouse watches over each service (lighthouse/berths.py): pilots ask it while the unit is counted, tell where they send and how it ended; without a word in 14 ms they choose alone. Ruled out: picking at the lighthouse alone, which would not know which connections are warm.

--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -18,6 +18,7 @@
 from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import Fault, Kind
 from wickspring.harbour.servers import READY, Server, digest
+from wickspring.lighthouse.berths import Berths
 from wickspring.lighthouse.chain import Hold
 from wickspring.lighthouse.core import Core
 from wickspring.lighthouse.logbook import Logbook
@@ -52,6 +53,7 @@
         self.register = Register(1000.0 * boot.heartbeat_s)
         bounds = boot.guarantees
         self.tally = Tally(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
+        self.berths = Berths(self.random.getrandbits(32))
         self.resources = [make(self) for make in RESOURCES]
         self.pilots: dict[Cable, str] = {}
         self.chart = Chart()
@@ -197,7 +199,8 @@
         try:
             await cable.read(self._take)
         finally:
-            self.pilots.pop(cable, None)
+            if self.pilots.pop(cable, None) is not None and cable.name not in self.pilots.values():
+                self.berths.gone(cable.name)
             cable.close()
 
     def _take(self, cable: Cable, message: Message) -> None:
@@ -210,6 +213,7 @@
             else:
                 self.pilots[cable] = cable.name
                 self.tally.back(cable.name)
+                self.berths.gone(cable.name)
                 cable.send(*self._view())
                 others = sorted(set(self.pilots.values()) - {cable.name})
                 cable.send("pilots", self.random.sample(others, min(INTRODUCED, len(others))))
@@ -220,6 +224,14 @@
             self.core.take(cable, message)
         elif name == "add":
             self._add(cable, int(message[1]), str(message[2]), bool(message[3]))
+        elif name == "berth":
+            now, service = self.clock.now(), str(message[2])
+            offers = self.berths.offers(now, service, str(message[3]), self.register.whole())
+            cable.send("berths", message[1], offers)
+        elif name == "out":
+            self.berths.sent(cable.name, str(message[1]))
+        elif name == "in":
+            self.berths.ended(self.clock.now(), cable.name, str(message[1]), float(message[2]))
         elif name == "spent":
             tenant = self.chart.tenants.get(str(message[1]))
             if tenant is not None:
@@ -300,7 +312,10 @@
                 saved_at, self._saved = now, {one.id for one in known}
                 await self.core.save_servers([one.pack(now) for one in known])
             members = [ip for ip, _ in chain.view.members]
+            known_before = set(self.register.servers)
             lost = self.register.sweep(now)
+            for id_ in known_before - set(self.register.servers):
+                self.berths.forget(id_)
             if lost and sum(map(self.core.live, members)) > len(members) // 2:
                 log.event("servers_silent", ids=",".join(lost))
                 self._tell("lost", lost)
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -38,6 +38,7 @@
 
 
 Answered = Callable[[int, int, float], None]  # total, limit (below 0: nobody said), ms to the window's end
+Offered = Callable[[list[tuple[str, float]]], None]  # servers, and what each costs
 
 
 class Moorings:
@@ -63,6 +64,7 @@
         self.whole_from: set[str] = set()  # lighthouses that have told all servers they know
         self.callers: dict[str, Caller] = {}
         self._adds: dict[int, tuple[Caller, Answered]] = {}
+        self._berths: dict[int, Offered] = {}
         self._number = 0
         self._fleets: dict[str, int] = {}  # pilots, as each lighthouse counts them
         self._keepers: dict[str, str] = {}
@@ -112,6 +114,10 @@
             asked = self._adds.pop(int(message[1]), None)
             if asked is not None:
                 asked[1](0, -1, 0.0)
+        elif name == "berths":
+            offered = self._berths.pop(int(message[1]), None)
+            if offered is not None:
+                offered([(str(id_), float(cost)) for id_, cost in message[2]])
         elif name == "servers":
             news = [one for told in message[1] if self.servers.heard(now, one := Server.unpack(told, now))]
             if news:
@@ -209,6 +215,34 @@
         if caller is not None:
             caller.send("back", tenant)
 
+    # Servers to take.
+
+    def berth(self, service: str, answered: Offered) -> int:
+        """Ask for the servers of a service best taken; a number to `drop` by, 0 where nobody can be asked."""
+        caller = self.callers.get(self.keeper(service))
+        if caller is None or not caller.live:
+            return 0
+        self._number += 1
+        self._berths[self._number] = answered
+        caller.send("berth", self._number, service, self.boot.zone)
+        return self._number
+
+    def drop(self, number: int) -> None:
+        """Wait no longer for an answer on berths."""
+        self._berths.pop(number, None)
+
+    def out(self, service: str, server: str) -> str:
+        """Tell that a request goes to a server; return who was told, for `back_in`."""
+        keeper = self.keeper(service)
+        caller = self.callers.get(keeper)
+        return keeper if caller is not None and caller.send("out", server) else ""
+
+    def back_in(self, told: str, server: str, ratio: float) -> None:
+        """Tell that it is over, and how it went."""
+        caller = self.callers.get(told)
+        if caller is not None:
+            caller.send("in", server, round(ratio, 2))
+
     # Upkeep.
 
     async def tick(self) -> None:
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -42,6 +42,7 @@
 CONNS_LEAST, CONNS_MOST = 3, 64
 IDLE_SHARE = 0.85  # of that time, that connections are kept
 KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
+BERTH_MS = 14.0  # for a lighthouse to say which servers are best taken
 AGAIN_LEFT = 0.97  # of the time that a route's clients have at first, below which one comes again
 FORGET_MS = 20_000.0
 START_MS = 3000.0  # since its start in which a pilot lets requests wait for its first news,
@@ -62,7 +63,7 @@
 
     __slots__ = (
         "again", "body", "client", "feed", "headers", "hedge", "host", "id", "landing", "method", "number",
-        "passing", "target", "tenant", "timer", "tries",
+        "offers", "passing", "ruled", "target", "tenant", "timer", "tries",
     )  # fmt: skip
 
     def __init__(self, number: int, client: Client, method: str, target: str, tries: Tries) -> None:
@@ -74,6 +75,8 @@
         self.feed: Feed | None = None
         self.tenant: Tenant | None = None
         self.again = False  # its client has been here before, by the time that it has left
+        self.offers: list[tuple[str, float]] | None = None  # servers best taken; None: not told yet
+        self.ruled = False  # its quota lets it go on
         self.passing = False  # its answer flows
         self.landing: Landing | None = None  # a whole answer that is no success, kept while others are out
         self.timer: Callable[[], None] = lambda: None  # cancels the end
@@ -254,10 +257,12 @@
         client.accepted(request.number, wait)
         timer = self.timers.at(request.tries.until, partial(self._due, request))
         request.timer = timer.cancel
+        self._ask_berth(request)
         if tenant is not None and tenant.rate > 0 and not route.public:
             self._count(request, tenant)
         else:
-            self._send(request)
+            request.ruled = True
+            self._go(request)
 
     def _await(
         self, client: Client, method: str, target: str, headers: Mapping[str, str], body: bytes,
@@ -327,7 +332,8 @@
             if request.tries.ended:
                 return
             if ruling.goes:
-                self._send(request)
+                request.ruled = True
+                self._go(request)
             else:
                 self._end(request, Kind.OVER_QUOTA, ruling.wait * self.random.uniform(1.0, 1.2))
 
@@ -337,13 +343,41 @@
             timer.cancel()
             alone()
 
+    def _ask_berth(self, request: Request) -> None:
+        """Ask which servers are best taken; for a moment, while its unit is counted as well."""
+
+        def offered(offers: list[tuple[str, float]]) -> None:
+            timer.cancel()
+            request.offers = offers
+            self._go(request)
+
+        def late() -> None:
+            self.moorings.drop(number)
+            self.tally["chosen_alone"] += 1
+            request.offers = []
+            self._go(request)
+
+        number = self.moorings.berth(request.tries.service, offered)
+        if not number:
+            request.offers = []
+            return
+        timer = self.timers.at(self.clock.now() + BERTH_MS, late)
+
+    def _go(self, request: Request) -> None:
+        """Send a request on once its quota and the best servers are known."""
+        tries = request.tries
+        if request.ruled and request.offers is not None and not tries.sent and not tries.ended:
+            self._send(request)
+
     def _send(self, request: Request) -> None:
         """Send a request to a first or further server, or end it."""
         tries, now = request.tries, self.clock.now()
         if not tries.may_send(now):
             self._give_up(request)
             return
-        berth = self.choice.pick(now, tries.service, tries.route.name, tries.tried)
+        berth = self.choice.pick(
+            now, tries.service, tries.route.name, tries.tried, () if tries.sent else request.offers or ()
+        )
         if berth is None or not self._afford(tries, now):
             self._give_up(request)
             return
@@ -351,13 +385,14 @@
         tries.begin(server.id)
         number = 16 * request.number + tries.sent
         self.choice.sent(now, berth, number)
+        told = self.moorings.out(tries.service, server.id)
         until = tries.until
         left = max(1, int(until + END_MS - now))
         headers = [*request.headers, ("X-Deadline-Ms", str(left)), ("X-Target-Instance", server.id)]
         passage = Passage(
             server.id.encode(), parse_address(server.address), not tries.route.pure, until, id=request.id,
             host=request.host, method=request.method, target=request.target, headers=headers,
-            body=request.body, feed=request.feed, done=partial(self._ended, request, berth, number),
+            body=request.body, feed=request.feed, done=partial(self._ended, request, berth, number, told),
             heard=self._headers,
         )  # fmt: skip
         passage.flowing = partial(self._flows, request)
@@ -420,7 +455,7 @@
         client.begin(length, code, own(pairs))
         return client
 
-    def _ended(self, request: Request, berth: Berth, number: int, reply: Reply) -> None:
+    def _ended(self, request: Request, berth: Berth, number: int, told: str, reply: Reply) -> None:
         """Learn from a try's end, and go on from there."""
         now, tries = self.clock.now(), request.tries
         outcome = _STATUS.get(reply.status, Outcome.BROKEN)
@@ -428,7 +463,9 @@
         good: bool | None = outcome is Outcome.ANSWERED and reply.status is Status.OK
         if outcome is Outcome.TURNED_AWAY:
             good = None
-        self.choice.ended(now, berth, number, tries.route.name, good)
+        ratio = self.choice.ended(now, berth, number, tries.route.name, good)
+        if told:
+            self.moorings.back_in(told, berth.server.id, ratio)
         self.tally[f"tries[{outcome.value}]"] += 1
         if tries.ended:
             return
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -116,8 +116,20 @@
             cost *= 10.0 + berth.failures
         return cost
 
-    def pick(self, now: float, service: str, route: str, tried: set[str]) -> Berth | None:
-        """Choose a server of a service that has not been tried; None where there is none."""
+    def pick(
+        self, now: float, service: str, route: str, tried: set[str], offers: Sequence[tuple[str, float]] = ()
+    ) -> Berth | None:
+        """Choose a server of a service that has not been tried, if there is one of those offered."""
+        best, least = None, float("inf")
+        for id_, cost in offers:
+            berth = self.services.get(service, {}).get(id_)
+            if berth is None or id_ in tried or now < berth.shunned_until:
+                continue
+            cost *= 1.0 if self.warm(id_) else DIAL_COST
+            if cost < least:
+                best, least = berth, cost
+        if best is not None:
+            return best
         takes = [one for id_, one in self.services.get(service, {}).items() if id_ not in tried]
         if not takes:
             return None
@@ -135,21 +147,26 @@
         """Note a try as out."""
         berth.out[number] = now
 
-    def ended(self, now: float, berth: Berth, number: int, route: str, good: bool | None) -> None:
-        """Note how a try ended: a whole answer, a failure, or neither (turned away)."""
+    def ended(self, now: float, berth: Berth, number: int, route: str, good: bool | None) -> float:
+        """Note how a try ended: a whole answer, a failure, or neither (turned away).
+
+        Return its time by what is usual, 0 where it was turned away, below 0 where it failed.
+        """
         begun = berth.out.pop(number, now)
         if good is None:
             berth.heard_at = now
-        elif good:
+            return 0.0
+        if good:
             berth.heard_at, berth.failures, berth.shunned_until, berth.lost = now, 0, 0.0, False
             took = max(1.0, now - begun)
             usual = self.usual.get(route, 0.0)
             self.usual[route] = usual + (took - usual) / (4 * MEMORY) if usual else took
             slow = min(SLOW_MOST, max(SLOW_LEAST, took / max(1.0, self.usual[route])))
             berth.slow += (slow - berth.slow) / MEMORY
-        else:
-            berth.failures = min(SHUN_MOST, berth.failures + 1)
-            berth.shunned_until = now + SHUN_MS * 2.0 ** (berth.failures - 1) * self.random.uniform(0.7, 1.3)
+            return slow
+        berth.failures = min(SHUN_MOST, berth.failures + 1)
+        berth.shunned_until = now + SHUN_MS * 2.0 ** (berth.failures - 1) * self.random.uniform(0.7, 1.3)
+        return -1.0
 
     def forget(self, now: float, after_ms: float) -> None:
         """Forget servers that have left or are long lost and owe no answer."""
