--- /dev/null
+++ b/tests/test_berths.py
@@ -0,0 +1,80 @@
+"""Advice on servers by what all pilots have out, under random load, against choosing alone."""
+
+from __future__ import annotations
+
+import heapq
+from random import Random
+
+from wickspring.harbour.servers import DRAINING, Server
+from wickspring.lighthouse.berths import OFFERS, Berths
+from wickspring.pilot.policy.choice import Choice
+
+
+def servers(count: int, zone: str = "a") -> list[Server]:
+    return [Server(f"i{n}", "s", f"10.0.0.{n}:80", zone, 2) for n in range(count)]
+
+
+def waits(told: bool, seed: int) -> float:
+    """Play 8 pilots on 12 servers of two slots, two thirds busy; the mean time that requests wait, ms."""
+    random, lot = Random(seed), servers(12)
+    berths, pilots = Berths(seed), [Choice("a", seed + n) for n in range(8)]
+    for pilot in pilots:
+        for one in lot:
+            pilot.heard(0.0, one)
+    free = {one.id: [0.0, 0.0] for one in lot}  # when each slot is free
+    ends: list[tuple[float, int, str]] = []
+    now, waited, work = 0.0, list[float](), 100.0
+    for _ in range(4000):
+        now += random.expovariate(0.16)
+        while ends and ends[0][0] <= now:
+            at, whose, id_ = heapq.heappop(ends)
+            ratio = pilots[whose].ended(at, pilots[whose].berths[id_], round(at * 1e6), "r", True)
+            berths.ended(at, f"p{whose}", id_, ratio)
+        number = random.randrange(8)
+        pilot = pilots[number]
+        offers = berths.offers(now, "s", "a", lot) if told else ()
+        berth = pilot.pick(now, "s", "r", set(), offers)
+        assert berth is not None
+        slots = free[berth.server.id]
+        begins = max(now, min(slots))
+        took = random.expovariate(1.0 / work)
+        slots[slots.index(min(slots))] = begins + took
+        waited.append(begins - now)
+        pilot.sent(now, berth, round((begins + took) * 1e6))
+        berths.sent(f"p{number}", berth.server.id)
+        heapq.heappush(ends, (begins + took, number, berth.server.id))
+    return sum(waited) / len(waited)
+
+
+def test_requests_wait_less_where_all_that_is_out_is_known() -> None:
+    for seed in (1, 2, 3):
+        assert waits(True, seed) < 0.5 * waits(False, seed)
+
+
+def test_what_is_slow_silent_failing_or_leaving_is_not_offered_first() -> None:
+    berths, lot = Berths(1), servers(6)
+    lot[0] = Server("i0", "s", "10.0.0.0:80", "a", 2, DRAINING)
+    for _ in range(6):
+        berths.sent("p", "i1")  # and never answers
+    berths.ended(0.0, "p", "i2", -1.0)
+    for _ in range(30):
+        berths.ended(0.0, "q", "i3", 3.0)
+    first = [berths.offers(1.0, "s", "a", lot)[0][0] for _ in range(50)]
+    assert set(first) == {"i4", "i5"}
+    offers = dict(berths.offers(1.0, "s", "a", lot))
+    assert len(offers) == OFFERS and "i0" not in offers
+    berths.gone("p")  # what a pilot that ended had out is forgotten
+    assert "i1" in {berths.offers(1.0, "s", "a", lot)[0][0] for _ in range(50)}
+    assert berths.offers(1.0, "other", "a", lot) == []
+
+
+def test_a_pilot_leaves_out_what_it_knows_better() -> None:
+    choice = Choice("a", 1, warm=lambda id_: id_ != "i1")
+    for one in servers(4):
+        choice.heard(0.0, one)
+    choice.left({"i0": DRAINING})
+    offers = [("i0", 0.5), ("i1", 1.0), ("i2", 1.2), ("i9", 0.1)]
+    chosen = choice.pick(1.0, "s", "r", set(), offers)
+    assert chosen is not None and chosen.server.id == "i2"  # i1 is to be dialled, i0 leaves, i9 is not known
+    again = choice.pick(1.0, "s", "r", {"i1", "i2"}, offers)
+    assert again is not None and again.server.id == "i3"
