Give advice on servers only while the core is in reach, and do not shun the busy

Change: it names servers only while it reaches a majority of its view; pilots pass over advice of less than 0.7 of the servers they know; silence of a server that has answered others since does not shun it.

--- a/tests/test_berths.py
+++ b/tests/test_berths.py
@@ -32,7 +32,7 @@
             berths.ended(at, f"p{whose}", id_, ratio)
         number = random.randrange(8)
         pilot = pilots[number]
-        offers = berths.offers(now, "s", "a", lot) if told else ()
+        offers = berths.offers(now, "a", lot) if told else ()
         berth = pilot.pick(now, "s", "r", set(), offers)
         assert berth is not None
         slots = free[berth.server.id]
@@ -53,19 +53,18 @@
 
 def test_what_is_slow_silent_failing_or_leaving_is_not_offered_first() -> None:
     berths, lot = Berths(1), servers(6)
-    lot[0] = Server("i0", "s", "10.0.0.0:80", "a", 2, DRAINING)
+    del lot[0]
     for _ in range(6):
         berths.sent("p", "i1")  # and never answers
     berths.ended(0.0, "p", "i2", -1.0)
     for _ in range(30):
         berths.ended(0.0, "q", "i3", 3.0)
-    first = [berths.offers(1.0, "s", "a", lot)[0][0] for _ in range(50)]
+    first = [berths.offers(1.0, "a", lot)[0][0] for _ in range(50)]
     assert set(first) == {"i4", "i5"}
-    offers = dict(berths.offers(1.0, "s", "a", lot))
+    offers = dict(berths.offers(1.0, "a", lot))
     assert len(offers) == OFFERS and "i0" not in offers
     berths.gone("p")  # what a pilot that ended had out is forgotten
-    assert "i1" in {berths.offers(1.0, "s", "a", lot)[0][0] for _ in range(50)}
-    assert berths.offers(1.0, "other", "a", lot) == []
+    assert "i1" in {berths.offers(1.0, "a", lot)[0][0] for _ in range(50)}
 
 
 def test_a_pilot_leaves_out_what_it_knows_better() -> None:
@@ -78,3 +77,16 @@
     assert chosen is not None and chosen.server.id == "i2"  # i1 is to be dialled, i0 leaves, i9 is not known
     again = choice.pick(1.0, "s", "r", {"i1", "i2"}, offers)
     assert again is not None and again.server.id == "i3"
+
+
+def test_a_server_with_too_much_to_do_is_not_taken_for_a_dead_one() -> None:
+    choice = Choice("a", 1)
+    for one in servers(2):
+        choice.heard(0.0, one)
+    busy, dead = choice.berths["i0"], choice.berths["i1"]
+    for number, berth in enumerate((busy, dead)):
+        choice.sent(10.0, berth, number)
+    choice.sent(10.0, busy, 9)
+    choice.ended(900.0, busy, 9, "r", True)
+    assert choice.ended(1200.0, busy, 0, "r", False, True) == 0.0 and busy.shunned_until == 0.0
+    assert choice.ended(1200.0, dead, 1, "r", False, True) < 0.0 and dead.shunned_until > 1200.0
--- a/wickspring/lighthouse/berths.py
+++ b/wickspring/lighthouse/berths.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from wickspring.harbour.servers import READY, Server
+from wickspring.harbour.servers import Server
 
 OFFERS = 4  # servers named in one answer
 MEMORY = 12.0  # answers in the mean of a server's speed
@@ -70,13 +70,7 @@
             cost *= SHUN_COST
         return cost * (1.0 + EVEN * self.random.random())
 
-    def offers(
-        self, now: float, service: str, zone: str, servers: Iterable[Server]
-    ) -> list[tuple[str, float]]:
-        """Return the servers best taken now, with their costs."""
-        costs = [
-            (self.cost(now, one, zone), one.id)
-            for one in servers
-            if one.service == service and one.state == READY
-        ]
+    def offers(self, now: float, zone: str, servers: Iterable[Server]) -> list[tuple[str, float]]:
+        """Return those of a service's servers that are best taken now, with their costs."""
+        costs = [(self.cost(now, one, zone), one.id) for one in servers]
         return [(id_, round(cost, 2)) for cost, id_ in sorted(costs)[:OFFERS]]
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -226,8 +226,10 @@
             self._add(cable, int(message[1]), str(message[2]), bool(message[3]))
         elif name == "berth":
             now, service = self.clock.now(), str(message[2])
-            offers = self.berths.offers(now, service, str(message[3]), self.register.whole())
-            cable.send("berths", message[1], offers)
+            known = [one for one in self.register.whole() if one.service == service and one.state == READY]
+            # Cut off from the others it hears some of the servers alone, and would send all pilots to those.
+            offers = self.berths.offers(now, str(message[3]), known) if self.core.steady else []
+            cable.send("berths", message[1], offers, len(known))
         elif name == "out":
             self.berths.sent(cable.name, str(message[1]))
         elif name == "in":
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -38,7 +38,7 @@
 
 
 Answered = Callable[[int, int, float], None]  # total, limit (below 0: nobody said), ms to the window's end
-Offered = Callable[[list[tuple[str, float]]], None]  # servers, and what each costs
+Offered = Callable[[list[tuple[str, float]], int], None]  # servers with their costs, and of how many
 
 
 class Moorings:
@@ -117,7 +117,7 @@
         elif name == "berths":
             offered = self._berths.pop(int(message[1]), None)
             if offered is not None:
-                offered([(str(id_), float(cost)) for id_, cost in message[2]])
+                offered([(str(id_), float(cost)) for id_, cost in message[2]], int(message[3]))
         elif name == "servers":
             news = [one for told in message[1] if self.servers.heard(now, one := Server.unpack(told, now))]
             if news:
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -42,6 +42,7 @@
 CONNS_LEAST, CONNS_MOST = 3, 64
 IDLE_SHARE = 0.85  # of that time, that connections are kept
 KEEP_ALIVE_SHARE = 0.9  # of the time a server says it keeps an idle connection
+KNOWN_SHARE = 0.7  # of the servers known here that a lighthouse must know for its advice to count
 BERTH_MS = 14.0  # for a lighthouse to say which servers are best taken
 AGAIN_LEFT = 0.97  # of the time that a route's clients have at first, below which one comes again
 FORGET_MS = 20_000.0
@@ -346,9 +347,10 @@
     def _ask_berth(self, request: Request) -> None:
         """Ask which servers are best taken; for a moment, while its unit is counted as well."""
 
-        def offered(offers: list[tuple[str, float]]) -> None:
+        def offered(offers: list[tuple[str, float]], known: int) -> None:
             timer.cancel()
-            request.offers = offers
+            mine = len(self.choice.services.get(request.tries.service, ()))
+            request.offers = offers if known >= KNOWN_SHARE * mine else []
             self._go(request)
 
         def late() -> None:
@@ -463,7 +465,8 @@
         good: bool | None = outcome is Outcome.ANSWERED and reply.status is Status.OK
         if outcome is Outcome.TURNED_AWAY:
             good = None
-        ratio = self.choice.ended(now, berth, number, tries.route.name, good)
+        silent = outcome is Outcome.SILENT
+        ratio = self.choice.ended(now, berth, number, tries.route.name, good, silent)
         if told:
             self.moorings.back_in(told, berth.server.id, ratio)
         self.tally[f"tries[{outcome.value}]"] += 1
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -147,10 +147,12 @@
         """Note a try as out."""
         berth.out[number] = now
 
-    def ended(self, now: float, berth: Berth, number: int, route: str, good: bool | None) -> float:
-        """Note how a try ended: a whole answer, a failure, or neither (turned away).
+    def ended(
+        self, now: float, berth: Berth, number: int, route: str, good: bool | None, silent: bool = False
+    ) -> float:
+        """Note how a try ended: a whole answer, a failure (or silence), or neither (turned away).
 
-        Return its time by what is usual, 0 where it was turned away, below 0 where it failed.
+        Return its time by what is usual, 0 where that says nothing of the server, below 0 where it failed.
         """
         begun = berth.out.pop(number, now)
         if good is None:
@@ -164,6 +166,8 @@
             slow = min(SLOW_MOST, max(SLOW_LEAST, took / max(1.0, self.usual[route])))
             berth.slow += (slow - berth.slow) / MEMORY
             return slow
+        if silent and berth.heard_at > begun:
+            return 0.0  # it has answered others since: it has too much to do, and shunning it would not help
         berth.failures = min(SHUN_MOST, berth.failures + 1)
         berth.shunned_until = now + SHUN_MS * 2.0 ** (berth.failures - 1) * self.random.uniform(0.7, 1.3)
         return -1.0
