Test that a lighthouse cut off names no servers, and explore small cores in the tests

Change: a lighthouse in a test of its own, with and without a majority; three explorations and one seeded defect that exploring finds.

--- a/tests/test_berths.py
+++ b/tests/test_berths.py
@@ -3,10 +3,19 @@
 from __future__ import annotations
 
 import heapq
+from pathlib import Path
 from random import Random
+from typing import cast
 
+import trio
+
+from tests.test_gateway_parts import SETTINGS
+from wickspring.harbour import boot
+from wickspring.harbour.cable import Cable
 from wickspring.harbour.servers import DRAINING, Server
 from wickspring.lighthouse.berths import OFFERS, Berths
+from wickspring.lighthouse.chain import View
+from wickspring.lighthouse.light import Light
 from wickspring.pilot.policy.choice import Choice
 
 
@@ -90,3 +99,34 @@
     choice.ended(900.0, busy, 9, "r", True)
     assert choice.ended(1200.0, busy, 0, "r", False, True) == 0.0 and busy.shunned_until == 0.0
     assert choice.ended(1200.0, dead, 1, "r", False, True) < 0.0 and dead.shunned_until > 1200.0
+
+
+class Heard:
+    """The end of a cable that keeps what is said on it."""
+
+    def __init__(self) -> None:
+        self.name, self.about, self.said = "p", dict[str, object](), list[tuple[object, ...]]()
+
+    def send(self, *message: object) -> None:
+        self.said.append(message)
+
+
+def test_a_lighthouse_cut_off_from_the_others_names_no_servers(tmp_path: Path) -> None:
+    settings = SETTINGS.replace("ip=10.1.0.30", "ip=10.1.0.33") + f"data_dir={tmp_path}\n"
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            light = Light(boot.read(settings), nursery, 1)
+            for one in servers(2):
+                light.register.beat(light.clock.now(), one)
+            heard = Heard()
+            ask = ["berth", 1, "s", "a"]
+            light._take(cast(Cable, heard), ask)  # of two seeds it reaches only itself
+            assert heard.said.pop() == ("berths", 1, [], 2)
+            light.core.chain.view = View(2, (light.core.chain.me,))
+            light._take(cast(Cable, heard), ask)
+            _, _, offers, known = heard.said.pop()
+            assert len(cast(list[object], offers)) == known == 2
+            nursery.cancel_scope.cancel()
+
+    trio.run(play)
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wickspring.lab.keel import BrokenError, Core, Machine
+from wickspring.lab.keel_states import explore
 from wickspring.lighthouse.chain import Chain, Hold, View
 
 
@@ -64,3 +65,13 @@
         for seed in range(400):
             core(seed, 3, chain=chain).play(25_000.0, write_ms)
     print(caught.value)
+
+
+@pytest.mark.parametrize("loses", ["a", "b", "c"])
+def test_no_order_of_events_breaks_a_small_core(loses: str) -> None:
+    assert explore(1, loses) > 4000
+
+
+def test_exploring_finds_who_agrees_with_itself_alone() -> None:
+    with pytest.raises(BrokenError):
+        explore(1, "c", chain=Alone)
