Start a gateway on loopback in one place, for the toy, the drills and the tests

Cause: the same start stood three times. Change: Harbour.launch; the three call it, the tests keep their assertions. Ruled out: nothing; the deployed programs are untouched.

--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -19,12 +19,7 @@
     harbour = Harbour(folder, net=net)
     try:
         async with trio.open_nursery() as nursery:
-            for ip in (*harbour.lights, *harbour.pilots):
-                harbour.start(ip)
-            for one in harbour.servers():
-                nursery.start_soon(one.run)
-            assert await harbour.order(document(1)) == 200
-            await harbour.ready()
+            assert await harbour.launch(nursery, document(1)) == 200
             yield harbour
             nursery.cancel_scope.cancel()
     finally:
--- a/wickspring/lab/drill.py
+++ b/wickspring/lab/drill.py
@@ -167,12 +167,7 @@
         harbour = self.harbour
         try:
             async with trio.open_nursery() as nursery:
-                for ip in (*harbour.lights, *harbour.pilots):
-                    harbour.start(ip)
-                for one in harbour.servers():
-                    nursery.start_soon(one.run)
-                await harbour.order(document(self.version, self.ledger.rate))
-                await harbour.ready()
+                await harbour.launch(nursery, document(self.version, self.ledger.rate))
                 async with trio.open_nursery() as inner:
                     inner.start_soon(self.load, per_s, trio.current_time() + seconds)
                     await trio.sleep(1.0)
--- a/wickspring/lab/harbour.py
+++ b/wickspring/lab/harbour.py
@@ -260,6 +260,16 @@
         self.standins = made
         return made
 
+    async def launch(self, nursery: trio.Nursery, body: bytes) -> int:
+        """Start all, with a configuration, and wait until the pilots are ready; how it was answered."""
+        for ip in (*self.lights, *self.pilots):
+            self.start(ip)
+        for one in self.servers():
+            nursery.start_soon(one.run)
+        status = await self.order(body)
+        await self.ready()
+        return status
+
     async def order(self, body: bytes) -> int:
         """Send a configuration to one lighthouse after another until one answers clearly."""
         status = 0
@@ -299,12 +309,7 @@
         harbour = Harbour(Path(folder), net=0)
         try:
             async with trio.open_nursery() as nursery:
-                for ip in (*harbour.lights, *harbour.pilots):
-                    harbour.start(ip)
-                for one in harbour.servers():
-                    nursery.start_soon(one.run)
-                say(f"configuration r1: {await harbour.order(document(1, rate=20.0))}")
-                await harbour.ready()
+                say(f"configuration r1: {await harbour.launch(nursery, document(1, rate=20.0))}")
                 say(f"pilots: {', '.join(f'{ip}:{FRONT}' for ip in harbour.pilots)}")
                 say(f"lighthouses: {','.join(f'{ip}:{CONTROL}' for ip in harbour.lights)}")
                 say(f"try: curl -i http://{harbour.pilots[0]}:{FRONT}{PREFIX}1 -H 'Host: {HOST}' \\")
