Keep counts under a lease that a majority grants, with the view's epoch as fence

Result: in virtual time leases of two views are never usable at once over 360 runs of 3 to 5 machines with stops and clocks 2% apart; a lease of 3 s and a keeper that does not wait are caught. Ruled out: shorter silences for the chain itself, which would make views flap.

--- a/tests/test_berths.py
+++ b/tests/test_berths.py
@@ -124,6 +124,7 @@
             light._take(cast(Cable, heard), ask)  # of two seeds it reaches only itself
             assert heard.said.pop() == ("berths", 1, [], 2)
             light.core.chain.view = View(2, (light.core.chain.me,))
+            light.core.lease.take_up(light.clock.now(), light.core.chain.view)
             light._take(cast(Cable, heard), ask)
             _, _, offers, known = heard.said.pop()
             assert len(cast(list[object], offers)) == known == 2
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -6,22 +6,26 @@
 
 from wickspring.lab.keel import BrokenError, Core, Machine
 from wickspring.lab.keel_states import explore
-from wickspring.lighthouse.chain import Chain, Hold, View
+from wickspring.lighthouse.chain import Chain, Hold, Reach, View
+from wickspring.lighthouse.lease import Lease, grants
 
 
 @pytest.mark.parametrize("machines", [3, 4, 5])
 def test_nothing_acknowledged_is_lost(machines: int) -> None:
-    acks = 0
+    acks = usable = 0
     for seed in range(120):
         core = Core(1000 * machines + seed, machines)
         core.play(25_000.0)
-        acks += core.acks
+        acks, usable = acks + core.acks, usable + core.usable
     assert acks > 120 * 15  # and it is no core that refuses everything
+    assert usable > 120 * 100
 
 
 class Amnesiac(Core):
     """A machine whose disk was wiped comes back under the name of its old disk, and so with its vote."""
 
+    kinds = ("wipe", "wipe", "cut", "kill")
+
     def stop(self, machine: Machine, wipe: bool = False) -> None:
         kept = machine.disk
         super().stop(machine, wipe)
@@ -56,6 +60,69 @@
             self._install(now, View(self.view.epoch + 1, (self.me,)))
 
 
+class Kept(Lease):
+    """A lease that its holder keeps too long."""
+
+    lasts_ms = 3000.0
+
+
+class Hurried(Lease):
+    """A new keeper that does not wait until leases of the view before have ended."""
+
+    def usable(self, now: float, chain: Chain) -> bool:
+        return self.held(now, chain)
+
+
+@pytest.mark.parametrize(("lease", "kept"), [(Lease, True), (Kept, False), (Hurried, False)])
+def test_a_lease_of_the_view_before_has_ended_when_the_next_is_used(lease: type[Lease], kept: bool) -> None:
+    """The head hears nothing of the view that the other two agree on, though they hear it."""
+    members = tuple((ip, "first") for ip in "abc")
+    chains = {ip: Chain(ip, "first", View(1, members), at) for at, ip in enumerate("abc")}
+    leases = {ip: lease() for ip in "ab"}
+    chains["b"].begin(0.0)
+    for ip, one in leases.items():
+        one.take_up(0.0, chains[ip].view)
+    reach = {"a": Reach(True, "first", hampered=True, epoch=1), "c": Reach(True, "first", epoch=1)}
+    used, together = set(), 0
+    for now in range(0, 4000, 5):
+        if now % 200 == 0:
+            if grants(chains["b"]) == 1:  # what it says later does not reach the head
+                leases["a"].granted("b", "first", now, 1)
+            leases["b"].granted("c", "first", now, grants(chains["c"]))
+            if now >= 1200:
+                chains["b"].tick(now, reach)
+        while chains["b"].out or chains["c"].out:
+            for ip in "bc":
+                out, chains[ip].out = chains[ip].out, []
+                for to, message in out:
+                    if to != "a":
+                        chains[to].receive(now, ip, message)
+        leases["b"].take_up(now, chains["b"].view)
+        holders = [ip for ip, one in leases.items() if one.usable(now, chains[ip])]
+        used |= {(ip, leases[ip].epoch) for ip in holders}
+        together += len({leases[ip].epoch for ip in holders}) > 1
+    assert used == {("a", 1), ("b", 1), ("b", 2)}
+    assert (together == 0) == kept
+
+
+def test_a_machine_that_is_in_no_view_keeps_nothing() -> None:
+    chain, lease = Chain("a", "new", View(), 1), Lease()
+    lease.take_up(0.0, chain.view)
+    assert not lease.usable(5000.0, chain)
+
+
+class Cut(Core):
+    """Cuts above all."""
+
+    kinds = ("cut", "one_way", "stop", "lossy")
+
+
+def test_a_lease_kept_too_long_is_caught() -> None:
+    with pytest.raises(BrokenError, match="usable at once"):
+        for seed in range(400):
+            Cut(seed, 4, lease=Kept).play(25_000.0)
+
+
 @pytest.mark.parametrize(
     ("core", "chain", "write_ms"),
     [(Amnesiac, Chain, 9000.0), (Core, Hasty, 250.0), (Core, Stale, 250.0), (Core, Alone, 250.0)],
--- a/wickspring/lab/keel.py
+++ b/wickspring/lab/keel.py
@@ -2,10 +2,11 @@
 
 One run is one seed. Messages are lost, doubled, late and out of order; a machine ends before its save, or
 after the save and before its messages leave; disks are wiped one at a time, as a deployment says that it
-bears; all may be killed at once. Checked all along: views of one epoch are one view; what is acknowledged is
-on all disks of the view; what is read is not older than what was acknowledged when the read began.
-Checked at the end, once all is well again: what is
-read is not older than the newest acknowledged, and is what was sent under its number.
+bears; all may be killed at once; machines are stopped and woken, and their steady clocks differ in speed.
+Checked all along: views of one epoch are one view; what is acknowledged is on all disks of the view; what
+is read is not older than what was acknowledged when the read began; leases of two views are never usable
+at once. Checked at the end, once all is well again: what is read is not older than the newest
+acknowledged, and is what was sent under its number.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from typing import Any
 
 from wickspring.lighthouse.chain import Chain, Hold, Member, Reach, View
+from wickspring.lighthouse.lease import MOST_DRIFT, Lease, grants
 
 TICK_MS = 200.0
 SILENT_MS = 750.0
@@ -43,13 +45,23 @@
     lives: int = 0  # disks that it has had
     heard: dict[str, tuple[float, Reach]] = field(default_factory=dict)
     back_at: float = 0.0
+    lease: Lease = field(default_factory=Lease)
+    speed: float = 1.0  # of its steady clock
+    stopped_until: float = 0.0  # it is there, and does nothing
+
+    def clock(self, now: float) -> float:
+        """Return what its steady clock shows."""
+        return now * self.speed
 
 
 class Core:
     """All core machines of one run."""
 
-    def __init__(self, seed: int, machines: int = 4, seeds: int = 3, chain: type[Chain] = Chain) -> None:
-        self.seed, self.random, self.make = seed, Random(seed), chain
+    def __init__(
+        self, seed: int, machines: int = 4, seeds: int = 3, chain: type[Chain] = Chain,
+        lease: type[Lease] = Lease,
+    ) -> None:  # fmt: skip
+        self.seed, self.random, self.make, self.lease = seed, Random(seed), chain, lease
         self.now = 0.0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.order = count()
@@ -65,7 +77,7 @@
         self.answers: dict[tuple[str, int], bool] = {}
         self.number = count(1)
         self.reads: dict[tuple[str, int], int] = {}  # what was acknowledged as each began
-        self.acks = self.wipes = self.kills = 0
+        self.acks = self.wipes = self.kills = self.usable = 0
         for machine in self.machines.values():
             self.start(machine, first=True)
 
@@ -92,7 +104,8 @@
             machine.lives += 1
             chain = self.make(machine.ip, f"{machine.ip}.{machine.lives}", View(), seed)
         chain.dirty = True
-        machine.chain, machine.back_at = chain, self.now
+        machine.chain, machine.back_at, machine.lease = chain, self.now, self.lease()
+        machine.speed = self.random.uniform(1.0 - MOST_DRIFT / 2, 1.0 + MOST_DRIFT / 2)
         self.step(machine, lambda: chain.begin(self.now))
         self.at(self.random.uniform(1.0, TICK_MS), lambda: self.tick(machine, life))
 
@@ -125,6 +138,8 @@
                 self.at(self.random.uniform(100.0, 2500.0), lambda: self.revive(machine))
                 return
         self.look(machine, chain)
+        if machine.lease.take_up(machine.clock(self.now), chain.view):
+            self.duties()
         for ticket, safe in done:
             self.answers[machine.ip, ticket] = safe
             asked = self.reads.pop((machine.ip, ticket), 0)
@@ -137,6 +152,9 @@
             self.send(machine.ip, ip, message)
 
     crash_odds = 0.0
+    kinds: tuple[str, ...] = (
+        "kill", "wipe", "wipe", "kill_all", "cut", "one_way", "lossy", "crash", "stop",
+    )  # fmt: skip
 
     def crashes(self) -> bool:
         """Tell whether a machine ends just here."""
@@ -156,6 +174,18 @@
         if chain.safe.version > chain.hold.version:
             self.fail(f"{machine.ip} calls safe what it does not hold")
 
+    def duties(self) -> None:
+        """Check that nobody may do what another, of another view, may do as well."""
+        epochs = set()
+        for one in self.machines.values():
+            if one.chain is None or one.stopped_until > self.now:
+                continue
+            if one.lease.usable(one.clock(self.now), one.chain):
+                epochs.add(one.lease.epoch)
+                self.usable += 1
+        if len(epochs) > 1:
+            self.fail(f"leases of epochs {sorted(epochs)} are usable at once")
+
     def acknowledged(self, chain: Chain, version: int) -> None:
         """Check, and note, that a version has just been acknowledged."""
         self.acks += 1
@@ -169,6 +199,9 @@
         """Have a machine look round, and be heard."""
         if machine.life != life or machine.chain is None:
             return
+        if machine.stopped_until > self.now:
+            self.at(machine.stopped_until - self.now, lambda: self.tick(machine, life))
+            return
         chain = machine.chain
         self.at(TICK_MS * self.random.uniform(0.85, 1.15), lambda: self.tick(machine, life))
         told = Reach(
@@ -176,7 +209,7 @@
         )
         for other in self.machines.values():
             if other is not machine and (other.ip, machine.ip) not in self.cut:
-                self.send(machine.ip, other.ip, ["status", told])
+                self.send(machine.ip, other.ip, ["status", told, machine.clock(self.now)])
         reach = {
             ip: Reach(
                 self.now - at < SILENT_MS, one.disk, False, one.epoch, one.version, one.leavers
@@ -197,8 +230,14 @@
                 chain = machine.chain
                 if machine.life != life or chain is None or (sender, to) in self.cut:
                     return
-                if message[0] == "status":
+                if machine.stopped_until > self.now:
+                    self.at(machine.stopped_until - self.now, arrive)
+                elif message[0] == "status":
                     machine.heard[sender] = self.now, message[1]
+                    self.send(to, sender, ["tock", chain.me[1], message[2], grants(chain)])
+                elif message[0] == "tock":
+                    machine.lease.granted(sender, *message[1:])
+                    self.duties()
                 else:
                     self.step(machine, lambda: chain.receive(self.now, sender, message))
 
@@ -240,7 +279,7 @@
 
     def trouble(self) -> None:
         """Have one thing go wrong."""
-        kind = self.random.choice(("kill", "wipe", "wipe", "kill_all", "cut", "one_way", "lossy", "crash"))
+        kind = self.random.choice(self.kinds)
         allowed = self.wipe_allowed()
         if kind == "kill_all":
             self.kills += 1
@@ -254,6 +293,9 @@
             self.wipes += kind == "wipe"
             self.stop(machine, wipe=kind == "wipe")
             self.at(self.random.uniform(100.0, 3500.0), lambda: self.revive(machine))
+        elif kind == "stop":
+            machine = self.random.choice(allowed)
+            machine.stopped_until = machine.back_at = self.now + self.random.uniform(100.0, 4000.0)
         elif kind in ("cut", "one_way"):
             machine = self.random.choice(allowed)
             others = [ip for ip in self.machines if ip != machine.ip]
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -16,6 +16,7 @@
 from wickspring.harbour.cable import Cable, Caller, Message
 from wickspring.harbour.seeds import Seeds
 from wickspring.lighthouse.chain import Chain, Hold, Member, Reach, View
+from wickspring.lighthouse.lease import Lease, grants
 from wickspring.lighthouse.logbook import Logbook
 from wickspring.net.clock import Clock
 
@@ -47,10 +48,10 @@
 
     def __init__(
         self, boot: Boot, keeper: Logbook, clock: Clock, nursery: trio.Nursery, random: Random,
-        told: Callable[[Hold], None], heard: Callable[[str, Message], None],
+        told: Callable[[Hold], None], viewed: Callable[[], None], heard: Callable[[str, Message], None],
     ) -> None:  # fmt: skip
         self.boot, self.keeper, self.clock, self.nursery, self.random = boot, keeper, clock, nursery, random
-        self._told, self._heard = told, heard
+        self._told, self._viewed, self._heard = told, viewed, heard
         self.ip = boot.ip
         self.callers: dict[str, Caller] = {}
         self.states: dict[str, Told] = {}  # what the others said of themselves last
@@ -64,7 +65,7 @@
         self._events: list[Callable[[], None]] = []
         self._stirred = trio.Event()
         self._disk = trio.Lock()  # one thread at a time writes
-        self._epoch = -1
+        self.lease = Lease()
         self.chain = self._begin()
 
     def _begin(self) -> Chain:
@@ -128,7 +129,9 @@
     def _take(self, cable: Cable, message: Message) -> None:
         """Hear an answer on a cable that this machine called."""
         if message[0] == "tock":
-            told = self.states[str(message[1])] = Told(*message[2])
+            ip = str(message[1])
+            told = self.states[ip] = Told(*message[2])
+            self.lease.granted(ip, told.disk, float(message[3]), int(message[4]))
             if told.cores != len(self.callers) and self.random.random() < ASK_CORES:
                 cable.send("cores")  # it knows more of them, or fewer
         elif message[0] == "cores":
@@ -138,7 +141,7 @@
         """Hear another core machine on a cable that it called; False where it says no such thing."""
         name, ip = message[0], cable.name
         if name == "tick":
-            cable.send("tock", self.ip, self.state())
+            cable.send("tock", self.ip, self.state(), message[1], grants(self.chain))
         elif name == "cores":
             cable.send("cores", [ip for ip in self.callers if self.live(ip)])
         elif name == "chain":
@@ -219,7 +222,7 @@
         while True:
             self.know(self.seeds.ips(self.clock.now(), any(map(self.live, self.callers))))
             for caller in self.callers.values():
-                caller.send("tick")
+                caller.send("tick", self.clock.now())
             self._queue(lambda: self.chain.tick(self.clock.now(), self._reaches()))
             await trio.sleep(TICK_MS * self.random.uniform(0.85, 1.15) / 1000.0)
 
@@ -246,12 +249,12 @@
                 answer = self._waiting.pop(ticket, None)
                 if answer is not None:
                     answer(safe)
-            if chain.view.epoch != self._epoch:
-                self._epoch = chain.view.epoch
+            if self.lease.take_up(self.clock.now(), chain.view):
                 log.event(
-                    "view", epoch=self._epoch, members=",".join(ip for ip, _ in chain.view.members),
+                    "view", epoch=chain.view.epoch, members=",".join(ip for ip, _ in chain.view.members),
                     head=chain.head, member=chain.member,
                 )  # fmt: skip
+                self._viewed()
             if news:
                 self._told(chain.safe)
 
@@ -279,7 +282,10 @@
 
     @property
     def steady(self) -> bool:
-        """Tell whether this machine is a member that reaches a majority of an unfrozen view."""
-        chain = self.chain
-        reached = sum(self.live(ip) for ip, _ in chain.view.members)
-        return chain.member and not chain.frozen and reached >= chain.view.majority
+        """Tell whether a majority of the view grants this machine what only one may do."""
+        return self.lease.held(self.clock.now(), self.chain)
+
+    @property
+    def keeps(self) -> bool:
+        """Tell whether it may count: no lease of an earlier view can hold any more."""
+        return self.lease.usable(self.clock.now(), self.chain)
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -36,7 +36,6 @@
 ALIVE_MS = 500.0
 SAVE_MS = 1500.0  # between two saves of which servers there are
 MOST_ORDER = 4 << 20  # bytes of a configuration
-TENURE_MS = 350.0  # after a view, until counts are given out: the pilots tell first what they sent on
 INTRODUCED = 3  # pilots that a new one is told of
 LEAVE_S = 2.0  # for the others to mend the chain before this machine ends
 
@@ -48,8 +47,9 @@
         super().__init__(nursery, boot.limits.memory_mb)
         self.boot, self.random = boot, Random(seed)
         self.core = Core(
-            boot, Logbook(boot.data_dir or "."), self.clock, nursery, self.random, self._safe, self._from_core
-        )
+            boot, Logbook(boot.data_dir or "."), self.clock, nursery, self.random, self._safe, self._viewed,
+            self._from_core,
+        )  # fmt: skip
         self.register = Register(1000.0 * boot.heartbeat_s)
         bounds = boot.guarantees
         self.tally = Tally(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack)
@@ -58,7 +58,6 @@
         self.pilots: dict[Cable, str] = {}
         self.chart = Chart()
         self.document = b""  # packed, as pilots get it
-        self.tenure_at, self._epoch = self.clock.now(), -1
         self._saved: set[str] = set()  # servers on disk
         self._begin()
         self._fresh: dict[str, int] = {}  # beats since the core was last told
@@ -174,6 +173,11 @@
             self.register.leave(fresh)
             self._tell("leavers", fresh)
 
+    def _viewed(self) -> None:
+        """Take up another view: counts begin anew, from what the pilots tell of what they have sent on."""
+        self.tally.begin(self.clock.now())
+        self._tell(*self._view())
+
     def _view(self) -> tuple[Any, ...]:
         chain = self.core.chain
         cores = [self.boot.ip, *(ip for ip in self.core.callers if self.core.live(ip))]
@@ -223,7 +227,7 @@
         elif cable.about.get("core"):
             self.core.take(cable, message)
         elif name == "add":
-            self._add(cable, int(message[1]), str(message[2]), bool(message[3]))
+            self._add(cable, int(message[1]), str(message[2]), bool(message[3]), int(message[4]))
         elif name == "berth":
             now, service = self.clock.now(), str(message[2])
             known = [one for one in self.register.whole() if one.service == service and one.state == READY]
@@ -250,10 +254,10 @@
             cable.send(*self._view())
             self._whole(cable)
 
-    def _add(self, cable: Cable, number: int, name: str, again: bool) -> None:
+    def _add(self, cable: Cable, number: int, name: str, again: bool, epoch: int) -> None:
         now = self.clock.now()
         tenant = self.chart.tenants.get(name)
-        if tenant is None or not self.core.steady or now - self.tenure_at < TENURE_MS:
+        if tenant is None or not self.core.keeps or epoch != self.core.lease.epoch:
             cable.send("moved", number)
             return
         total, limit, wait = self.tally.add(
@@ -291,10 +295,6 @@
             await trio.sleep(SWEEP_MS * self.random.uniform(0.9, 1.1) / 1000.0)
             now = self.clock.now()
             chain = self.core.chain
-            if chain.view.epoch != self._epoch:
-                self._epoch, self.tenure_at = chain.view.epoch, now
-                self.tally.begin(now)
-                self._tell(*self._view())
             if self._fresh and now - told_at >= ALIVE_MS:
                 told_at = now
                 self.core.say_all("alive", list(self._fresh.items()))
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -190,7 +190,7 @@
             return 0
         self._number += 1
         self._adds[self._number] = caller, answered
-        caller.send("add", self._number, tenant, again)
+        caller.send("add", self._number, tenant, again, self.epoch)
         return self._number
 
     def give_up(self, number: int, late: Answered) -> None:
