Take nothing that cannot be read from strangers: beats, datagrams, cables, figures

Cause: a fuzz of each input ended processes. A datagram that asked for a probe of a host with a null byte ended a pilot; a beat with an address that is none ended each pilot that chose the server; a list where a map is wanted, or a figure without end, ended whoever read it; rates of 1e308 ended the keeper of that tenant's count. Change: addresses are IP numbers wherever they come in; one list of what reading may raise (harbour.cable.UNREADABLE), and a spoilt cable is logged and ended; figures of a configuration at most 1e9; a word of over a million units in a window is not taken. Result: 2,000 spoilt settings, 2,000 beats, 8,000 messages, 6 cores with spoilt messages: refused by kind or read, nothing raised. Ruled out: catching everything, which would hide faults of our own.

--- /dev/null
+++ b/tests/test_strangers.py
@@ -0,0 +1,223 @@
+"""Whatever comes from outside, or over cables: a fuzz of each input, never a crash, always a known kind."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import pytest
+import trio
+
+from tests.test_gateway_parts import SETTINGS, document
+from wickspring.gossip.book import Digest
+from wickspring.harbour import boot
+from wickspring.harbour.cable import UNREADABLE, Cable
+from wickspring.harbour.kinds import ANSWERS, FaultError, Kind
+from wickspring.harbour.lines import parse_address
+from wickspring.harbour.servers import Server
+from wickspring.lab.keel import Core
+from wickspring.lighthouse.chain import Hold
+from wickspring.lighthouse.light import Light
+from wickspring.lighthouse.resources import Call, Heartbeat
+from wickspring.pilot.pilot import Pilot
+
+ODD: list[Any] = [
+    None, -1, 0, 2**63, -(2**63), 1e308, float("inf"), float("nan"), "", "x", "10.0.0.1:80", "\x00", b"",
+    b"\xff", [], {}, [[]], {"a": {}}, True, [None] * 9, {"i": -1},
+]  # fmt: skip
+
+
+def spoil(random: Random, told: Any) -> Any:
+    """Return a message with one of its parts, at any depth, replaced, dropped or doubled."""
+    if isinstance(told, (list, tuple)) and told and random.random() < 0.85:
+        parts, at = list(told), random.randrange(len(told))
+        how = random.random()
+        if how < 0.1:
+            del parts[at]
+        elif how < 0.2:
+            parts.insert(at, parts[at])
+        else:
+            parts[at] = spoil(random, parts[at])
+        return parts
+    if isinstance(told, dict) and told and random.random() < 0.85:
+        key = random.choice(list(told))
+        return {**told, key: spoil(random, told[key])}
+    return copy.deepcopy(random.choice(ODD))
+
+
+class Heard:
+    """The end of a cable that keeps what is said on it."""
+
+    def __init__(self, **about: object) -> None:
+        self.name, self.about, self.said, self.live = "p", about, list[tuple[object, ...]](), True
+
+    def send(self, *message: object) -> None:
+        self.said.append(message)
+
+    def close(self) -> None:
+        self.live = False
+
+
+def test_settings_are_read_or_refused() -> None:
+    random = Random(3)
+    for _ in range(2000):
+        lines = SETTINGS.splitlines()
+        at = random.randrange(len(lines))
+        name = lines[at].partition("=")[0]
+        lines[at] = random.choice((f"{name}={random.choice(ODD)}", f"{name}.x=1", name, f"={name}", "\\u12"))
+        try:
+            read = boot.read("\n".join(lines))
+        except FaultError as error:
+            assert error.fault.kind is Kind.BAD_SETTINGS and error.fault.reason
+        else:
+            assert 0 < read.talk_port < 65536
+            assert all(parse_address(one) for one in read.seed_addrs)
+
+
+def test_beats_are_taken_or_refused_by_kind(tmp_path: Path) -> None:
+    random = Random(4)
+    beat = {
+        "address": "10.1.0.9:8080",
+        "build_info": {"service": "s", "generation": "v1", "zone": "a", "capacity": 2},
+        "condition": {"state": "ready", "call_seq": 4, "cold_left_s": 0.5},
+    }
+
+    async def play(light: Light) -> None:
+        taken = 0
+        for _ in range(2000):
+            try:
+                body = json.dumps(spoil(random, beat)).encode()
+            except TypeError:  # bytes have no form in JSON
+                body = b"\xff"
+            said = await Heartbeat(light).call(Call("POST", "", body, {"id": "i1"}))
+            assert said.status in (200, ANSWERS[Kind.BAD_REQUEST].status, ANSWERS[Kind.NOT_SAFE_YET].status)
+            taken += said.status == 200
+        assert 0 < taken < 1000
+        for one in light.register.whole():
+            parse_address(one.address)
+
+    in_light(tmp_path, play)
+
+
+def in_light(folder: Path, play: Any) -> None:
+    settings = SETTINGS.replace("ip=10.1.0.30", "ip=10.1.0.33") + f"data_dir={folder}\n"
+    settings = settings.replace("10.1.0.33:8783,10.2.0.25:8783", "10.1.0.33:8783")
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            light = Light(boot.read(settings), nursery, 1)
+            light.core.lease.take_up(0.0, light.core.chain.view)
+            light.core.chain.safe.join(Hold(7, json.dumps(document()).encode()))
+            light._safe(light.core.chain.safe)
+            await play(light)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_a_lighthouse_takes_whatever_comes_over_a_cable(tmp_path: Path) -> None:
+    """Of pilots and of the core; nothing but what ends the cable is raised, and it counts on."""
+    random = Random(5)
+    server = Server("i1", "s", "10.1.0.9:80", "a", 2).pack(0.0)
+    of_pilots: list[list[Any]] = [
+        ["hello", "pilot", "10.1.0.2", {"version": 3}], ["add", 1, "n", False, 1], ["berth", 2, "s", "a"],
+        ["out", "i1"], ["in", "i1", 1.2], ["spent", "n"], ["back", "n"], ["past", "n", [[0, 3], [4, 1]]],
+        ["tick", 3], ["whole"],
+    ]  # fmt: skip
+    of_core: list[list[Any]] = [
+        ["tick", 5.0], ["cores"], ["chain", ["pass", [1, [["a", "first"]]], 1, [1, b"", {"i": 1}]]],
+        ["enter", 4, [1, b"{}", {"i1": 1}], True], ["entered", 4, True, None], ["servers", [server]],
+        ["shadow", {"n": [[0, 2]]}], ["alive", [["i1", 4]]], ["tell", ["i1"]],
+    ]  # fmt: skip
+
+    async def play(light: Light) -> None:
+        refused = 0
+        for _ in range(4000):
+            core = random.random() < 0.5
+            cable = cast(Cable, Heard(**({"core": True} if core else {})))
+            if not core:
+                light.pilots[cable] = "p"
+            message = spoil(random, random.choice(of_core if core else of_pilots))
+            try:
+                if isinstance(message, list) and message and isinstance(message[0], str):
+                    light._take(cable, message)
+            except UNREADABLE:
+                refused += 1
+            light.pilots.pop(cable, None)
+        assert refused > 300
+        heard = Heard()
+        light.pilots[cast(Cable, heard)] = "p"
+        while light.clock.now() - light.core.lease.since < 500.0:
+            await trio.lowlevel.checkpoint()
+        light._take(cast(Cable, heard), ["add", 9, "n", False, light.core.lease.epoch])
+        assert heard.said[-1][:2] == ("sum", 9)
+        light.status()
+
+    in_light(tmp_path, play)
+
+
+def test_a_pilot_takes_whatever_comes_over_cables_and_datagrams() -> None:
+    random = Random(6)
+    server = Server("i1", "s", "10.1.0.9:80", "a", 2).pack(0.0)
+    digest = Digest("127.0.9.9", {"127.0.9.9": (1.0, 2, 3)}, "", "")
+    probe = [digest.low, digest.high, digest.heard]
+    messages: list[list[Any]] = [
+        ["sum", 1, 3, 9, 20], ["moved", 1], ["berths", 1, [["i1", 1.0]], 3], ["servers", [server]],
+        ["leavers", {"i2": 1}], ["pilots", ["10.1.0.2"]], ["lost", ["i1"]], ["whole", [server], {"i3": 2}],
+        ["chart", 3, b"x"], ["view", 2, ["10.1.0.33"], ["10.1.0.33"], 8], ["tock", 2, 3, 8, 99],
+    ]  # fmt: skip
+    datagrams: list[list[Any]] = [
+        ["probe", "127.0.9.9", 1, probe, [0, 0, 0], [["10.1.0.2", 1.0, 2, "x"]]],
+        ["word", "127.0.9.9", 1, [["10.1.0.2", 1.0, 2, 3, False]], [0, 0, 0], []],
+        ["reach", "127.0.9.9", 3, "10.1.0.2"], ["reached", "127.0.9.9", 3],
+        ["servers", "127.0.9.9", [server]], ["leavers", "127.0.9.9", {"i4": 1}],
+    ]  # fmt: skip
+    settings = SETTINGS.replace("ip=10.1.0.30", "ip=127.0.9.1").replace("7340,7355", "47340,47355")
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            pilot = Pilot(boot.read(settings), nursery, 1)
+            refused = 0
+            for step in range(4000):
+                known = step % 2 == 0
+                message = spoil(random, random.choice(messages if known else datagrams))
+                try:
+                    if known:
+                        pilot.moorings.take(cast(Cable, Heard()), message)
+                    elif message[1] == "127.0.9.9":
+                        pilot.flotilla._take("127.0.9.9", message)
+                except UNREADABLE:
+                    refused += 1
+            assert refused > 300
+            for berth in pilot.choice.berths.values():
+                parse_address(berth.server.address)
+            pilot.choice.forget(pilot.clock.now(), 1.0)
+            pilot._digest()
+            nursery.cancel_scope.cancel()
+            pilot.flotilla.socket.close()
+
+    trio.run(play)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_spoilt_messages_do_not_break_the_chain(seed: int) -> None:
+    """Among the messages of a core some come spoilt: they may be refused, and nothing is lost by them."""
+    random, refused = Random(seed), 0
+
+    class Spoilt(Core):
+        def send(self, sender: str, to: str, message: list[Any]) -> None:
+            if message[0] != "status" and random.random() < 0.01:
+                chain = self.machines[to].chain
+                try:
+                    if chain is not None:  # what is not read whole changes nothing that is saved or said
+                        copy.deepcopy(chain).receive(self.now, sender, spoil(random, message))
+                except (*UNREADABLE, AssertionError):
+                    nonlocal refused
+                    refused += 1
+            super().send(sender, to, message)
+
+    Spoilt(seed, 3).play(25_000.0)
+    assert refused > 0
--- a/wickspring/harbour/cable.py
+++ b/wickspring/harbour/cable.py
@@ -14,10 +14,13 @@
 import msgpack
 import trio
 
+from wickspring.harbour import log
+from wickspring.harbour.kinds import FaultError
 from wickspring.net.clock import Clock
 from wickspring.net.link import Link, connect
 
 MOST_MESSAGE = 4 << 20  # bytes of one message, and of all that waits to be read
+MOST_REASON = 120  # characters of a reason in the log
 DIAL_MS = 400.0
 SILENT_MS = 1300.0  # after which the other side is taken for out of reach
 TICK_MS = 420.0  # how often something is said, so that silence means something
@@ -25,6 +28,12 @@
 
 Message = list[Any]
 
+# What reading a message may raise that is none of this system's, or is spoilt: nothing else is caught for it.
+UNREADABLE = (
+    ValueError, TypeError, KeyError, IndexError, AttributeError, OverflowError, msgpack.UnpackException,
+    FaultError,
+)  # fmt: skip
+
 
 class Cable:
     """One end of a connected cable."""
@@ -58,7 +67,8 @@
                     if not isinstance(message, list) or not message or not isinstance(message[0], str):
                         return
                     take(self, message)
-            except (ValueError, msgpack.UnpackException, TypeError, KeyError, IndexError):
+            except UNREADABLE as error:
+                log.event("message_bad", sender=self.name, reason=repr(error)[:MOST_REASON])
                 return
 
     def close(self) -> None:
--- a/wickspring/harbour/lines.py
+++ b/wickspring/harbour/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import socket
 from pathlib import Path
 
 import javaproperties
@@ -14,12 +15,22 @@
 Address = tuple[str, int]
 
 
+def parse_ip(text: str) -> str:
+    """Read an IPv4 number; names are not looked up."""
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except (OSError, ValueError, TypeError):
+        raise FaultError(Fault(Kind.BAD_SETTINGS, f"not an address: {text!r}")) from None
+    return text
+
+
 def parse_address(text: str) -> Address:
     """Read `IP:port`."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    number = int(port) if port.isdigit() and port.isascii() and len(port) < 6 else 0
+    if not 0 < number < 65536:
         raise FaultError(Fault(Kind.BAD_SETTINGS, f"not an address: {text!r}"))
-    return host, int(port)
+    return parse_ip(host), number
 
 
 def split(text: str) -> dict[str, str]:
--- a/wickspring/harbour/servers.py
+++ b/wickspring/harbour/servers.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wickspring.harbour.lines import parse_address
+
 READY, DRAINING, GONE = 0, 1, 2
 
 
@@ -34,8 +36,9 @@
 
     @staticmethod
     def unpack(told: Any, now: float) -> Server:
-        """Read it from a message."""
+        """Read it from a message; what no request could be sent to is not taken in."""
         id_, service, address, zone, slots, state, seq, left, generation = told
+        parse_address(str(address))
         until = now + float(left) if left else 0.0
         return Server(
             str(id_), str(service), str(address), str(zone), int(slots), int(state), int(seq), until,
--- a/wickspring/lighthouse/check.py
+++ b/wickspring/lighthouse/check.py
@@ -15,6 +15,7 @@
 TARGET_PAST_TIMEOUT_S = 60.0  # a target so much above its route's timeout is a slip of the pen
 MOST_REASONS = 300  # characters of what is answered
 MOST_VERSION = 2**62
+MOST_FIGURE = 1e9  # of seconds, weights, rates and bursts: sums of them stay numbers
 
 
 def _version(text: str) -> None:
@@ -32,19 +33,21 @@
         unknown = INCLUDE
 
 
-def _number(**more: Any) -> fields.Float:
-    return fields.Float(allow_nan=False, **more)
+def _number(above: bool = False, **more: Any) -> fields.Float:
+    """A figure from 0 on, or above it."""
+    bounds = validate.Range(min=0, max=MOST_FIGURE, min_inclusive=not above)
+    return fields.Float(allow_nan=False, validate=bounds, **more)
 
 
 class _Weighted(_Lenient):
     service = fields.String(required=True)
-    weight = _number(required=True, validate=validate.Range(min=0))
+    weight = _number(required=True)
 
 
 class _Effect(_Lenient):
     service = fields.String()
     weighted = fields.List(fields.Nested(_Weighted), validate=validate.Length(min=1))
-    timeout_s = _number(required=True, validate=validate.Range(min=0, min_inclusive=False))
+    timeout_s = _number(above=True, required=True)
     max_tries = fields.Integer(required=True, strict=True, validate=validate.Range(min=1))
 
     @validates_schema
@@ -62,7 +65,7 @@
 class _Rule(_Lenient):
     name = fields.String(required=True)
     route_kind = fields.String(required=True, validate=validate.OneOf(("pure", "effectful")))
-    target_s = _number(required=True, validate=validate.Range(min=0))
+    target_s = _number(required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
     public = fields.Boolean()
     pattern = fields.Nested(_Pattern, required=True)
@@ -91,15 +94,15 @@
     name = fields.String(required=True, validate=validate.Length(min=1))
     api_keys = fields.List(fields.String(validate=validate.Length(min=1)), required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
-    rate_per_s = _number(validate=validate.Range(min=0))
-    burst = _number(validate=validate.Range(min=0))
+    rate_per_s = _number()
+    burst = _number()
 
 
 class _Limits(_Lenient):
     max_header_bytes = fields.Integer(validate=validate.Range(min=256))
     max_body_bytes = fields.Integer(validate=validate.Range(min=0))
-    header_timeout_s = _number(validate=validate.Range(min=0, min_inclusive=False))
-    idle_timeout_s = _number(validate=validate.Range(min=0, min_inclusive=False))
+    header_timeout_s = _number(above=True)
+    idle_timeout_s = _number(above=True)
 
 
 class _Config(_Lenient):
--- a/wickspring/lighthouse/tally.py
+++ b/wickspring/lighthouse/tally.py
@@ -29,6 +29,7 @@
 BURST_MORE = 2.0  # units above the burst that are given out: windows are not cut where the rule's are
 SHADOW_WINDOWS = 8  # that are told to the other machines, of tenants that have used up much
 MUCH = 0.5  # of what may be left, below which a tenant has used up much
+MOST_UNITS = 1_000_000  # of one tenant in one window that anybody's word is taken for
 AWAY_MS = 30_000.0  # for which the part of a silent pilot is kept back
 LEFT_LEAST = 0.15  # of what a window brings that is given out whatever is kept back
 AGAIN_SHARE, AGAIN_LEAST = 0.2, 4.0  # of the burst that is kept for those who come for the first time
@@ -84,7 +85,7 @@
         """Put a pilot's own word, windows ago and units, in the place of what is held of it."""
         part: dict[int, int] = {}
         for ago, units in told:
-            if 0 <= ago <= WINDOWS and units > 0:
+            if 0 <= ago <= WINDOWS and 0 < units <= MOST_UNITS:
                 part[window - ago] = part.get(window - ago, 0) + units
         self.parts[pilot] = part
         self.sum_up(window)
@@ -202,7 +203,8 @@
         window = int(now / self.window_ms)
         shadow = self.counts.setdefault(tenant, Count()).shadow
         for ago, units in told:
-            shadow[window - ago] = max(units, shadow.get(window - ago, 0))
+            if 0 <= ago <= WINDOWS and 0 < units <= MOST_UNITS:
+                shadow[window - ago] = max(units, shadow.get(window - ago, 0))
         for old in [at for at in shadow if at < window - WINDOWS]:
             del shadow[old]
 
--- a/wickspring/pilot/flotilla.py
+++ b/wickspring/pilot/flotilla.py
@@ -21,7 +21,8 @@
 from wickspring.gossip.book import Digest, Entry
 from wickspring.gossip.members import Doubt, Members, Place
 from wickspring.harbour import log
-from wickspring.harbour.cable import Cable, Message
+from wickspring.harbour.cable import UNREADABLE, Cable, Message
+from wickspring.harbour.lines import parse_ip
 from wickspring.net.clock import Clock
 from wickspring.net.link import Link, connect
 
@@ -107,7 +108,7 @@
 
     def _hear(self, told: list[Any]) -> None:
         entries = [
-            Entry(str(o), float(i), int(b), int(n), None if left is None else Place(str(o), bool(left)))
+            Entry(parse_ip(o), float(i), int(b), int(n), None if left is None else Place(o, bool(left)))
             for o, i, b, n, left in told
         ]
         self.members.hear(entries)
@@ -178,7 +179,7 @@
                 message = msgpack.unpackb(data)
                 if message[1] == ip:
                     self._take(ip, message)
-            except (ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException):
+            except UNREADABLE:
                 continue  # not of this system, or spoilt
 
     def _take(self, ip: str, message: list[Any]) -> None:
@@ -201,7 +202,7 @@
             self._doubted(doubts)
             self._compare(ip, state)
         elif name == "reach":
-            self.nursery.start_soon(self._reach, ip, int(message[2]), str(message[3]))
+            self.nursery.start_soon(self._reach, ip, int(message[2]), parse_ip(message[3]))
         elif name == "reached":
             answered = self._waits.pop(int(message[2]), None)
             if answered is not None:
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -15,6 +15,7 @@
 from wickspring.harbour.boot import Boot
 from wickspring.harbour.cable import TICK_MS, Cable, Caller, Message
 from wickspring.harbour.chart import Chart, lay_out
+from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.seeds import Seeds
 from wickspring.harbour.servers import Server
 from wickspring.net.clock import Clock
@@ -127,7 +128,7 @@
             if left:
                 self._passed_on("leavers", left)
         elif name == "pilots":
-            self._introduced([str(ip) for ip in message[1]])
+            self._introduced([parse_ip(ip) for ip in message[1]])
         elif name == "lost":
             self.servers.silent([str(id_) for id_ in message[1]])
         elif name == "whole":
@@ -140,9 +141,9 @@
             self._take_chart(int(message[1]), bytes(message[2]))
         elif name == "view":
             cable.name = str(message[3][0])
-            self.know([str(ip) for ip in message[3]])
+            self.know([parse_ip(ip) for ip in message[3]])
             self.fleet = max(self.fleet, int(message[4]))
-            self._take_view(int(message[1]), [str(ip) for ip in message[2]])
+            self._take_view(int(message[1]), [parse_ip(ip) for ip in message[2]])
         elif name == "tock":
             self._fleets[cable.name] = int(message[3])
             self.fleet = max(self._fleets.values())
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -236,7 +236,7 @@
         if not route.pure and id_ in self.ids:
             self._refuse(client, Kind.AT_WORK)
             return
-        wait = min(float(left) if left else MOST_LEFT_MS, 1000.0 * route.timeout_s)
+        wait = min(float(left or "inf"), MOST_LEFT_MS, 1000.0 * route.timeout_s)
         service = self._service(route)
         self._last += 1
         request = Request(
@@ -248,7 +248,7 @@
         if tenant is not None:
             request.tenant = tenant
             request.headers.append(("X-Tenant", tenant.name))
-        has, most = float(left) if left else MOST_LEFT_MS, self.told_ms.get(route.name, 0.0)
+        has, most = min(float(left or "inf"), MOST_LEFT_MS), self.told_ms.get(route.name, 0.0)
         if has > most:
             self.told_ms[route.name] = most = has
         request.again = has < AGAIN_LEFT * most
