--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -4,6 +4,7 @@
 
 import json
 import sqlite3
+from contextlib import closing
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -157,8 +158,9 @@
     fresh.restore(durable)
     assert (fresh.view, fresh.hold, fresh.me) == (chain.view, chain.hold, chain.me)
     again.close()
-    with sqlite3.connect(tmp_path / FILE) as db:
+    with closing(sqlite3.connect(tmp_path / FILE)) as db:
         db.execute("update part set data = ? where name = 'hold'", (b"\x93junk",))
+        db.commit()
     spoilt = Logbook(str(tmp_path))
     assert spoilt.load() is None and spoilt.set_aside  # as a machine with an empty disk: it has no vote
     spoilt.close()
--- a/wickspring/harbour/kinds.py
+++ b/wickspring/harbour/kinds.py
@@ -19,6 +19,7 @@
     AT_WORK = "at_work"  # a request with this id is under way here
     NOT_READY = "not_ready"
     INVALID_CONFIG = "invalid_config"
+    INVALID_SNAPSHOT = "invalid_snapshot"
     NOT_SAFE_YET = "not_safe_yet"  # the core could not make it safe in time; it may hold later
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
@@ -45,6 +46,7 @@
     Kind.AT_WORK: Answer(409),
     Kind.NOT_READY: Answer(503, comes_back=True),
     Kind.INVALID_CONFIG: Answer(400),
+    Kind.INVALID_SNAPSHOT: Answer(400),
     Kind.NOT_SAFE_YET: Answer(503, comes_back=True),
     Kind.NOT_FOUND: Answer(404),
     Kind.TOO_LARGE: Answer(413),
--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -66,16 +66,40 @@
     def chain(self) -> str:
         """Show the chain: its view, and which copy is behind."""
         one = self._status()
-        view = one["chain"]
-        rows = [{"place": at, "machine": ip} for at, ip in enumerate(view["members"])]
-        for row in rows:
-            told = one["core"].get(row["machine"])
-            if told is None:
-                row |= {"live": True, "safe": f"r{view['safe']}", "disk": view["disk"]}
-            else:
-                safe, disk = f"r{told.get('version', '?')}", told.get("disk", "?")
-                row |= {"live": told["live"], "safe": safe, "disk": disk}
-        return self._show(view, f"epoch {view['epoch']}\n{_table(rows)}")
+        view, core = one["chain"], one["core"]
+        places = ("head", *("middle",) * (len(view["members"]) - 2), "tail")
+        rows = [
+            {"place": places[at], "machine": ip, **self._copy(view, core.get(ip))}
+            for at, ip in enumerate(view["members"])
+        ]
+        spares = [ip for ip in core if ip not in view["members"]]
+        rows += [{"place": "spare", "machine": ip, **self._copy(view, core[ip])} for ip in spares]
+        return self._show(one, f"epoch {view['epoch']}, as {one['node']} knows it\n{_table(rows)}")
+
+    def _copy(self, view: dict[str, Any], told: dict[str, Any] | None) -> dict[str, Any]:
+        """Return a row's columns on one copy; None is the copy of who was asked."""
+        if told is None:
+            return {"live": True, "safe": f"r{view['safe']}", "disk": view["disk"], "behind": "-"}
+        return {
+            "live": told["live"], "safe": f"r{told.get('version', '?')}", "disk": told.get("disk", "?"),
+            "behind": "; ".join(told["behind"]) or "-",
+        }  # fmt: skip
+
+    def snapshot(self, file: str) -> str:
+        """Put away all that the chain keeps: the configuration, and which servers leave."""
+        answered = call(self._at, "GET", "/snapshot")
+        if answered.status != 200:
+            raise SystemExit(f"{answered.at}: {answered.status} {answered.body.decode()}")
+        Path(file).write_bytes(answered.body)
+        return f"{file}: {len(answered.body)} bytes, {len(answered.tree['leavers'])} leaving servers"
+
+    def restore(self, file: str) -> str:
+        """Bring a snapshot back; what is newer here stays."""
+        answered = call(self._at, "POST", "/snapshot", Path(file).read_bytes())
+        if answered.status != 200:
+            raise SystemExit(f"{answered.at}: {answered.status} {answered.body.decode()}")
+        told = answered.tree
+        return f"{answered.at}: {told['generation']} holds, {told['leavers']} leaving servers"
 
     def servers(self) -> str:
         """Show the servers as one lighthouse knows them."""
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -13,7 +13,8 @@
 
 from wickspring.harbour import log
 from wickspring.harbour.boot import Boot
-from wickspring.harbour.cable import Cable, Caller, Message
+from wickspring.harbour.cable import UNREADABLE, Cable, Caller, Message
+from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.seeds import Seeds
 from wickspring.lighthouse.chain import Chain, Hold, Member, Reach, View
 from wickspring.lighthouse.lease import Lease, grants
@@ -135,7 +136,7 @@
             if told.cores != len(self.callers) and self.random.random() < ASK_CORES:
                 cable.send("cores")  # it knows more of them, or fewer
         elif message[0] == "cores":
-            self.know([str(ip) for ip in message[1]])
+            self.know([parse_ip(ip) for ip in message[1]])
 
     def take(self, cable: Cable, message: Message) -> bool:
         """Hear another core machine on a cable that it called; False where it says no such thing."""
@@ -236,7 +237,7 @@
             for event in events:
                 try:
                     event()
-                except (ValueError, TypeError, KeyError, IndexError, AttributeError, AssertionError) as error:
+                except (*UNREADABLE, AssertionError) as error:
                     log.event("core_message_bad", reason=error)
             out, done, news = chain.out, chain.done, chain.news
             chain.out, chain.done, chain.news = [], [], []
@@ -280,6 +281,25 @@
         except (sqlite3.Error, OSError) as error:
             log.event("save_failed", reason=error)
 
+    def behind(self, ip: str) -> list[str]:
+        """Say in what another core machine's copy is behind, and why; nothing where it is as good as this."""
+        told, chain = self.states.get(ip), self.chain
+        if told is None:
+            return ["never heard"]
+        why = [] if self.live(ip) else ["silent"]
+        disks = dict(chain.view.members)
+        if ip in disks and disks[ip] != told.disk:
+            why.append("its disk is another than the view's: emptied, and not taken in again")
+        if told.ill:
+            why.append("its disk does not come back in time, or it is ending")
+        if told.epoch < chain.view.epoch:
+            why.append(f"epoch {told.epoch} of {chain.view.epoch}")
+        if told.version < chain.safe.version:
+            why.append(f"r{told.version} of r{chain.safe.version}")
+        if told.leavers < len(chain.safe.leavers):
+            why.append(f"{told.leavers} of {len(chain.safe.leavers)} leaving servers")
+        return why
+
     @property
     def steady(self) -> bool:
         """Tell whether a majority of the view grants this machine what only one may do."""
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -17,6 +17,7 @@
 from wickspring.harbour.chart import Chart, lay_out
 from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import Fault, Kind
+from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.servers import READY, Server, digest
 from wickspring.lighthouse.berths import Berths
 from wickspring.lighthouse.chain import Hold
@@ -210,7 +211,7 @@
     def _take(self, cable: Cable, message: Message) -> None:
         name = message[0]
         if name == "hello":
-            cable.name = str(message[2])
+            cable.name = parse_ip(message[2])
             if message[1] == "core":
                 cable.about = {"core": True}
                 self.core.know([cable.name])
@@ -338,7 +339,11 @@
                 "disk": chain.me[1],
             },
             "core": {
-                ip: {"live": self.core.live(ip), **(asdict(told) if told is not None else {})}
+                ip: {
+                    "live": self.core.live(ip),
+                    "behind": self.core.behind(ip),
+                    **(asdict(told) if told is not None else {}),
+                }
                 for ip in self.core.callers
                 for told in (self.core.states.get(ip),)
             },
--- a/wickspring/lighthouse/resources.py
+++ b/wickspring/lighthouse/resources.py
@@ -5,14 +5,16 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any, Literal
 
 import msgspec
 from zope.interface import Interface, implementer
 
 from wickspring.harbour import log
-from wickspring.harbour.kinds import ANSWERS, Fault, Kind
+from wickspring.harbour.kinds import ANSWERS, Fault, FaultError, Kind
+from wickspring.harbour.lines import parse_address
 from wickspring.harbour.servers import DRAINING, GONE, READY, Server
+from wickspring.lighthouse import snapshot
 from wickspring.lighthouse.chain import Hold
 from wickspring.lighthouse.check import check
 
@@ -21,6 +23,32 @@
 
 BACK_S = 0.25  # after which a call that could not be made safe may come again
 _STATES = {"ready": READY, "draining": DRAINING}
+MOST_SLOTS = 100_000
+
+
+class _Info(msgspec.Struct):
+    """`build_info` of a beat."""
+
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    zone: str = ""
+    capacity: Annotated[int, msgspec.Meta(ge=0, le=MOST_SLOTS)] = 1
+    generation: str = ""
+
+
+class _Condition(msgspec.Struct):
+    """`condition` of a beat."""
+
+    state: Literal["ready", "draining"]
+    call_seq: Annotated[int, msgspec.Meta(ge=0)] = 0
+    cold_left_s: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+
+
+class _Beat(msgspec.Struct):
+    """The body of a beat."""
+
+    address: str
+    build_info: _Info
+    condition: _Condition
 
 
 @dataclass(slots=True)
@@ -65,22 +93,21 @@
         self.light = light
 
     def _read(self, call: Call) -> Server:
-        told = msgspec.json.decode(call.body)
-        info, how = told["build_info"], told["condition"]
-        now = self.light.clock.now()
-        left = 1000.0 * float(how.get("cold_left_s", 0))
+        told = msgspec.json.decode(call.body, type=_Beat, strict=False)
+        info, how = told.build_info, told.condition
+        parse_address(told.address)
+        left = 1000.0 * how.cold_left_s
         return Server(
-            call.parts["id"], str(info["service"]), str(told["address"]), str(info.get("zone", "")),
-            int(info.get("capacity", 1)), _STATES[how["state"]], int(how.get("call_seq", 0)),
-            now + left if left > 0 else 0.0, str(info.get("generation", "")),
+            call.parts["id"], info.service, told.address, info.zone, info.capacity, _STATES[how.state],
+            how.call_seq, self.light.clock.now() + left if left > 0 else 0.0, info.generation,
         )  # fmt: skip
 
     async def call(self, call: Call) -> Said:
         """Take a beat; one that says `draining` is answered once that can no longer be forgotten."""
         try:
             server = self._read(call)
-        except (msgspec.DecodeError, UnicodeDecodeError, KeyError, TypeError, ValueError) as error:
-            return fault(Fault(Kind.BAD_REQUEST, f"heartbeat: {error!r}"))
+        except (msgspec.MsgspecError, UnicodeDecodeError, FaultError) as error:
+            return fault(Fault(Kind.BAD_REQUEST, f"heartbeat: {error}"))
         self.light.beat(server)
         if server.state == DRAINING and not await self.light.leaves(server.id, DRAINING):
             return fault(Fault(Kind.NOT_SAFE_YET, "draining"))
@@ -147,6 +174,46 @@
         return Said(200, safe.document)
 
 
+@implementer(IResource)
+class TakeSnapshot:
+    """`GET /snapshot`: all that the chain keeps, for an operator to put away."""
+
+    method, path = "GET", re.compile(r"/snapshot\Z")
+
+    def __init__(self, light: Light) -> None:
+        self.light = light
+
+    async def call(self, call: Call) -> Said:
+        """Return it, as the tail of the chain has it."""
+        safe = await self.light.core.enter(Hold(), read=True)
+        if safe is None:
+            return fault(Fault(Kind.NOT_SAFE_YET, "no majority of the core answers"))
+        return Said(200, snapshot.pack(safe, self.light.core.chain.view.epoch))
+
+
+@implementer(IResource)
+class BringSnapshot:
+    """`POST /snapshot`: bring back what an operator has put away."""
+
+    method, path = "POST", re.compile(r"/snapshot\Z")
+
+    def __init__(self, light: Light) -> None:
+        self.light = light
+
+    async def call(self, call: Call) -> Said:
+        """Join it with what is held; answered once that is safe."""
+        read = snapshot.unpack(call.body)
+        if read.is_error():
+            return fault(read.error)
+        brought = read.ok
+        safe = await self.light.core.enter(brought, read=True)
+        if safe is None:
+            return fault(Fault(Kind.NOT_SAFE_YET, "snapshot"))
+        log.event("snapshot_brought", version=brought.version, held=safe.version, leavers=len(safe.leavers))
+        told = {"generation": f"r{safe.version}", "leavers": len(safe.leavers)}
+        return Said(200, msgspec.json.encode(told))
+
+
 @implementer(IResource)
 class Status:
     """`GET /status`: what this core machine knows, for operators."""
@@ -161,4 +228,6 @@
         return Said(200, msgspec.json.encode(self.light.status()))
 
 
-RESOURCES: tuple[Callable[[Any], Any], ...] = (Heartbeat, Deregister, ConfigReplace, ConfigRead, Status)
+RESOURCES: tuple[Callable[[Any], Any], ...] = (
+    Heartbeat, Deregister, ConfigReplace, ConfigRead, TakeSnapshot, BringSnapshot, Status,
+)  # fmt: skip
