--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -111,6 +111,20 @@
     assert not lease.usable(5000.0, chain)
 
 
+def test_the_sweep_finds_copies_that_hold_as_many_but_others() -> None:
+    core = Core(3, 4)
+    core.run(3000.0)
+    spare, head = core.machines["m3"].chain, core.machines["m0"].chain
+    assert spare is not None and head is not None and not spare.member
+    head.safe.join(Hold(leavers={"i1": 1, "i2": 2}))
+    spare.safe.join(Hold(leavers={"i1": 1, "i3": 1}))
+    core.run(5000.0)
+    for machine in core.machines.values():
+        assert machine.chain is not None
+        assert machine.chain.safe.leavers == {"i1": 1, "i2": 2, "i3": 1}
+        assert machine.chain.safe.mark == Hold(leavers=dict(machine.chain.safe.leavers)).mark
+
+
 class Cut(Core):
     """Cuts above all."""
 
--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -140,7 +140,6 @@
 
         up(seconds)
 
-
     def drill(self, name: str = "", seed: int = 1, seconds: float = 9.0, file: str = "") -> str:
         """Play a drill on loopback and judge it by the rules; without a name, list them."""
         from wickspring.lab.drill import DRILLS, play
@@ -154,6 +153,14 @@
         return text
 
 
+    def times(self, seeds: int = 20) -> str:
+        """Measure on loopback how long orders, a mended chain and a start after all were killed take."""
+        from wickspring.lab.times import measure
+
+        found = measure(seeds)
+        return self._show(found, _table([{"what": name, **one} for name, one in found.items()]))
+
+
 def main() -> None:
     """Run one command."""
     try:
--- a/wickspring/lab/keel.py
+++ b/wickspring/lab/keel.py
@@ -205,14 +205,15 @@
         chain = machine.chain
         self.at(TICK_MS * self.random.uniform(0.85, 1.15), lambda: self.tick(machine, life))
         told = Reach(
-            True, chain.me[1], False, chain.view.epoch, chain.safe.version, len(chain.safe.leavers)
-        )
+            True, chain.me[1], False, chain.view.epoch, chain.safe.version, len(chain.safe.leavers),
+            chain.safe.mark,
+        )  # fmt: skip
         for other in self.machines.values():
             if other is not machine and (other.ip, machine.ip) not in self.cut:
                 self.send(machine.ip, other.ip, ["status", told, machine.clock(self.now)])
         reach = {
             ip: Reach(
-                self.now - at < SILENT_MS, one.disk, False, one.epoch, one.version, one.leavers
+                self.now - at < SILENT_MS, one.disk, False, one.epoch, one.version, one.leavers, one.mark
             )
             for ip, (at, one) in machine.heard.items()
         }
--- /dev/null
+++ b/wickspring/lab/times.py
@@ -0,0 +1,89 @@
+"""How long what operators wait for takes: a whole gateway of processes on loopback, over many seeds.
+
+`python -m wickspring.helm times --seeds 20` tells, in ms, the middle and the worst of: a version from its
+acknowledgement until every pilot goes by it; the chain from the loss of one of its machines until an order is
+acknowledged again; and the whole gateway, all its processes killed at once, until every pilot serves.
+"""
+
+from __future__ import annotations
+
+import statistics
+import tempfile
+from pathlib import Path
+from random import Random
+
+import trio
+
+from wickspring.lab.harbour import Harbour, document
+
+ORDERS = 3  # of each seed
+STEP_S = 0.005
+LATE_S = 15.0  # after which it is taken for never
+Times = dict[str, list[float]]
+
+
+async def _served(harbour: Harbour, pilot: int, path: str, name: str) -> None:
+    """Wait until a pilot serves a path; each ask has an id of its own."""
+    with trio.fail_after(LATE_S):
+        number = 0
+        while (await harbour.ask(pilot, path, f"{name}-{pilot}-{number}"))[0] != 200:
+            number += 1
+            await trio.sleep(STEP_S)
+
+
+async def _all_serve(harbour: Harbour, path: str, name: str) -> None:
+    async with trio.open_nursery() as nursery:
+        for pilot in range(len(harbour.pilots)):
+            nursery.start_soon(_served, harbour, pilot, path, name)
+
+
+async def _play(folder: Path, seed: int, net: int, times: Times) -> None:
+    random, harbour = Random(seed), Harbour(folder, net=net)
+
+    def took(name: str, begun: float) -> None:
+        times.setdefault(name, []).append(1000.0 * (trio.current_time() - begun))
+
+    try:
+        async with trio.open_nursery() as nursery:
+            await harbour.launch(nursery, document(1))
+            for version in range(2, 2 + ORDERS):
+                await harbour.order(document(version, once=f"/do{version}/"))
+                begun = trio.current_time()
+                await _all_serve(harbour, f"/do{version}/1", f"v{version}")
+                took("acknowledged to applied", begun)
+                await trio.sleep(random.uniform(0.0, 0.3))
+            lost = random.choice(harbour.lights)
+            begun = trio.current_time()
+            harbour.kill(lost)
+            with trio.fail_after(LATE_S):
+                while await harbour.order(document(9)) != 200:
+                    await trio.sleep(STEP_S)
+            took("chain mended", begun)
+            harbour.start(lost, first=False)
+            await trio.sleep(random.uniform(1.5, 2.0))
+            every = (*harbour.lights, *harbour.pilots)
+            for ip in every:
+                harbour.kill(ip)
+            begun = trio.current_time()
+            for ip in every:
+                harbour.start(ip, first=False)
+            await _all_serve(harbour, "/look/1", "back")
+            took("serving after all were killed", begun)
+            nursery.cancel_scope.cancel()
+    finally:
+        harbour.stop()
+
+
+def measure(seeds: int = 20, net: int = 17) -> dict[str, dict[str, float]]:
+    """Play so many seeds, one after another; middle and worst of each time, ms, and how many there were."""
+    times: Times = {}
+    for seed in range(seeds):
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(_play, Path(folder), seed, net, times)
+    return {
+        name: {
+            "median_ms": round(statistics.median(found), 1), "worst_ms": round(max(found), 1),
+            "of": len(found),
+        }
+        for name, found in times.items()
+    }  # fmt: skip
--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
@@ -65,6 +66,10 @@
         return View(int(told[0]), tuple((str(ip), str(disk)) for ip, disk in told[1]))
 
 
+def _mark(server: str, state: int) -> int:
+    return zlib.crc32(f"{server} {state}".encode())
+
+
 @dataclass(slots=True)
 class Hold:
     """What the chain keeps."""
@@ -72,6 +77,13 @@
     version: int = 0
     document: bytes = b""
     leavers: dict[str, int] = field(default_factory=dict)  # server id: 1 draining, 2 gone
+    mark: int = field(default=0, compare=False)  # a number for all leavers: the same for the same
+
+    def __post_init__(self) -> None:
+        """Work out the mark; `join` keeps it up."""
+        self.mark = 0
+        for server, state in self.leavers.items():
+            self.mark ^= _mark(server, state)
 
     def join(self, other: Hold) -> bool:
         """Take in what another copy has more; True where that changed this one."""
@@ -79,11 +91,14 @@
         if other.version > self.version and other.document:
             self.version, self.document, changed = other.version, other.document, True
         for server, state in other.leavers.items():
-            if state > self.leavers.get(server, 0):
+            known = self.leavers.get(server, 0)
+            if state > known:
+                self.mark ^= _mark(server, state) ^ (_mark(server, known) if known else 0)
                 self.leavers[server] = state
                 changed = True
         while len(self.leavers) > LEAVERS_MOST:
-            del self.leavers[next(iter(self.leavers))]
+            oldest = next(iter(self.leavers))
+            self.mark ^= _mark(oldest, self.leavers.pop(oldest))
         return changed
 
     def copy(self) -> Hold:
@@ -109,7 +124,14 @@
     hampered: bool = False  # its disk does not come back, or it is about to end
     epoch: int = 0
     version: int = 0  # of the configuration that it knows to be safe
-    leavers: int = 0  # how many servers it knows to be leaving
+    leavers: int = 0  # how many servers it knows to be leaving,
+    mark: int = 0  # and a number for all of them
+
+    def lacks(self, held: Hold) -> bool:
+        """Tell whether it knows less of what is safe than another: the sweep that finds old copies."""
+        if self.version < held.version or self.leavers < len(held.leavers):
+            return True
+        return self.leavers == len(held.leavers) < LEAVERS_MOST and self.mark != held.mark
 
 
 @dataclass(slots=True)
@@ -309,8 +331,7 @@
     def _bring_up(self, now: float) -> None:
         """Bring machines that are behind, most of all those outside the view, what is safe."""
         for ip, one in self.reach.items():
-            behind = one.epoch < self.view.epoch or one.version < self.safe.version
-            behind = behind or one.leavers < len(self.safe.leavers)
+            behind = one.epoch < self.view.epoch or one.lacks(self.safe)
             if one.live and behind and now - self._copied.get(ip, -math.inf) >= COPY_MS:
                 self._copied[ip] = now
                 packed = self.safe.pack(one.version)
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -38,6 +38,7 @@
     epoch: int
     version: int
     leavers: int
+    mark: int
     ill: bool
     zone: str
     control: str
@@ -123,8 +124,8 @@
         chain = self.chain
         busy = bool(self.saving_since) and self.clock.now() - self.saving_since > BUSY_MS
         return [
-            chain.me[1], chain.view.epoch, chain.safe.version, len(chain.safe.leavers), busy or self.leaving,
-            self.boot.zone, self.boot.bind.control_addr, len(self.callers),
+            chain.me[1], chain.view.epoch, chain.safe.version, len(chain.safe.leavers), chain.safe.mark,
+            busy or self.leaving, self.boot.zone, self.boot.bind.control_addr, len(self.callers),
         ]  # fmt: skip
 
     def _take(self, cable: Cable, message: Message) -> None:
@@ -212,7 +213,7 @@
     def _reaches(self) -> dict[str, Reach]:
         return {
             ip: Reach(
-                self.live(ip), told.disk, told.ill, told.epoch, told.version, told.leavers
+                self.live(ip), told.disk, told.ill, told.epoch, told.version, told.leavers, told.mark
             )
             for ip, told in self.states.items()
         }  # fmt: skip
@@ -298,6 +299,8 @@
             why.append(f"r{told.version} of r{chain.safe.version}")
         if told.leavers < len(chain.safe.leavers):
             why.append(f"{told.leavers} of {len(chain.safe.leavers)} leaving servers")
+        elif told.leavers == len(chain.safe.leavers) and told.mark != chain.safe.mark:
+            why.append("other leaving servers")
         return why
 
     @property
