Let pilots know each other by changes alone, not by a beat from each a second

Change: an entry is newer only when it says something else or outdoes a doubt; an answer carries up to 24 entries; datagrams have a class of their own, so that the lab plays hundreds of pilots in virtual time (helm flotilla). Ruled out: longer stretches of names in each probe, which cost bytes always.

--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -197,7 +197,7 @@
             pilot.choice.forget(pilot.clock.now(), 1.0)
             pilot._digest()
             nursery.cancel_scope.cancel()
-            pilot.flotilla.socket.close()
+            pilot.wire.close()
 
     trio.run(play)
 
--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -153,6 +153,12 @@
         return text
 
 
+    def flotilla(self, pilots: int = 100, seed: int = 1) -> str:
+        """Measure in virtual time how so many pilots come to know of each other, and what they say for it."""
+        from wickspring.lab.flotilla import measure
+
+        return json.dumps(measure(pilots, seed), indent=1)
+
     def times(self, seeds: int = 20) -> str:
         """Measure on loopback how long orders, a mended chain and a start after all were killed take."""
         from wickspring.lab.times import measure
--- a/wickspring/pilot/flotilla.py
+++ b/wickspring/pilot/flotilla.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
@@ -24,13 +23,15 @@
 from wickspring.harbour.cable import UNREADABLE, Cable, Message
 from wickspring.harbour.lines import parse_ip
 from wickspring.net.clock import Clock
+from wickspring.net.datagrams import Datagrams
 from wickspring.net.link import Link, connect
 
 ROUND_S = 1.0
 WORD_S = 0.25  # for an answer to a probe
 FETCH_S = 1.5
 MATES = 3  # pilots that a piece of news is passed to
-ENTRIES = 8  # of members in one datagram
+NAMED = 8  # members that a probe names with what is held of them, another stretch each time
+ENTRIES = 24  # of members in one answer, at most; while nobody comes or goes there are none
 DOUBTS = 4
 MOST_DATAGRAM = 1200  # bytes; more than a packet of the network would be lost with any part of it
 PIECE = 6  # servers in one datagram of news
@@ -59,15 +60,13 @@
     """One pilot among the others."""
 
     def __init__(
-        self, ip: str, port: int, clock: Clock, nursery: trio.Nursery, random: Random, holds: Holds
-    ) -> None:
+        self, ip: str, port: int, clock: Clock, nursery: trio.Nursery, random: Random, holds: Holds,
+        wire: Datagrams,
+    ) -> None:  # fmt: skip
         self.ip, self.port, self.clock, self.nursery, self.random = ip, port, clock, nursery, random
-        self.holds = holds
+        self.holds, self.wire = holds, wire
         now = clock.now() / 1000.0
         self.members: Members[Place] = Members(ip, now, Place(ip), ROUND_S, random.getrandbits(32), now)
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setblocking(False)
-        self.socket.bind((ip, port))
         self._number = 0
         self._waits: dict[int, Callable[[], None]] = {}
         self._fetching = False
@@ -94,10 +93,7 @@
     def _send(self, ip: str, *message: object) -> None:
         data = msgpack.packb([message[0], self.ip, *message[1:]])
         if len(data) <= MOST_DATAGRAM:
-            try:
-                self.socket.sendto(data, (ip, self.port))
-            except OSError:
-                return  # as good as lost
+            self.wire.send(ip, data)
 
     def _entries(self, entries: tuple[Entry[Place], ...]) -> list[Any]:
         told = []
@@ -119,7 +115,7 @@
     def _probe(self, ip: str, answered: Callable[[], None] = lambda: None) -> int:
         self._number += 1
         self._waits[self._number] = answered
-        digest = self.members.digest(ENTRIES)
+        digest = self.members.digest(NAMED)
         heard = [digest.low, digest.high, digest.heard]
         self._send(ip, "probe", self._number, heard, list(self.holds.state()), self._doubts(ip))
         return self._number
@@ -131,7 +127,7 @@
             await trio.sleep(ROUND_S * self.random.uniform(0.8, 1.2))
             for name in self.members.tick(self.clock.now() / 1000.0):
                 log.event("pilot_gone", pilot=name, left=self.members.size)
-            self.members.write(Place(self.ip))
+            self.members.write(Place(self.ip), beat=False)
             target = self.members.target()
             if target is not None:
                 self.nursery.start_soon(self._ask, target)
@@ -168,13 +164,7 @@
 
     async def _receive(self) -> None:
         while True:
-            try:
-                data, (ip, _) = self.socket.recvfrom(65536)
-            except BlockingIOError:
-                await trio.lowlevel.wait_readable(self.socket)
-                continue
-            except OSError:
-                continue
+            data, ip = await self.wire.receive()
             try:
                 message = msgpack.unpackb(data)
                 if message[1] == ip:
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -22,6 +22,7 @@
 from wickspring.harbour.servers import digest
 from wickspring.interface import Readiness, Status
 from wickspring.net.calls import Client, retry_after
+from wickspring.net.datagrams import Udp
 from wickspring.net.feed import Feed
 from wickspring.net.host import Host
 from wickspring.net.http1_front import Http1Connection, Patience
@@ -98,7 +99,10 @@
             boot, self.clock, nursery, self.random, self.choice, lambda: self.quota.past(self.clock.now()),
             self._digest, self._charted, self._pass_on, self._introduced, self._informed,
         )  # fmt: skip
-        self.flotilla = Flotilla(boot.ip, boot.talk_port, self.clock, nursery, self.random, self)
+        self.wire = Udp(boot.ip, boot.talk_port)
+        self.flotilla = Flotilla(
+            boot.ip, boot.talk_port, self.clock, nursery, self.random, self, self.wire
+        )  # fmt: skip
         self.entries: dict[str, tuple[bool, api.ServerEntry]] = {}
         self.addresses: dict[str, Address] = {}
         self.limits = ConnectionLimits(
