Have pilots call every member of a view, and tell them again whom the core reaches

The gap was there before, seldom met. Change: a pilot calls all members that it is told; a lighthouse tells its view again whenever the machines that it reaches change; an order taken by a spare is acknowledged at once, no longer refused until the spare itself has heard. Ruled out: a longer or shorter lease.

--- a/tests/test_gateway_processes.py
+++ b/tests/test_gateway_processes.py
@@ -9,14 +9,14 @@
 
 import trio
 
-from wickspring.lab.harbour import LIES, Harbour, document
+from wickspring.lab.harbour import CONTROL, LIES, Harbour, call, document
 
 STEP_S = 0.02
 
 
 @asynccontextmanager
-async def gateway(folder: Path, net: int) -> AsyncIterator[Harbour]:
-    harbour = Harbour(folder, net=net)
+async def gateway(folder: Path, net: int, lights: int = 3) -> AsyncIterator[Harbour]:
+    harbour = Harbour(folder, net=net, lights=lights)
     try:
         async with trio.open_nursery() as nursery:
             assert await harbour.launch(nursery, document(1)) == 200
@@ -73,6 +73,19 @@
     trio.run(play)
 
 
+def test_every_lighthouse_takes_orders_at_once_a_spare_as_well(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with gateway(tmp_path, 18, lights=4) as harbour:
+            for version, ip in enumerate(harbour.lights * 3, 2):
+                status, body = await call(ip, CONTROL, "POST", "/config/replace", document(version))
+                assert (status, body) == (200, f'{{"generation":"r{version}"}}'.encode())
+                status, body = await call(ip, CONTROL, "POST", "/config/replace", document(version - 1))
+                assert status == 200  # an older one is acknowledged, and changes nothing
+                assert await harbour.read() == version
+
+    trio.run(play)
+
+
 def test_an_acknowledged_drain_reaches_pilots_that_were_not_there(tmp_path: Path) -> None:
     async def play() -> None:
         async with gateway(tmp_path, 12) as harbour:
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -202,6 +202,23 @@
     trio.run(play)
 
 
+def test_a_pilot_calls_every_member_of_a_view_whoever_told_of_it() -> None:
+    """After a fault that hit all, who tells first may not have reached the others yet."""
+    settings = SETTINGS.replace("ip=10.1.0.30", "ip=127.0.9.2").replace("7340,7355", "47340,47355")
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            pilot = Pilot(boot.read(settings), nursery, 1)
+            members = ["10.1.0.33", "10.4.0.22"]  # the second is no seed, and the teller does not reach it
+            pilot.moorings.take(cast(Cable, Heard()), ["view", 2, members, ["10.1.0.33"], 8])
+            assert set(members) <= set(pilot.moorings.callers)
+            assert {pilot.moorings.keeper(f"t{n}") for n in range(50)} == set(members)
+            nursery.cancel_scope.cancel()
+            pilot.wire.close()
+
+    trio.run(play)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_spoilt_messages_do_not_break_the_chain(seed: int) -> None:
     """Among the messages of a core some come spoilt: they may be refused, and nothing is lost by them."""
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -184,8 +184,11 @@
             ended.set()
 
         def away(safe: bool, message: list[Any]) -> None:
-            if safe:
-                result[0] = Hold.unpack(message[3]) if message[3] is not None else self.chain.safe
+            if safe and message[3] is not None:
+                result[0] = Hold.unpack(message[3])
+            elif safe:  # this machine may hear of it later than its caller's answer is due
+                held = result[0] = self.chain.safe.copy()
+                held.join(brought)
             ended.set()
 
         head = self.chain.head
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -179,10 +179,12 @@
         self.tally.begin(self.clock.now())
         self._tell(*self._view())
 
+    def _cores(self) -> list[str]:
+        return [self.boot.ip, *(ip for ip in self.core.callers if self.core.live(ip))]
+
     def _view(self) -> tuple[Any, ...]:
         chain = self.core.chain
-        cores = [self.boot.ip, *(ip for ip in self.core.callers if self.core.live(ip))]
-        return "view", chain.view.epoch, [ip for ip, _ in chain.view.members], cores, self.fleet
+        return "view", chain.view.epoch, [ip for ip, _ in chain.view.members], self._cores(), self.fleet
 
     @property
     def fleet(self) -> int:
@@ -292,10 +294,14 @@
     async def upkeep(self) -> None:
         """Look after servers and views, again and again."""
         told_at = saved_at = 0.0
+        cores = self._cores()
         while True:
             await trio.sleep(SWEEP_MS * self.random.uniform(0.9, 1.1) / 1000.0)
             now = self.clock.now()
             chain = self.core.chain
+            if self._cores() != cores:
+                cores = self._cores()
+                self._tell(*self._view())
             if self._fresh and now - told_at >= ALIVE_MS:
                 told_at = now
                 self.core.say_all("alive", list(self._fresh.items()))
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -166,6 +166,7 @@
         if epoch <= self.epoch:
             return
         self.epoch, self.members = epoch, members
+        self.know(members)  # whoever tells of them may not have reached them all itself yet
         self._keepers.clear()
         for ip in members:
             caller = self.callers.get(ip)
