--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -96,6 +96,9 @@
             assert said.status in (200, ANSWERS[Kind.BAD_REQUEST].status, ANSWERS[Kind.NOT_SAFE_YET].status)
             taken += said.status == 200
         assert 0 < taken < 1000
+        beat["condition"] = {"state": "ready", "call_seq": 10**25}  # no cable could carry it
+        said = await Heartbeat(light).call(Call("POST", "", json.dumps(beat).encode(), {"id": "i2"}))
+        assert said.status == 400 and "i2" not in light.register.servers
         for one in light.register.whole():
             parse_address(one.address)
 
--- a/wickspring/harbour/lines.py
+++ b/wickspring/harbour/lines.py
@@ -1,8 +1,7 @@
 """The lines of a settings file, before they are checked: `a.b=value`.
 
-They are read by the standard library's reader of such files, as one section: it is loaded in a thirtieth
-of the time that a library for Java's properties takes, and a process listens only once its settings are
-read.
+They are read by the standard library's reader of such files, as one section: it loads far less than
+a library for Java's properties does, and a process listens only once its settings are read.
 """
 
 from __future__ import annotations
--- a/wickspring/lighthouse/resources.py
+++ b/wickspring/lighthouse/resources.py
@@ -24,6 +24,7 @@
 BACK_S = 0.25  # after which a call that could not be made safe may come again
 _STATES = {"ready": READY, "draining": DRAINING}
 MOST_SLOTS = 100_000
+MOST_SEQ = 2**62  # what is larger cannot be told over a cable
 
 
 class _Info(msgspec.Struct):
@@ -39,7 +40,7 @@
     """`condition` of a beat."""
 
     state: Literal["ready", "draining"]
-    call_seq: Annotated[int, msgspec.Meta(ge=0)] = 0
+    call_seq: Annotated[int, msgspec.Meta(ge=0, le=MOST_SEQ)] = 0
     cold_left_s: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
 
 
