Have pilots weigh how far a copy of the configuration may be relied on

Cause: a pilot took whatever copy came first, an old or unconfirmed one as well, and compared numbers alone. Change: copies are told with digest and standing (held, safe, current); pilots tell each other both. Lists of servers say whether they are fresh. Lighthouses still call all current.

--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -128,7 +128,7 @@
     of_pilots: list[list[Any]] = [
         ["hello", "pilot", "10.1.0.2", {"version": 3}], ["add", 1, "n", False, 1], ["berth", 2, "s", "a"],
         ["out", "i1"], ["in", "i1", 1.2], ["spent", "n"], ["back", "n"], ["past", "n", [[0, 3], [4, 1]]],
-        ["tick", 3], ["whole"],
+        ["tick", 3, b"d"], ["whole"],
     ]  # fmt: skip
     of_core: list[list[Any]] = [
         ["tick", 5.0], ["cores"], ["chain", ["pass", [1, [["a", "first"]]], 1, [1, b"", {"i": 1}]]],
@@ -169,14 +169,15 @@
     probe = [digest.low, digest.high, digest.heard]
     messages: list[list[Any]] = [
         ["sum", 1, 3, 9, 20], ["moved", 1], ["berths", 1, [["i1", 1.0]], 3], ["servers", [server]],
-        ["leavers", {"i2": 1}], ["pilots", ["10.1.0.2"]], ["lost", ["i1"]], ["whole", [server], {"i3": 2}],
-        ["chart", 3, b"x"], ["view", 2, ["10.1.0.33"], ["10.1.0.33"], 8], ["tock", 2, 3, 8, 99],
+        ["leaving", {"i2": 1}], ["pilots", ["10.1.0.2"]], ["lost", ["i1"]],
+        ["whole", [server], {"i3": 2}, True], ["chart", 3, b"x", b"d", 2],
+        ["view", 2, ["10.1.0.33"], ["10.1.0.33"], 8], ["tock", 2, 3, 8, 99, b"d", 1],
     ]  # fmt: skip
     datagrams: list[list[Any]] = [
-        ["probe", "127.0.9.9", 1, probe, [0, 0, 0], [["10.1.0.2", 1.0, 2, "x"]]],
-        ["word", "127.0.9.9", 1, [["10.1.0.2", 1.0, 2, 3, False]], [0, 0, 0], []],
+        ["probe", "127.0.9.9", 1, probe, [0, b"", 0, 0], [["10.1.0.2", 1.0, 2, "x"]]],
+        ["word", "127.0.9.9", 1, [["10.1.0.2", 1.0, 2, 3, False]], [0, b"", 0, 0], []],
         ["reach", "127.0.9.9", 3, "10.1.0.2"], ["reached", "127.0.9.9", 3],
-        ["servers", "127.0.9.9", [server]], ["leavers", "127.0.9.9", {"i4": 1}],
+        ["servers", "127.0.9.9", [server]], ["leaving", "127.0.9.9", {"i4": 1}],
     ]  # fmt: skip
     settings = SETTINGS.replace("ip=10.1.0.30", "ip=127.0.9.1").replace("7340,7355", "47340,47355")
 
--- a/wickspring/lab/flotilla.py
+++ b/wickspring/lab/flotilla.py
@@ -17,6 +17,7 @@
 import trio.testing
 
 from wickspring.harbour.cable import Cable, Message
+from wickspring.lighthouse.replica import DIGEST_SIZE
 from wickspring.net.clock import Clock
 from wickspring.pilot.flotilla import Flotilla, State
 
@@ -91,9 +92,9 @@
 
     def state(self) -> State:
         """Return the state to compare."""
-        return self.version, 0, 0
+        return self.version, bytes(DIGEST_SIZE) if self.version else b"", 0, 0
 
-    def tell_all(self, cable: Cable, version: int) -> None:
+    def tell_all(self, cable: Cable, version: int, digest: bytes) -> None:
         """Nothing is told over cables here."""
 
     def take(self, cable: Cable, message: Message) -> None:
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -19,11 +19,13 @@
 from wickspring.harbour.kinds import Fault, Kind
 from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.servers import READY, Server, digest
+from wickspring.harbour.standing import Standing
 from wickspring.lighthouse.berths import Berths
 from wickspring.lighthouse.chain import Hold
 from wickspring.lighthouse.core import Core
 from wickspring.lighthouse.logbook import Logbook
 from wickspring.lighthouse.register import Register
+from wickspring.lighthouse.replica import digest_of
 from wickspring.lighthouse.resources import RESOURCES, Call, Said, fault
 from wickspring.lighthouse.tally import Tally
 from wickspring.net.calls import Client
@@ -58,7 +60,7 @@
         self.resources = [make(self) for make in RESOURCES]
         self.pilots: dict[Cable, str] = {}
         self.chart = Chart()
-        self.document = b""  # packed, as pilots get it
+        self.document, self.text = b"", b""  # packed, as pilots get it; its digest
         self._saved: set[str] = set()  # servers on disk
         self._begin()
         self._fresh: dict[str, int] = {}  # beats since the core was last told
@@ -164,15 +166,15 @@
         if hold.version > self.chart.version:
             try:
                 self.chart = lay_out(hold.document)
-                self.document = zlib.compress(hold.document, 6)
-                self._tell("chart", hold.version, self.document)
+                self.document, self.text = zlib.compress(hold.document, 6), digest_of(hold.document)
+                self._tell(*self._chart())
                 log.event("chart", version=hold.version)
             except (KeyError, TypeError, ValueError) as error:
                 log.event("chart_unusable", version=hold.version, reason=repr(error))
-        fresh = {id_: state for id_, state in hold.leavers.items() if self.register.leavers.get(id_) != state}
+        fresh = {id_: state for id_, state in hold.leavers.items() if self.register.leaving.get(id_) != state}
         if fresh:
             self.register.leave(fresh)
-            self._tell("leavers", fresh)
+            self._tell("leaving", fresh)
 
     def _viewed(self) -> None:
         """Take up another view: counts begin anew, from what the pilots tell of what they have sent on."""
@@ -191,9 +193,12 @@
         """How many pilots are in reach."""
         return len({name for cable, name in self.pilots.items() if cable.live})
 
+    def _chart(self) -> tuple[Any, ...]:
+        return "chart", self.chart.version, self.document, self.text, int(Standing.CURRENT)
+
     def _whole(self, cable: Cable) -> None:
         now = self.clock.now()
-        cable.send("whole", [one.pack(now) for one in self.register.whole()], self.register.leavers)
+        cable.send("whole", [one.pack(now) for one in self.register.whole()], self.register.leaving, True)
 
     def digest(self) -> int:
         """Return a number for all that is known of servers."""
@@ -226,7 +231,7 @@
                 cable.send("pilots", self.random.sample(others, min(INTRODUCED, len(others))))
                 self._whole(cable)
                 if self.chart.version > int(message[3].get("version", 0)):
-                    cable.send("chart", self.chart.version, self.document)
+                    cable.send(*self._chart())
         elif cable.about.get("core"):
             self.core.take(cable, message)
         elif name == "add":
@@ -250,9 +255,10 @@
         elif name == "past":
             self.tally.past(self.clock.now(), str(message[1]), cable.name, message[2])
         elif name == "tick":
-            cable.send("tock", self.core.chain.view.epoch, self.chart.version, self.fleet, self.digest())
+            epoch, known = self.core.chain.view.epoch, self.digest()
+            cable.send("tock", epoch, self.chart.version, self.fleet, known, self.text, 2)
             if self.chart.version > int(message[1]):
-                cable.send("chart", self.chart.version, self.document)
+                cable.send(*self._chart())
         elif name == "whole":
             cable.send(*self._view())
             self._whole(cable)
--- a/wickspring/lighthouse/register.py
+++ b/wickspring/lighthouse/register.py
@@ -24,10 +24,10 @@
         self.servers: dict[str, Server] = {}
         self.heard_at: dict[str, float] = {}
         self.lost: set[str] = set()  # silent for too long
-        self.leavers: dict[str, int] = {}  # as the chain holds them; the last word
+        self.leaving: dict[str, int] = {}  # as the chain holds them; the last word
 
     def _state(self, server: Server) -> Server:
-        state = max(server.state, self.leavers.get(server.id, READY))
+        state = max(server.state, self.leaving.get(server.id, READY))
         return server if state == server.state else replace(server, state=state)
 
     def beat(self, now: float, told: Server) -> Server | None:
@@ -56,11 +56,11 @@
             if known is not None and seq >= known.seq:
                 self.heard_at[server] = now
 
-    def leave(self, leavers: dict[str, int]) -> list[Server]:
+    def leave(self, leaving: dict[str, int]) -> list[Server]:
         """Take in who leaves, by the chain; return the servers for which that is news."""
-        self.leavers.update(leavers)
+        self.leaving.update(leaving)
         news = []
-        for id_, state in leavers.items():
+        for id_, state in leaving.items():
             known = self.servers.get(id_)
             if known is not None and known.state < state:
                 self.servers[id_] = replace(known, state=state)
--- a/wickspring/pilot/flotilla.py
+++ b/wickspring/pilot/flotilla.py
@@ -2,10 +2,10 @@
 
 Each pilot probes the others in turn with datagrams. One that does not answer is asked after through a few
 others; one whom none of them reaches is doubted, and the doubt goes round before it counts as gone
-(`gossip.members`). Each probe and its answer carry what the sender holds: the version of the configuration,
-how many servers it knows to leave, and a number for all that it knows. News goes to a few others at once;
-whoever finds itself behind fetches the rest over a cable. So a pilot that no lighthouse reaches still hears
-what the others hear, and nothing ever goes back: all that is taken in only grows.
+(`gossip.members`). Each probe and its answer carry what the sender holds: the version of the configuration
+and its digest, how many servers it knows to leave, and a number for all that it knows. News goes to a few
+others at once; whoever finds itself behind fetches the rest over a cable. So a pilot that no lighthouse
+reaches still hears what the others hear, and nothing ever goes back in number.
 """
 
 from __future__ import annotations
@@ -37,7 +37,8 @@
 PIECE = 6  # servers in one datagram of news
 DIAL_MS = 300.0
 
-State = tuple[int, int, int]  # version of the configuration, servers that leave, a number for all servers
+# Version of the configuration and digest of its text, servers that leave, a number for all servers.
+State = tuple[int, bytes, int, int]
 
 
 class Holds(Protocol):
@@ -46,8 +47,8 @@
     def state(self) -> State:
         """Return the state to compare."""
 
-    def tell_all(self, cable: Cable, version: int) -> None:
-        """Tell all that is held; the configuration only where it is above a version."""
+    def tell_all(self, cable: Cable, version: int, digest: bytes) -> None:
+        """Tell all that is held; the configuration only where it is above a version, or another text."""
 
     def take(self, cable: Cable, message: Message) -> None:
         """Take in what another pilot tells."""
@@ -197,7 +198,7 @@
             answered = self._waits.pop(int(message[2]), None)
             if answered is not None:
                 answered()
-        elif name in ("servers", "leavers"):
+        elif name in ("servers", "leaving"):
             self.holds.take(Cable(_NOWHERE, self.clock), [name, message[2]])
 
     def _doubted(self, doubts: list[Any]) -> None:
@@ -208,8 +209,9 @@
     def _compare(self, ip: str, told: list[Any]) -> None:
         """Fetch from a pilot that is ahead, or, where no lighthouse is in reach, from one that differs."""
         mine = self.holds.state()
-        ahead = told[0] > mine[0] or told[1] > mine[1]
-        if (ahead or (self.holds.alone() and told[2] != mine[2])) and not self._fetching:
+        ahead = told[0] > mine[0] or told[2] > mine[2]
+        differs = told[3] != mine[3] or (told[0] == mine[0] and told[1] != mine[1])
+        if (ahead or (differs and self.holds.alone())) and not self._fetching:
             self._fetching = True
             self.nursery.start_soon(self._fetch, ip)
 
@@ -221,7 +223,7 @@
                     return
                 cable = Cable(Link(sock, self.nursery), self.clock)
                 try:
-                    cable.send("fetch", self.holds.state()[0])
+                    cable.send("fetch", *self.holds.state()[:2])
                     await cable.read(self.holds.take)
                 finally:
                     cable.close()
@@ -233,7 +235,7 @@
 
         def take(cable: Cable, message: Message) -> None:
             if message[0] == "fetch":
-                self.holds.tell_all(cable, int(message[1]))
+                self.holds.tell_all(cable, int(message[1]), bytes(message[2]))
                 cable.link.finish()
 
         with trio.move_on_after(FETCH_S):
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -18,7 +18,10 @@
 from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.seeds import Seeds
 from wickspring.harbour.servers import Server
+from wickspring.harbour.standing import Contact, Standing
+from wickspring.lighthouse.replica import digest_of
 from wickspring.net.clock import Clock
+from wickspring.pilot.policy.adoption import Adoption, Advice, Copy
 
 ADD_MS = 90.0  # for an add to be answered, beyond which the pilot rules alone
 SWEEP_S = 2.0  # between comparisons of what is known of servers with a lighthouse's
@@ -28,10 +31,10 @@
 class Knows(Protocol):
     """What is told of servers goes here."""
 
-    def heard(self, now: float, server: Server) -> bool:
+    def heard(self, now: float, server: Server, fresh: bool = True) -> bool:
         """Take in what is told of a server; True where that is news."""
 
-    def left(self, leavers: dict[str, int]) -> dict[str, int]:
+    def left(self, leaving: dict[str, int]) -> dict[str, int]:
         """Take in who leaves; return those for whom that is news."""
 
     def silent(self, ids: list[str]) -> None:
@@ -59,6 +62,7 @@
         self._passed_on, self._introduced, self._told = passed_on, introduced, told
         self.packed = b""  # the configuration, as it came
         self.chart = Chart()
+        self.adoption = Adoption(clock.now())
         self.epoch = -1
         self.members: list[str] = []
         self.fleet = 0  # pilots, as the lighthouses count them
@@ -84,7 +88,8 @@
                 self.nursery.start_soon(caller.run)
 
     def _greet(self, cable: Cable) -> None:
-        cable.send("hello", "pilot", self.boot.ip, {"version": self.chart.version, "zone": self.boot.zone})
+        about = {"version": self.chart.version, "digest": self.adoption.digest, "zone": self.boot.zone}
+        cable.send("hello", "pilot", self.boot.ip, about)
         self._tell_past(cable)
 
     def _tell_past(self, cable: Cable) -> None:
@@ -96,6 +101,25 @@
         """Return the lighthouses in reach."""
         return [ip for ip, caller in self.callers.items() if caller.live]
 
+    def _contact(self) -> Contact:
+        """Return how the lighthouse in reach that stands best stands with the core."""
+        told = [
+            caller.cable.about.get("contact", Contact.NONE)
+            for caller in self.callers.values() if caller.live and caller.cable is not None
+        ]  # fmt: skip
+        return max(told, default=Contact.NONE)
+
+    @property
+    def in_contact(self) -> bool:
+        """Tell whether a lighthouse in reach is in contact with a majority of the core."""
+        return self._contact() > Contact.NONE
+
+    @property
+    def standing(self) -> Standing:
+        """Return what this pilot may say of its configuration to others."""
+        known = self.adoption.standing
+        return Standing.CURRENT if known is Standing.SAFE and self.in_contact else known
+
     @property
     def informed(self) -> bool:
         """Tell whether enough has been told to serve by: a configuration, and servers by most lighthouses."""
@@ -104,7 +128,7 @@
 
     # What is told.
 
-    def take(self, cable: Cable, message: Message) -> None:
+    def take(self, cable: Cable, message: Message, by_lighthouse: bool = True) -> None:
         """Take in what a lighthouse, or another pilot, tells."""
         name, now = message[0], self.clock.now()
         if name == "sum":
@@ -123,22 +147,26 @@
             news = [one for told in message[1] if self.servers.heard(now, one := Server.unpack(told, now))]
             if news:
                 self._passed_on("servers", [one.pack(now) for one in news])
-        elif name == "leavers":
+        elif name == "leaving":
             left = self.servers.left({str(id_): int(state) for id_, state in message[1].items()})
             if left:
-                self._passed_on("leavers", left)
+                self._passed_on("leaving", left)
         elif name == "pilots":
             self._introduced([parse_ip(ip) for ip in message[1]])
         elif name == "lost":
             self.servers.silent([str(id_) for id_ in message[1]])
         elif name == "whole":
+            fresh = bool(message[3])
             self.servers.left({str(id_): int(state) for id_, state in message[2].items()})
-            for told in message[1]:
-                self.servers.heard(now, Server.unpack(told, now))
+            if fresh or self._contact() < Contact.SETTLED:  # else there is somebody who knows better
+                for told in message[1]:
+                    self.servers.heard(now, Server.unpack(told, now), fresh)
             self.whole_from.add(cable.name)
             self._told()
         elif name == "chart":
-            self._take_chart(int(message[1]), bytes(message[2]))
+            _, version, packed, digest, standing = message
+            copy = Copy(int(version), bytes(digest), bytes(packed), Standing(standing))
+            self._told_chart(copy, self.adoption.told(now, copy, by_lighthouse))
         elif name == "view":
             cable.name = str(message[3][0])
             self.know([parse_ip(ip) for ip in message[3]])
@@ -148,17 +176,34 @@
             self._fleets[cable.name] = int(message[3])
             self.fleet = max(self._fleets.values())
             cable.about["digest"] = int(message[4])
+            contact = cable.about["contact"] = Contact(message[6])
+            if contact > Contact.NONE:
+                confirmed = self.adoption.confirmed(now, int(message[2]), bytes(message[5]))
+                if confirmed is not None:
+                    self._take_chart(confirmed)
+
+    def _told_chart(self, copy: Copy, advice: Advice) -> None:
+        if advice in (Advice.PASS_OVER, Advice.WAIT):
+            return
+        if advice is Advice.GIVE_WAY:
+            log.event("config_gave_way", version=copy.version)
+        elif advice is Advice.FENCE:
+            log.event("config_two_texts", version=copy.version, digest=copy.digest.hex())
+        self._take_chart(copy)
 
-    def _take_chart(self, version: int, packed: bytes) -> None:
-        if version <= self.chart.version:
-            return  # an old copy: nothing ever goes back
+    def _take_chart(self, copy: Copy) -> None:
         try:
-            self.chart = lay_out(zlib.decompress(packed))
+            document = zlib.decompress(copy.packed)
+            if digest_of(document) != copy.digest:
+                raise ValueError("not the text of its digest")
+            self.chart = lay_out(document)
         except (zlib.error, msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
-            log.event("chart_unusable", version=version, reason=repr(error))
+            log.event("chart_unusable", version=copy.version, reason=repr(error))
+            self.adoption.drop(copy)
             return
-        self.packed = packed
-        log.event("chart", version=version)
+        self.packed = copy.packed
+        self.adoption.took(copy)
+        log.event("chart", version=copy.version, standing=copy.standing.name.lower())
         self._charted(self.chart)
         self._told()
 
@@ -253,17 +298,27 @@
         while True:
             self.know(self.seeds.ips(self.clock.now(), bool(self.live)))
             for caller in list(self.callers.values()):
-                caller.send("tick", self.chart.version)
+                caller.send("tick", self.chart.version, self.adoption.digest)
             now = self.clock.now()
+            self.settle(now)
             if now - swept > 1000.0 * SWEEP_S:
                 swept = now
                 self._compare()
                 self._forget(now)
             await trio.sleep(TICK_MS * self.random.uniform(0.85, 1.15) / 1000.0)
 
+    def settle(self, now: float) -> None:
+        """Go by the last known configuration where nobody in contact tells of any."""
+        due = self.adoption.due(now)
+        if due is not None:
+            self._take_chart(due)
+
     def _compare(self) -> None:
-        mine = self._digest()
-        live = [one.cable for one in self.callers.values() if one.live and one.cable is not None]
+        mine, best = self._digest(), self._contact()
+        live = [
+            one.cable for one in self.callers.values()
+            if one.live and one.cable is not None and one.cable.about.get("contact", Contact.NONE) == best
+        ]  # fmt: skip
         differ = [cable for cable in live if cable.about.get("digest", mine) != mine]
         if differ:
             self.random.choice(differ).send("whole")
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -156,20 +156,22 @@
 
     def state(self) -> State:
         """Return what the other pilots compare with theirs."""
-        return self.moorings.chart.version, len(self.choice.leavers), self._digest()
+        mine = self.moorings.adoption
+        return mine.version, mine.digest, len(self.choice.leaving), self._digest()
 
-    def tell_all(self, cable: Cable, version: int) -> None:
+    def tell_all(self, cable: Cable, version: int, digest: bytes) -> None:
         """Tell another pilot all that is held here."""
-        now = self.clock.now()
-        if self.moorings.chart.version > version:
-            cable.send("chart", self.moorings.chart.version, self.moorings.packed)
+        now, moorings = self.clock.now(), self.moorings
+        mine = moorings.adoption
+        if mine.version > version or (mine.version == version and mine.digest != digest):
+            cable.send("chart", mine.version, moorings.packed, mine.digest, int(moorings.standing))
         known = [one.server.pack(now) for one in self.choice.berths.values() if not one.lost]
-        cable.send("whole", known, self.choice.leavers)
+        cable.send("whole", known, self.choice.leaving, moorings.in_contact)
 
     def take(self, cable: Cable, message: Message) -> None:
         """Take in what another pilot tells."""
-        if message[0] in ("chart", "whole", "servers", "leavers"):
-            self.moorings.take(cable, message)
+        if message[0] in ("chart", "whole", "servers", "leaving"):
+            self.moorings.take(cable, message, by_lighthouse=False)
 
     def alone(self) -> bool:
         """Tell whether no lighthouse is in reach."""
--- /dev/null
+++ b/wickspring/pilot/policy/adoption.py
@@ -0,0 +1,100 @@
+"""Which configuration a pilot goes by, of the copies that it is told. No I/O; times are ms.
+
+A pilot never goes back in number. One that has a configuration takes a higher one that is known to have
+been safe, whoever tells it. One that has none takes what a process in contact with the core tells, and waits
+for that: what others hand it may be old, or never have become safe. Only where nobody in contact has said
+anything for `ALONE_MS` it goes by the last known, which serves more than nothing does.
+
+Under its own number it takes another text only where its own was never known to be safe, or where a
+lighthouse in contact says so. The second must not happen: it is the fence behind the core's own rules.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wickspring.harbour.standing import Standing
+
+ALONE_MS = 1500.0  # without a word of anybody in contact, after which the last known is better than nothing
+
+
+@dataclass(slots=True, frozen=True)
+class Copy:
+    """A copy as it was told; `packed` is the text as it came."""
+
+    version: int
+    digest: bytes
+    packed: bytes
+    standing: Standing
+
+
+class Advice(Enum):
+    """What to do with a copy."""
+
+    PASS_OVER = "pass_over"
+    WAIT = "wait"
+    TAKE = "take"
+    GIVE_WAY = "give_way"  # take it instead of a text of the same number that was never known to be safe
+    FENCE = "fence"  # take it instead of a text of the same number that was: this must not happen
+
+
+class Adoption:
+    """What one pilot goes by, and what it would go by for want of better."""
+
+    def __init__(self, now: float) -> None:
+        self.version, self.digest, self.standing = 0, b"", Standing.HELD
+        self.waiting: Copy | None = None
+        self._current_at = now
+
+    def told(self, now: float, copy: Copy, by_lighthouse: bool = True) -> Advice:
+        """Say what to do with a copy; it counts as taken up only with `took`."""
+        if copy.standing is Standing.CURRENT:
+            self._current_at = now
+        if copy.version < self.version or not copy.version:
+            return Advice.PASS_OVER
+        if copy.version == self.version:
+            return self._same_number(copy, by_lighthouse)
+        if self.version:
+            return Advice.TAKE if copy.standing >= Standing.SAFE else Advice.PASS_OVER
+        if copy.standing is Standing.CURRENT:
+            return Advice.TAKE
+        best = self.waiting
+        if best is None or (copy.standing, copy.version) > (best.standing, best.version):
+            self.waiting = copy
+        return Advice.WAIT
+
+    def _same_number(self, copy: Copy, by_lighthouse: bool) -> Advice:
+        if copy.digest == self.digest:
+            self.standing = max(self.standing, min(copy.standing, Standing.SAFE))
+            return Advice.PASS_OVER
+        if self.standing is Standing.HELD and copy.standing >= Standing.SAFE:
+            return Advice.GIVE_WAY
+        if by_lighthouse and copy.standing is Standing.CURRENT:
+            return Advice.FENCE
+        return Advice.PASS_OVER
+
+    def confirmed(self, now: float, version: int, digest: bytes) -> Copy | None:
+        """Hear from somebody in contact what holds; return the copy that waited for just that."""
+        self._current_at = now
+        waiting, told = self.waiting, (version, digest)
+        if version and told == (self.version, self.digest):
+            self.standing = Standing.SAFE
+        elif not self.version and waiting is not None and told == (waiting.version, waiting.digest):
+            return Copy(version, digest, waiting.packed, Standing.CURRENT)
+        return None
+
+    def due(self, now: float) -> Copy | None:
+        """Return the copy to go by for want of better, once that is due."""
+        return self.waiting if not self.version and now - self._current_at >= ALONE_MS else None
+
+    def took(self, copy: Copy) -> None:
+        """Go by a copy from now on."""
+        self.version, self.digest = copy.version, copy.digest
+        self.standing = min(copy.standing, Standing.SAFE)
+        self.waiting = None
+
+    def drop(self, copy: Copy) -> None:
+        """Forget a copy that cannot be used."""
+        if self.waiting is copy:
+            self.waiting = None
--- a/wickspring/pilot/policy/choice.py
+++ b/wickspring/pilot/policy/choice.py
@@ -39,15 +39,18 @@
         self.zone, self.random, self.warm = zone, Random(seed), warm
         self.berths: dict[str, Berth] = {}
         self.services: dict[str, dict[str, Berth]] = {}  # those that take work
-        self.leavers: dict[str, int] = {}
+        self.leaving: dict[str, int] = {}
         self.usual: dict[str, float] = {}  # mean answer time of a route, ms
 
     # News.
 
-    def heard(self, now: float, server: Server) -> bool:
-        """Take in what is told of a server; True where that is news."""
+    def heard(self, now: float, server: Server, fresh: bool = True) -> bool:
+        """Take in what is told of a server; True where that is news.
+
+        What is not fresh, of a lighthouse that may not know who has ended, brings no lost one back.
+        """
         known = self.berths.get(server.id)
-        news = known is None or known.lost or server.state > known.server.state
+        news = known is None or (known.lost and fresh) or server.state > known.server.state
         if known is None:
             known = self.berths[server.id] = Berth(server, heard_at=now)
         elif server.seq >= known.server.seq or server.state > known.server.state:
@@ -60,15 +63,15 @@
             if known.server.service != server.service:
                 self.services.get(known.server.service, {}).pop(server.id, None)
             known.server = server
-        known.lost = False
+        known.lost = known.lost and not fresh
         self._place(known)
         return news
 
-    def left(self, leavers: dict[str, int]) -> dict[str, int]:
+    def left(self, leaving: dict[str, int]) -> dict[str, int]:
         """Take in who leaves, for good; return those for whom that is news."""
-        news = {id_: state for id_, state in leavers.items() if self.leavers.get(id_, READY) < state}
+        news = {id_: state for id_, state in leaving.items() if self.leaving.get(id_, READY) < state}
         for id_, state in news.items():
-            self.leavers[id_] = max(state, self.leavers.get(id_, READY))
+            self.leaving[id_] = max(state, self.leaving.get(id_, READY))
             berth = self.berths.get(id_)
             if berth is not None:
                 self._place(berth)
@@ -83,7 +86,7 @@
 
     def _place(self, berth: Berth) -> None:
         server = berth.server
-        takes = max(server.state, self.leavers.get(server.id, READY)) == READY
+        takes = max(server.state, self.leaving.get(server.id, READY)) == READY
         place = self.services.setdefault(server.service, {})
         if takes:
             place[server.id] = berth
