Voters apart from the chain; a view is agreed with the state it begins with

Cause: electorate and chain were one list of three, tolerates was read nowhere, copies were joined by number, and a pass could be called safe by a late word on an earlier one. Change: views.py (voters, chain, next view by tolerates and zones), decree.py (one decree an epoch, with state), chain.py (passes, repair), core.py and lease.py follow.

--- a/wickspring/harbour/boot.py
+++ b/wickspring/harbour/boot.py
@@ -72,6 +72,7 @@
     serves: list[str] = []
     bind: Bind = Bind()
     region: str = ""
+    zones: dict[str, str] = {}  # the region of each zone
     is_first_start: bool = False
     counts_loss: bool = False
     limits: Limits = Limits()
--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -1,230 +1,141 @@
-"""The chain of core machines and the small view that mends it, as a machine: facts in, messages out.
+"""The chain of core machines and the views that mend it, as a machine: facts in, messages out.
 
-What the chain holds (`Hold`) only grows: the highest version of the configuration, and the servers that
-have been acknowledged as leaving. So two copies can always be joined, and a copy never has to be taken back.
+An order enters at the head, is saved, goes to the next, and so on; the tail's word that it is saved there too
+comes back up the line, and only then is it acknowledged: every member of the chain has it on disk by then.
+One pass is under way at a time; it brings all orders that came meanwhile.
 
-A write enters at the head, is saved, goes to the next, and so on; the tail's word that it is saved there
-too comes back up the line, and only then is it acknowledged. Every member of the view has it by then.
+A view (`views`) is agreed by the voters of the one before, together with the state that it begins with
+(`decree`). Nobody takes up a view as a member of its chain without that state, and both are saved at once:
+so each member of a chain has all that was acknowledged before, from its first moment on. Within an epoch the
+head alone gives numbers their texts (`replica`). Who has promised for the next epoch passes nothing in this.
 
-A view is an epoch and its members in order. The next view is agreed by a majority of the present one, by a
-single decree for each epoch (a ballot is prepared, then accepted). Who has promised for the next epoch passes
-nothing more in this one, and its promise brings what it holds; so whatever was acknowledged in a view is with
-at least one of the majority that ends it, and the next view begins by passing all of it down its chain.
-
-A member is an address with the id of its disk. One that comes back with an empty disk is another member: it
-has no vote, and is no copy, until a view takes it in.
-
-No I/O and no clock here; times are milliseconds. The host saves `durable()` whenever `dirty` is set, before
-it sends anything of `out` or tells anything of `done` and `news`.
+No I/O and no clock here; times are milliseconds. The host saves `durable()` and `replica` whenever `dirty` is
+set, before it sends anything of `out` or tells anything of `done` and `news`.
 """
 
 from __future__ import annotations
 
 import math
-import zlib
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass
 from random import Random
 from typing import Any
 
 from wickspring.core.invariants import holds
-
-Member = tuple[str, str]  # address, id of its disk
-Ballot = tuple[int, str]
+from wickspring.lighthouse.decree import Ballot, Decree, ballot_of, pack_value, unpack_value
+from wickspring.lighthouse.replica import Order, Replica, Verdict, digest_of
+from wickspring.lighthouse.views import Member, Reach, Scene, Tolerance, View, changes, next_view
 
 RESEND_MS = 250.0  # until what was passed down, and not answered, is passed again
 STEADY_MS = 60.0  # that a reason to change the view must last, above the time in which silence is told
-TURN_MS = 180.0  # between the members that may propose a change, so that they do not race
+TURN_MS = 180.0  # between the voters that may propose a change, so that they do not race
 PROPOSE_MS = 600.0  # for a proposal to come through, before another is made
-FROZEN_MS = 700.0  # that a member waits for a promised view before it proposes itself
-GRACE_MS = 1000.0  # after its start in which a member misses nobody
+FROZEN_MS = 700.0  # that a voter waits for a promised view before it proposes itself
+GRACE_MS = 1000.0  # after its start in which a voter misses nobody
 COPY_MS = 400.0  # between two copies to a machine that is behind
-NOBODY = -1  # the ticket of a write that nobody waits for
-COPIES = 3  # machines in a chain where there are so many: one may be lost while another is away
-LEAVERS_MOST = 4096  # servers that are remembered as leaving
-
-
-@dataclass(slots=True, frozen=True)
-class View:
-    """The members in order, the head first. Epoch 0 is no view at all."""
-
-    epoch: int = 0
-    members: tuple[Member, ...] = ()
-
-    @property
-    def majority(self) -> int:
-        """How many members decide."""
-        return len(self.members) // 2 + 1
-
-    def pack(self) -> list[Any]:
-        """Return it for a message."""
-        return [self.epoch, [list(one) for one in self.members]]
-
-    @staticmethod
-    def unpack(told: Any) -> View:
-        """Read it from a message."""
-        return View(int(told[0]), tuple((str(ip), str(disk)) for ip, disk in told[1]))
-
-
-def _mark(server: str, state: int) -> int:
-    return zlib.crc32(f"{server} {state}".encode())
+MOST_SEQ = 2**40  # passes are numbered from a number drawn at each start and view
 
 
 @dataclass(slots=True)
-class Hold:
-    """What the chain keeps."""
-
-    version: int = 0
-    document: bytes = b""
-    leavers: dict[str, int] = field(default_factory=dict)  # server id: 1 draining, 2 gone
-    mark: int = field(default=0, compare=False)  # a number for all leavers: the same for the same
-
-    def __post_init__(self) -> None:
-        """Work out the mark; `join` keeps it up."""
-        self.mark = 0
-        for server, state in self.leavers.items():
-            self.mark ^= _mark(server, state)
-
-    def join(self, other: Hold) -> bool:
-        """Take in what another copy has more; True where that changed this one."""
-        changed = False
-        if other.version > self.version and other.document:
-            self.version, self.document, changed = other.version, other.document, True
-        for server, state in other.leavers.items():
-            known = self.leavers.get(server, 0)
-            if state > known:
-                self.mark ^= _mark(server, state) ^ (_mark(server, known) if known else 0)
-                self.leavers[server] = state
-                changed = True
-        while len(self.leavers) > LEAVERS_MOST:
-            oldest = next(iter(self.leavers))
-            self.mark ^= _mark(oldest, self.leavers.pop(oldest))
-        return changed
-
-    def copy(self) -> Hold:
-        """Return a copy that does not change with this one."""
-        return Hold(self.version, self.document, dict(self.leavers))
-
-    def pack(self, known: int = 0) -> list[Any]:
-        """Return it for a message; without its document to who has that version."""
-        return [self.version, b"" if self.version <= known else self.document, self.leavers]
-
-    @staticmethod
-    def unpack(told: Any) -> Hold:
-        """Read it from a message."""
-        return Hold(int(told[0]), bytes(told[1]), {str(k): int(v) for k, v in told[2].items()})
-
-
-@dataclass(slots=True, frozen=True)
-class Reach:
-    """What is known of another core machine at this moment."""
-
-    live: bool
-    disk: str = ""
-    hampered: bool = False  # its disk does not come back, or it is about to end
-    epoch: int = 0
-    version: int = 0  # of the configuration that it knows to be safe
-    leavers: int = 0  # how many servers it knows to be leaving,
-    mark: int = 0  # and a number for all of them
-
-    def lacks(self, held: Hold) -> bool:
-        """Tell whether it knows less of what is safe than another: the sweep that finds old copies."""
-        if self.version < held.version or self.leavers < len(held.leavers):
-            return True
-        return self.leavers == len(held.leavers) < LEAVERS_MOST and self.mark != held.mark
+class _Waiting:
+    """An order whose sender waits."""
 
-
-@dataclass(slots=True)
-class Proposal:
-    """A view that this member is having agreed."""
-
-    slot: int
-    ballot: Ballot
-    begun: float
-    promises: set[str] = field(default_factory=set)
-    accepts: set[str] = field(default_factory=set)
-    best: tuple[Ballot, View] | None = None  # the accepted one of the highest ballot
-    view: View | None = None
+    order: Order
+    digest: bytes
+    seq: int = -1  # of the pass that brings it; below 0: none yet
 
 
 class Chain:
-    """One core machine's part in the chain."""
+    """One core machine's part."""
 
-    def __init__(self, ip: str, disk: str, view: View, seed: int, hold: Hold | None = None) -> None:
+    def __init__(
+        self, ip: str, disk: str, view: View, seed: int, replica: Replica | None = None,
+        tolerance: Tolerance | None = None, zone: str = "",
+    ) -> None:  # fmt: skip
         self.me: Member = (ip, disk)
-        self.ip = ip
+        self.ip, self.zone = ip, zone
         self.view = view
-        self.promised: tuple[int, Ballot] = (0, (0, ""))
-        self.accepted: tuple[int, Ballot, View] | None = None
-        self.hold = hold or Hold()
+        self.tolerance = tolerance or Tolerance()
+        self.replica = replica or Replica()
+        if not self.replica.config.epoch and view.epoch:
+            self.replica = self.replica.begun(view.epoch)
+        self.decree = Decree()
         self.random = Random(seed)
         self.reach: Mapping[str, Reach] = {}
+        self.leaving = self.hampered = False  # set by the host: about to end; its disk does not come back
         # What the host takes: saved first, then sent and told.
         self.dirty = False
         self.out: list[tuple[str, list[Any]]] = []
-        self.done: list[tuple[int, bool]] = []  # tickets, and whether what they brought is safe
-        self.news: list[Hold] = []  # what has become safe
-        # Of the head.
-        self.seq = 0
-        self._safe_seq = -1
+        self.done: list[tuple[int, Verdict]] = []
+        self.news: list[Replica] = []  # what has become safe
+        self.safe = Replica()  # what this machine knows to be safe, since its start
+        # Of who passes.
+        self.seq = self.random.randrange(MOST_SEQ)
+        self._passing: Replica | None = None  # what the pass under way brings, the same however often it goes
         self._passed_at = -math.inf
-        self._waiting: dict[int, int] = {}  # ticket: the pass that it waits for
-        self._known: dict[Member, int] = {}  # the version that the next has said it holds
+        self._waiting: dict[int, _Waiting] = {}
+        self._holds: dict[Member, bytes] = {}  # the digest that others have said they hold
+        # Of who looks.
         self._want_since = math.inf
         self._turn = self.random.random()
         self._frozen_at = math.inf
         self._begun_at = math.inf
-        self.proposal: Proposal | None = None
-        self.safe = Hold()  # what this machine knows to be safe
-        self._passing = Hold()  # of the head: what the pass under way brings, the same however often it goes
-        self._copied: dict[str, float] = {}  # when a machine outside was last brought up to date
-        self.mended = 0  # views that have been installed here since the start
+        self._copied: dict[str, float] = {}  # when a machine was last brought up to date
+        self.mended = 0  # views that have been taken up here since the start
 
     # Readings.
 
     @property
     def member(self) -> bool:
-        """Tell whether this machine is in the view that it knows."""
-        return self.me in self.view.members
+        """Tell whether this machine is in the chain of the view that it knows."""
+        return self.me in self.view.chain
+
+    @property
+    def voter(self) -> bool:
+        """Tell whether this machine has a vote in the view that it knows."""
+        return self.me in self.view.voters
 
     @property
     def head(self) -> str:
         """Return the head's address, or nothing."""
-        return self.view.members[0][0] if self.view.members else ""
+        return self.view.head
 
     @property
     def frozen(self) -> bool:
         """Tell whether a promise for the next view holds up this one."""
-        return self.promised[0] > self.view.epoch
+        return self.decree.promised[0] > self.view.epoch
+
+    @property
+    def may_leave(self) -> bool:
+        """Tell whether what this machine keeps is kept without it."""
+        if self.member:
+            return False
+        chain = dict(self.view.chain)
+        return not self.view.epoch or any(
+            one.live and chain.get(ip) == one.disk and one.safe_epoch >= self.view.epoch
+            for ip, one in self.reach.items()
+        )
 
     def durable(self) -> dict[str, Any]:
-        """Return all that must outlive this process."""
-        accepted = self.accepted
-        return {
-            "view": self.view.pack(),
-            "promised": [self.promised[0], list(self.promised[1])],
-            "accepted": None if accepted is None else [accepted[0], list(accepted[1]), accepted[2].pack()],
-        }
+        """Return all that must outlive this process, beside the copy."""
+        return {"view": self.view.pack(), **self.decree.durable()}
 
     def restore(self, told: Mapping[str, Any]) -> None:
         """Take up what an earlier life of this machine left."""
         self.view = View.unpack(told["view"])
-        slot, ballot = told["promised"]
-        self.promised = (int(slot), (int(ballot[0]), str(ballot[1])))
-        if told["accepted"] is not None:
-            slot, ballot, view = told["accepted"]
-            self.accepted = (int(slot), (int(ballot[0]), str(ballot[1])), View.unpack(view))
+        self.decree.restore(told)
+
+    def _scene(self, there: frozenset[Member] = frozenset()) -> Scene:
+        return Scene(self.me, self.zone, self.leaving or self.hampered, self.reach, there)
 
-    # Writes.
+    # Orders.
 
-    def enter(self, now: float, ticket: int, brought: Hold) -> None:
-        """Take a write, or with an empty one a read, at the head; elsewhere it fails at once."""
+    def enter(self, now: float, ticket: int, order: Order) -> None:
+        """Take an order, or with an empty one a read, at the head; elsewhere it comes to nothing at once."""
         if not self.member or self.head != self.ip:
-            self.done.append((ticket, False))
+            self.done.append((ticket, Verdict.NOT_YET))
             return
-        self.dirty |= self.hold.join(brought)
-        # What waits for its answer already does not bring this; so a further pass has to.
-        self._waiting[ticket] = self.seq + 1
+        self._waiting[ticket] = _Waiting(order, digest_of(order.document))
         self._begin(now)
 
     def drop(self, ticket: int) -> None:
@@ -232,249 +143,284 @@
         self._waiting.pop(ticket, None)
 
     def _begin(self, now: float) -> None:
-        if self.frozen or self._safe_seq < self.seq or not any(s > self.seq for s in self._waiting.values()):
+        """Begin a pass with all orders that no pass has brought yet."""
+        fresh = [one for one in self._waiting.values() if one.seq < 0]
+        if self.frozen or self._passing is not None or not fresh:
             return
+        holds(self.replica.config.epoch == self.view.epoch, "a head holds the state of its view")
         self.seq += 1
-        self._passing = self.hold.copy()
+        for one in fresh:
+            self.dirty |= self.replica.take(one.order, self.view.epoch)
+            one.seq = self.seq
         self._pass(now)
 
     def _pass(self, now: float) -> None:
+        if self._passing is None:
+            self._passing = self.replica.copy()
         self._passed_at = now
         self._down(self.seq, self._passing)
 
-    def _down(self, seq: int, told: Hold) -> None:
+    def _down(self, seq: int, told: Replica) -> None:
         """Pass it to the next member, or back up from the tail."""
-        at = self.view.members.index(self.me)
-        if at + 1 == len(self.view.members):
+        at = self.view.chain.index(self.me)
+        if at + 1 == len(self.view.chain):
             self._up(seq, told)
             return
-        after = self.view.members[at + 1]
-        self._passing = told
-        packed = told.pack(self._known.get(after, 0))
+        after = self.view.chain[at + 1]
+        self.seq, self._passing = seq, told
+        packed = told.pack(self._holds.get(after, b""))
         self.out.append((after[0], ["pass", self.view.pack(), seq, packed]))
 
-    def _is_safe(self, what: Hold) -> None:
+    def _is_safe(self, what: Replica) -> None:
+        if what.config.rank > self.safe.config.rank:
+            holds(what.config.version >= self.safe.config.version, "what is safe never goes back")
+            same = what.config.version == self.safe.config.version
+            holds(not same or what.config.digest == self.safe.config.digest, "a safe number keeps its text")
         if self.safe.join(what):
             self.news.append(self.safe)
 
-    def _up(self, seq: int, told: Hold) -> None:
+    def _up(self, seq: int, told: Replica) -> None:
         """What was passed is safe with this member and all below it: say so to the one above."""
         self._is_safe(told)
-        at = self.view.members.index(self.me)
+        self._passing = None
+        at = self.view.chain.index(self.me)
         if at:
-            above = self.view.members[at - 1][0]
-            self.out.append((above, ["passed", self.view.epoch, seq, self.hold.version, self.me[1]]))
+            above = self.view.chain[at - 1][0]
+            self.out.append((above, ["passed", self.view.epoch, seq, self.replica.config.digest, self.me[1]]))
             return
-        self._safe_seq = seq
-        ready = [ticket for ticket, wants in self._waiting.items() if wants <= seq]
-        for ticket in ready:
-            del self._waiting[ticket]
-            self.done.append((ticket, True))
+        for ticket in [ticket for ticket, one in self._waiting.items() if one.seq == seq]:
+            one = self._waiting.pop(ticket)
+            self.done.append((ticket, self.safe.config.judge(one.order.version, one.digest)))
 
-    def _take_pass(self, now: float, sender: str, view: View, seq: int, told: Hold) -> None:
+    def _take_pass(self, now: float, sender: str, view: View, seq: int, told: Replica) -> None:
         if view.epoch < self.view.epoch:
-            self.out.append((sender, ["view", self.view.pack(), self.hold.pack()]))
+            self._tell_view(sender)
+            return
+        if self.me not in view.chain:
             return
-        if self.me not in view.members:
+        config = told.config.filled(self.replica.config)
+        if not config.whole:
+            self.out.append((sender, ["fetch", view.epoch, self.replica.config.digest, self.me[1]]))
             return
+        told = Replica(config, told.leaving)
         if view.epoch > self.view.epoch:
-            self._install(now, view)
+            self._install(now, view, told)
         if self.frozen:
             return
-        if told.version > self.hold.version and not told.document:
-            self.out.append((sender, ["lack", view.epoch, self.hold.version, self.me[1]]))
-            return
-        self.dirty |= self.hold.join(told)
-        if self.hold.version > told.version:  # of a view before this one, from where it never became safe
-            self.out.append((self.head, ["more", self.hold.pack()]))
-        told = Hold(self.hold.version, self.hold.document, told.leavers)
+        self.dirty |= self.replica.join(told)
         self._down(seq, told)
 
-    def _take_passed(self, now: float, epoch: int, seq: int, version: int, member: Member) -> None:
-        if epoch != self.view.epoch or self.frozen:
-            return
-        self._known[member] = version
-        at = self.view.members.index(self.me) if self.member else -1
-        if at < 0 or (at == 0 and seq != self.seq):
+    def _take_passed(self, now: float, epoch: int, seq: int, digest: bytes, member: Member) -> None:
+        if epoch != self.view.epoch or self.frozen or not self.member:
             return
+        self._holds[member] = digest
+        if seq != self.seq or self._passing is None:
+            return  # of a pass that is over: it says nothing of the one under way
         self._up(seq, self._passing)
-        if at == 0:
+        if self.head == self.ip:
             self._begin(now)
 
-    # Views.
+    def _take_fetch(self, sender: str, epoch: int, digest: bytes, disk: str) -> None:
+        """Send the whole text to who lacks it."""
+        self._holds[sender, disk] = digest
+        if epoch != self.view.epoch:
+            return
+        self._tell_view(sender, digest)
+        at = self.view.chain.index(self.me) + 1 if self.member else 0
+        after = self.view.chain[at] if 0 < at < len(self.view.chain) else None
+        if after == (sender, disk) and self._passing is not None and not self.frozen:
+            self._down(self.seq, self._passing)
+
+    # Looking round.
 
     def tick(self, now: float, reach: Mapping[str, Reach]) -> None:
         """Look at what is in reach, and mend the chain where that is called for."""
         self.reach = reach
         self._bring_up(now)
-        if not self.member:
+        if not self.voter:
             return
-        unanswered = self.head == self.ip and not self.frozen and self._safe_seq < self.seq
+        unanswered = self.head == self.ip and not self.frozen and self._passing is not None
         if unanswered and now - self._passed_at >= RESEND_MS:
             self._pass(now)
+        proposal = self.decree.proposal
         if not self._wanted(now):
             self._want_since = math.inf
-            if self.proposal is None:
+            if proposal is None:
                 return
         elif self._want_since == math.inf:
             self._want_since = now
-        proposal = self.proposal
         if proposal is not None:
             if now - proposal.begun < PROPOSE_MS * (1.0 + self._turn):
                 return
-            self.proposal = None
-        standing = [ip for ip, disk in self.view.members if ip == self.ip or self._well(ip, disk)]
-        place = standing.index(self.ip)
-        if now - self._want_since >= STEADY_MS + TURN_MS * (place + self._turn):
+            self.decree.proposal = None
+        scene = self._scene()
+        standing = [one for one in self.view.voters if one == self.me or scene.is_well(one)]
+        if now - self._want_since >= STEADY_MS + TURN_MS * (standing.index(self.me) + self._turn):
             self._propose(now)
 
+    def _tell_view(self, ip: str, known: bytes = b"") -> None:
+        """Tell another machine of the view, with the state it goes on from where this machine has that."""
+        state = self.replica if self.replica.config.epoch == self.view.epoch else None
+        self.out.append((ip, ["view", self.view.pack(), None if state is None else state.pack(known)]))
+
     def _bring_up(self, now: float) -> None:
-        """Bring machines that are behind, most of all those outside the view, what is safe."""
+        """Bring machines that are behind what is agreed, and what is safe."""
         for ip, one in self.reach.items():
-            behind = one.epoch < self.view.epoch or one.lacks(self.safe)
-            if one.live and behind and now - self._copied.get(ip, -math.inf) >= COPY_MS:
-                self._copied[ip] = now
-                packed = self.safe.pack(one.version)
-                self.out.append((ip, ["copy", self.view.pack(), packed]))
-
-    def _take_copy(self, now: float, view: View, told: Hold) -> None:
-        if view.epoch > self.view.epoch:
-            self._install(now, view)
-        if told.version > self.hold.version and not told.document:
-            told.version = 0
-        self.dirty |= self.hold.join(told)
+            behind, lacks = one.epoch < self.view.epoch, one.lacks(self.safe)
+            if not one.live or not (behind or lacks) or now - self._copied.get(ip, -math.inf) < COPY_MS:
+                continue
+            self._copied[ip] = now
+            if behind:
+                self._tell_view(ip, one.digest)
+            if lacks:
+                self.out.append((ip, ["copy", self.safe.pack(one.digest)]))
+
+    def _take_copy(self, told: Replica) -> None:
+        """Take what another machine knows to be safe."""
+        config = told.config.filled(self.replica.config)
+        if not config.whole:
+            return  # it is told again, whole, once this machine has said what it holds
+        told = Replica(config, told.leaving)
+        self.dirty |= self.replica.join(told)
         self._is_safe(told)
 
-    def _well(self, ip: str, disk: str) -> bool:
-        known = self.reach.get(ip)
-        return known is not None and known.live and known.disk == disk and not known.hampered
-
-    def _others(self) -> list[Member]:
-        """Return machines that could be taken in, in the order in which they would be."""
-        inside = {ip for ip, disk in self.view.members if ip == self.ip or self._well(ip, disk)}
-        return sorted(
-            (ip, one.disk) for ip, one in self.reach.items()
-            if one.live and one.disk and not one.hampered and ip not in inside
-        )  # fmt: skip
-
     def _wanted(self, now: float) -> bool:
         """Tell whether the view should change."""
         if self.frozen:
             return now - self._frozen_at >= FROZEN_MS
         if now - self._begun_at < GRACE_MS:
             return False  # the others are starting as well
-        ill = [m for m in self.view.members if m != self.me and not self._well(*m)]
-        return bool(ill) or (len(self.view.members) < COPIES and bool(self._others()))
+        return changes(self.view, next_view(self.view, self._scene(), self.tolerance))
 
-    def _next(self, promised: set[str]) -> View:
-        """Return the view to propose: who has just promised is there, whatever was heard before."""
-        kept = [m for m in self.view.members if m[0] in promised or self._well(*m)]
-        holds(len(kept) >= self.view.majority, "a view keeps a majority of the one before")
-        kept += self._others()[: max(0, COPIES - len(kept))]
-        return View(self.view.epoch + 1, tuple(kept))
+    # Agreeing on the next view.
 
     def _propose(self, now: float) -> None:
         self._turn = self.random.random()
-        slot = self.view.epoch + 1
-        number = self.promised[1][0] + 1 if self.promised[0] == slot else 1
-        self.proposal = Proposal(slot, (number, self.ip), now)
-        self._to_members(["prepare", slot, list(self.proposal.ballot)], now)
-
-    def _to_members(self, message: list[Any], now: float) -> None:
-        for ip, _ in self.view.members:
-            if ip == self.ip:
-                self.receive(now, self.ip, message)
-            else:
-                self.out.append((ip, message))
-
-    def _reply(self, now: float, to: str, message: list[Any]) -> None:
-        if to == self.ip:
-            self.receive(now, self.ip, message)
+        proposal = self.decree.propose(now, self.view.epoch + 1, self.ip)
+        told = ["prepare", proposal.slot, list(proposal.ballot), self.replica.config.digest]
+        for ip, _ in self.view.voters:
+            self._say(now, ip, told)
+
+    def _say(self, now: float, ip: str, message: list[Any]) -> None:
+        """Send a message, or take it at once where it is to this machine."""
+        if ip == self.ip:
+            self.receive(now, ip, message)
         else:
-            self.out.append((to, message))
+            self.out.append((ip, message))
 
-    def _take_prepare(self, now: float, sender: str, slot: int, ballot: Ballot) -> None:
+    def _freeze(self, now: float) -> None:
+        if not self.frozen:
+            self._frozen_at = now
+        self.dirty = True
+
+    def _take_prepare(self, now: float, sender: str, slot: int, ballot: Ballot, known: bytes) -> None:
         if slot <= self.view.epoch:
-            self._reply(now, sender, ["view", self.view.pack(), self.hold.pack()])
-        elif slot != self.view.epoch + 1 or not self.member:
+            self._tell_view(sender, known)
             return
-        elif self.promised[0] == slot and self.promised[1] > ballot:
-            self._reply(now, sender, ["outbid", slot, list(self.promised[1])])
-        else:
-            if not self.frozen:
-                self._frozen_at = now
-            self.promised, self.dirty = (slot, ballot), True
-            accepted = None
-            if self.accepted is not None and self.accepted[0] == slot:
-                accepted = [list(self.accepted[1]), self.accepted[2].pack()]
-            told = ["promise", slot, list(ballot), accepted, self.hold.pack(), self.me[1]]
-            self._reply(now, sender, told)
-
-    def _take_promise(self, now: float, sender: str, message: list[Any]) -> None:
-        _, slot, ballot, accepted, told, disk = message
-        mine = self.proposal
-        if mine is None or (slot, tuple(ballot)) != (mine.slot, mine.ballot) or mine.view is not None:
+        if slot != self.view.epoch + 1 or not self.voter:
+            return
+        higher = self.decree.outbid(slot, ballot)
+        if higher is not None:
+            self._say(now, sender, ["outbid", slot, list(higher)])
+            return
+        self._freeze(now)
+        accepted = self.decree.promise(slot, ballot)
+        told = None if accepted is None else pack_value(*accepted)
+        copy = self.replica.pack(known if sender != self.ip else b"")
+        self._say(now, sender, ["promise", slot, list(ballot), told, copy, self.me[1]])
+
+    def _take_promise(
+        self, now: float, member: Member, slot: int, ballot: Ballot, told: Any, copy: Any
+    ) -> None:
+        one = self.decree.mine(slot, ballot)
+        if one is None:
             return
-        if (sender, disk) not in self.view.members:
+        brought = Replica.unpack(copy)
+        brought.config = brought.config.filled(self.replica.config)
+        if not brought.config.whole:
+            return  # this machine's own copy has changed since it asked; it asks again
+        accepted = None if told is None else unpack_value(told)
+        if not self.decree.promised_by(one, self.view, member, brought, accepted):
             return
-        mine.promises.add(sender)
-        self.dirty |= self.hold.join(Hold.unpack(told))
-        if accepted is not None:
-            found = (int(accepted[0][0]), str(accepted[0][1])), View.unpack(accepted[1])
-            if mine.best is None or found[0] > mine.best[0]:
-                mine.best = found
-        if len(mine.promises) >= self.view.majority:
-            mine.view = mine.best[1] if mine.best is not None else self._next(mine.promises)
-            told = ["accept", slot, list(mine.ballot), mine.view.pack(), self.hold.pack()]
-            self._to_members(told, now)
+        if one.best is not None:
+            one.value = one.best[1]
+        else:
+            scene = self._scene(frozenset(one.promises))
+            one.value = next_view(self.view, scene, self.tolerance), one.state.begun(slot)
+        view, state = one.value
+        holds(view.epoch == slot == state.config.epoch, "a view and the state it begins with")
+        holds(bool(view.chain) and state.config.whole, "somebody has the state")
+        for voter in self.view.voters:
+            packed = state.pack(b"" if voter == self.me else one.promises.get(voter, b""))
+            self._say(now, voter[0], ["accept", slot, list(ballot), view.pack(), packed])
 
     def _take_accept(
-        self, now: float, sender: str, slot: int, ballot: Ballot, view: View, hold: Hold
+        self, now: float, sender: str, slot: int, ballot: Ballot, view: View, state: Replica
     ) -> None:
-        if slot != self.view.epoch + 1 or not self.member:
+        if slot != self.view.epoch + 1 or not self.voter:
             return
-        if self.promised[0] == slot and self.promised[1] > ballot:
-            self._reply(now, sender, ["outbid", slot, list(self.promised[1])])
+        higher = self.decree.outbid(slot, ballot)
+        if higher is not None:
+            self._say(now, sender, ["outbid", slot, list(higher)])
             return
-        if not self.frozen:
-            self._frozen_at = now
-        self.promised, self.accepted, self.dirty = (slot, ballot), (slot, ballot, view), True
-        self.hold.join(hold)
-        self._reply(now, sender, ["accepted", slot, list(ballot), self.me[1]])
-
-    def _take_accepted(self, now: float, sender: str, slot: int, ballot: Ballot, disk: str) -> None:
-        mine = self.proposal
-        if mine is None or (slot, ballot) != (mine.slot, mine.ballot) or mine.view is None:
+        state.config = state.config.filled(self.replica.config)
+        if not state.config.whole:
             return
-        if (sender, disk) not in self.view.members:
+        self._freeze(now)
+        self.decree.accept(slot, ballot, (view, state))
+        self._say(now, sender, ["accepted", slot, list(ballot), self.me[1]])
+
+    def _take_accepted(self, now: float, member: Member, slot: int, ballot: Ballot) -> None:
+        one = self.decree.mine(slot, ballot)
+        if one is None or one.value is None or not self.decree.accepted_by(one, self.view, member):
             return
-        mine.accepts.add(sender)
-        if len(mine.accepts) < self.view.majority:
+        view, state = one.value
+        for other in dict.fromkeys((*self.view.voters, *view.voters)):
+            if other[0] != self.ip:
+                known = one.promises.get(other, b"")
+                self.out.append((other[0], ["view", view.pack(), state.pack(known)]))
+        self._install(now, view, state)
+
+    def _take_view(self, now: float, sender: str, view: View, state: Replica | None) -> None:
+        if state is not None:
+            state.config = state.config.filled(self.replica.config)
+        if view.epoch < self.view.epoch:
             return
-        old, new = self.view.members, mine.view
-        told = ["view", new.pack(), self.hold.pack()]
-        for ip in {ip for ip, _ in (*old, *new.members)} - {self.ip}:
-            self.out.append((ip, told))
-        self._install(now, new)
+        if state is None or not state.config.whole:
+            if self.me in view.chain:
+                if view.epoch > self.view.epoch:
+                    self.out.append((sender, ["fetch", view.epoch, self.replica.config.digest, self.me[1]]))
+                return
+            state = None
+        if view.epoch > self.view.epoch:
+            self._install(now, view, state)
+        elif state is not None:
+            self.dirty |= self.replica.join(state)
 
-    def _install(self, now: float, view: View) -> None:
+    def _install(self, now: float, view: View, state: Replica | None) -> None:
+        """Take up a view; as a member of its chain only together with the state it goes on from."""
         holds(view.epoch > self.view.epoch, "views only go forward")
+        if state is not None:
+            self.replica.join(state)
+        begun = self.replica.config.epoch == view.epoch
+        holds(self.me not in view.chain or begun, "no view without its state")
         self.view, self.dirty, self.mended = view, True, self.mended + 1
-        self.proposal, self._want_since, self._frozen_at = None, math.inf, math.inf
-        self._known.clear()
-        self.seq, self._safe_seq = 0, -1
-        self._passing = self.hold.copy()
-        waiting, self._waiting = self._waiting, {}
-        if self.me in view.members and view.members[0] == self.me:
-            self._waiting = dict.fromkeys(waiting, 0)
+        self.decree.over()
+        self._want_since = self._frozen_at = math.inf
+        self._holds.clear()
+        self.seq, self._passing = self.random.randrange(MOST_SEQ), None
+        if self.member and self.head == self.ip:
+            for one in self._waiting.values():
+                one.seq = -1
             self._pass(now)
+            self._begin(now)
         else:
-            self.done += [(ticket, False) for ticket in waiting]
+            self.done += [(ticket, Verdict.NOT_YET) for ticket in self._waiting]
+            self._waiting.clear()
 
     def begin(self, now: float) -> None:
-        """Start: who is head finds out what of its copy is safe."""
+        """Start: who is head finds out whether its view stands, and what of its copy is safe."""
         self._begun_at = now
-        self._passing = self.hold.copy()
         if self.member and self.head == self.ip and not self.frozen:
             self._pass(now)
         if self.frozen:
@@ -482,45 +428,36 @@
 
     def receive(self, now: float, sender: str, message: list[Any]) -> None:
         """Take a message of another core machine; what is malformed raises ValueError or the like."""
-        name = message[0]
+        name, *told = message
         if name == "pass":
-            self._take_pass(now, sender, View.unpack(message[1]), int(message[2]), Hold.unpack(message[3]))
+            self._take_pass(now, sender, View.unpack(told[0]), int(told[1]), Replica.unpack(told[2]))
         elif name == "passed":
-            member = (sender, str(message[4]))
-            self._take_passed(now, int(message[1]), int(message[2]), int(message[3]), member)
-        elif name == "lack":
-            self._known[(sender, str(message[3]))] = int(message[2])
-            if message[1] == self.view.epoch and self.member and not self.frozen:
-                self._down(self.seq, self._passing)
-        elif name == "more":
-            if self.member and self.head == self.ip and self.hold.join(Hold.unpack(message[1])):
-                self.dirty = True
-                self._waiting[NOBODY] = self.seq + 1
-                self._begin(now)
+            member = (sender, str(told[3]))
+            self._take_passed(now, int(told[0]), int(told[1]), bytes(told[2]), member)
+        elif name == "fetch":
+            self._take_fetch(sender, int(told[0]), bytes(told[1]), str(told[2]))
         elif name == "copy":
-            self._take_copy(now, View.unpack(message[1]), Hold.unpack(message[2]))
+            self._take_copy(Replica.unpack(told[0]))
         elif name == "prepare":
-            self._take_prepare(now, sender, int(message[1]), _ballot(message[2]))
+            self._take_prepare(now, sender, int(told[0]), ballot_of(told[1]), bytes(told[2]))
         elif name == "promise":
-            self._take_promise(now, sender, message)
+            slot, ballot, accepted, copy, disk = told
+            self._take_promise(now, (sender, str(disk)), int(slot), ballot_of(ballot), accepted, copy)
         elif name == "accept":
-            view, told = View.unpack(message[3]), Hold.unpack(message[4])
-            self._take_accept(now, sender, int(message[1]), _ballot(message[2]), view, told)
+            view, state = View.unpack(told[2]), Replica.unpack(told[3])
+            self._take_accept(now, sender, int(told[0]), ballot_of(told[1]), view, state)
         elif name == "accepted":
-            self._take_accepted(now, sender, int(message[1]), _ballot(message[2]), str(message[3]))
+            self._take_accepted(now, (sender, str(told[2])), int(told[0]), ballot_of(told[1]))
         elif name == "outbid":
-            slot, ballot = int(message[1]), _ballot(message[2])
-            if self.proposal is not None and slot == self.proposal.slot and ballot > self.proposal.ballot:
-                if self.promised[0] == slot and ballot[0] > self.promised[1][0]:
-                    self.promised, self.dirty = (slot, ballot), True  # so that the next number is above it
-                self.proposal.begun = now  # the other's proposal gets its time
+            self._take_outbid(now, int(told[0]), ballot_of(told[1]))
         elif name == "view":
-            view = View.unpack(message[1])
-            if view.epoch > self.view.epoch:
-                self.dirty |= self.hold.join(Hold.unpack(message[2]))
-                self._install(now, view)
-
+            begun = None if told[1] is None else Replica.unpack(told[1])
+            self._take_view(now, sender, View.unpack(told[0]), begun)
 
-def _ballot(told: Iterable[Any]) -> Ballot:
-    number, ip = told
-    return int(number), str(ip)
+    def _take_outbid(self, now: float, slot: int, ballot: Ballot) -> None:
+        mine = self.decree.proposal
+        if mine is None or slot != mine.slot or ballot <= mine.ballot:
+            return
+        if self.decree.promised[0] == slot and ballot > self.decree.promised[1]:
+            self.decree.promised, self.dirty = (slot, ballot), True  # so that the next number is above it
+        mine.begun = now  # the other's proposal gets its time
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -6,6 +6,7 @@
 import sqlite3
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -16,9 +17,11 @@
 from wickspring.harbour.cable import UNREADABLE, Cable, Caller, Message
 from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.seeds import Seeds
-from wickspring.lighthouse.chain import Chain, Hold, Member, Reach, View
+from wickspring.lighthouse.chain import Chain
 from wickspring.lighthouse.lease import Lease, grants
 from wickspring.lighthouse.logbook import Logbook
+from wickspring.lighthouse.replica import Order, Replica, Verdict
+from wickspring.lighthouse.views import Member, Reach, Tolerance, View, shortfalls
 from wickspring.net.clock import Clock
 
 TICK_MS = 200.0
@@ -36,13 +39,26 @@
 
     disk: str
     epoch: int
+    safe_epoch: int
     version: int
-    leavers: int
-    mark: int
+    leaving: int
+    leaving_sum: int
+    digest: bytes
     ill: bool
     zone: str
     control: str
-    cores: int
+    sees: list[str]
+
+
+@dataclass(slots=True, frozen=True)
+class Entered:
+    """What became of an order; of a read, what was safe at the head."""
+
+    verdict: Verdict
+    replica: Replica | None = None
+
+
+NOT_ENTERED = Entered(Verdict.NOT_YET)
 
 
 class Core:
@@ -50,7 +66,7 @@
 
     def __init__(
         self, boot: Boot, keeper: Logbook, clock: Clock, nursery: trio.Nursery, random: Random,
-        told: Callable[[Hold], None], viewed: Callable[[], None], heard: Callable[[str, Message], None],
+        told: Callable[[Replica], None], viewed: Callable[[], None], heard: Callable[[str, Message], None],
     ) -> None:  # fmt: skip
         self.boot, self.keeper, self.clock, self.nursery, self.random = boot, keeper, clock, nursery, random
         self._told, self._viewed, self._heard = told, viewed, heard
@@ -62,8 +78,8 @@
         self.saving_since = 0.0
         self.frozen_seen = False
         self._tickets = 0
-        self._waiting: dict[int, Callable[[bool], None]] = {}
-        self._away: dict[int, Callable[[bool, list[Any]], None]] = {}  # writes at the head, elsewhere
+        self._waiting: dict[int, Callable[[Verdict], None]] = {}
+        self._away: dict[int, Callable[[Verdict, Any], None]] = {}  # orders at the head, elsewhere
         self._events: list[Callable[[], None]] = []
         self._stirred = trio.Event()
         self._disk = trio.Lock()  # one thread at a time writes
@@ -72,16 +88,19 @@
 
     def _begin(self) -> Chain:
         seed = self.random.getrandbits(32)
+        told = self.boot.tolerates
+        tolerance = Tolerance(told.machines, told.zones, told.regions)
+        make = partial(Chain, tolerance=tolerance, zone=self.boot.zone)
         found = self.keeper.load()
         if found is not None:
-            durable, hold = found
-            chain = Chain(self.ip, str(durable["disk"]), View(), seed, hold)
+            durable, replica = found
+            chain = make(self.ip, str(durable["disk"]), View(), seed, replica)
             chain.restore(durable)
         elif self.boot.is_first_start:
             members: tuple[Member, ...] = tuple((ip, FIRST_DISK) for ip in self.boot.seed_ips())
-            chain = Chain(self.ip, FIRST_DISK, View(1, members), seed)
+            chain = make(self.ip, FIRST_DISK, View(1, members, members), seed)
         else:  # a disk that was lost, or a machine that is new: no vote until a view takes it in
-            chain = Chain(self.ip, secrets.token_hex(6), View(), seed)
+            chain = make(self.ip, secrets.token_hex(6), View(), seed)
         chain.dirty = True
         return chain
 
@@ -121,11 +140,11 @@
 
     def state(self) -> list[Any]:
         """Return what this machine tells of itself, in the order of `Told`."""
-        chain = self.chain
-        busy = bool(self.saving_since) and self.clock.now() - self.saving_since > BUSY_MS
+        chain, safe = self.chain, self.chain.safe
         return [
-            chain.me[1], chain.view.epoch, chain.safe.version, len(chain.safe.leavers), chain.safe.mark,
-            busy or self.leaving, self.boot.zone, self.boot.bind.control_addr, len(self.callers),
+            chain.me[1], chain.view.epoch, safe.config.epoch, safe.config.version, len(safe.leaving),
+            safe.leaving_sum, chain.replica.config.digest, chain.hampered or chain.leaving, self.boot.zone,
+            self.boot.bind.control_addr, [ip for ip in self.callers if self.live(ip)],
         ]  # fmt: skip
 
     def _take(self, cable: Cable, message: Message) -> None:
@@ -134,8 +153,8 @@
             ip = str(message[1])
             told = self.states[ip] = Told(*message[2])
             self.lease.granted(ip, told.disk, float(message[3]), int(message[4]))
-            if told.cores != len(self.callers) and self.random.random() < ASK_CORES:
-                cable.send("cores")  # it knows more of them, or fewer
+            if set(told.sees) - {self.ip} != set(self.callers) - {ip} and self.random.random() < ASK_CORES:
+                cable.send("cores")  # it reaches more of them, or fewer
         elif message[0] == "cores":
             self.know([parse_ip(ip) for ip in message[1]])
 
@@ -149,57 +168,54 @@
         elif name == "chain":
             self._queue(lambda: self.chain.receive(self.clock.now(), ip, message[1]))
         elif name == "enter":
-            self._enter_for(ip, int(message[1]), Hold.unpack(message[2]), bool(message[3]))
+            self._enter_for(ip, int(message[1]), Order.unpack(message[2]), bool(message[3]))
         elif name == "entered":
             answer = self._away.pop(int(message[1]), None)
             if answer is not None:
-                answer(bool(message[2]), message)
+                answer(Verdict(message[2]), message[3])
         else:
             self._heard(ip, message)
         return True
 
-    def _enter_for(self, ip: str, ticket: int, brought: Hold, read: bool) -> None:
-        def done(safe: bool) -> None:
-            told = self.chain.safe.pack() if read and safe else None
-            self.say(ip, "entered", ticket, safe, told)
+    def _enter_for(self, ip: str, ticket: int, order: Order, read: bool) -> None:
+        def done(verdict: Verdict) -> None:
+            told = self.chain.safe.pack() if read and verdict is Verdict.SAFE else None
+            self.say(ip, "entered", ticket, int(verdict), told)
 
-        self._enter(brought, done)
+        self._enter(order, done)
 
-    # Writes and reads.
+    # Orders and reads.
 
-    def _enter(self, brought: Hold, done: Callable[[bool], None]) -> int:
+    def _enter(self, order: Order, done: Callable[[Verdict], None]) -> int:
         self._tickets += 1
         ticket = self._tickets
         self._waiting[ticket] = done
-        self._queue(lambda: self.chain.enter(self.clock.now(), ticket, brought))
+        self._queue(lambda: self.chain.enter(self.clock.now(), ticket, order))
         return ticket
 
-    async def enter(self, brought: Hold, read: bool = False) -> Hold | None:
-        """Have something made safe, by the head wherever it is; what is safe then, or None."""
+    async def enter(self, order: Order, read: bool = False) -> Entered:
+        """Have an order made safe by the head, wherever it is; NOT_YET where that takes too long."""
         ended = trio.Event()
-        result: list[Hold | None] = [None]
+        result = [NOT_ENTERED]
 
-        def here(safe: bool) -> None:
-            result[0] = self.chain.safe if safe else None
+        def here(verdict: Verdict) -> None:
+            copy = self.chain.safe.copy() if read and verdict is Verdict.SAFE else None
+            result[0] = Entered(verdict, copy)
             ended.set()
 
-        def away(safe: bool, message: list[Any]) -> None:
-            if safe and message[3] is not None:
-                result[0] = Hold.unpack(message[3])
-            elif safe:  # this machine may hear of it later than its caller's answer is due
-                held = result[0] = self.chain.safe.copy()
-                held.join(brought)
+        def away(verdict: Verdict, told: Any) -> None:
+            result[0] = Entered(verdict, None if told is None else Replica.unpack(told))
             ended.set()
 
         head = self.chain.head
         with trio.move_on_after(ENTER_MS / 1000.0):
             if head == self.ip:
-                ticket = self._enter(brought, here)
+                ticket = self._enter(order, here)
             else:
                 self._tickets += 1
                 ticket = self._tickets
                 self._away[ticket] = away
-                if not self.say(head, "enter", ticket, brought.pack(), read):
+                if not self.say(head, "enter", ticket, order.pack(), read):
                     ended.set()
             await ended.wait()
         self._away.pop(ticket, None)
@@ -216,7 +232,8 @@
     def _reaches(self) -> dict[str, Reach]:
         return {
             ip: Reach(
-                self.live(ip), told.disk, told.ill, told.epoch, told.version, told.leavers, told.mark
+                self.live(ip), told.disk, told.ill, told.zone, told.epoch, told.safe_epoch, told.version,
+                told.leaving, told.leaving_sum, told.digest, frozenset(told.sees),
             )
             for ip, told in self.states.items()
         }  # fmt: skip
@@ -228,6 +245,9 @@
             self.know(self.seeds.ips(self.clock.now(), any(map(self.live, self.callers))))
             for caller in self.callers.values():
                 caller.send("tick", self.clock.now())
+            self.chain.leaving = self.leaving
+            busy = self.clock.now() - self.saving_since > BUSY_MS
+            self.chain.hampered = bool(self.saving_since) and busy
             self._queue(lambda: self.chain.tick(self.clock.now(), self._reaches()))
             await trio.sleep(TICK_MS * self.random.uniform(0.85, 1.15) / 1000.0)
 
@@ -250,14 +270,14 @@
                 await self._save()
             for ip, message in out:
                 self.say(ip, "chain", message)
-            for ticket, safe in done:
+            for ticket, verdict in done:
                 answer = self._waiting.pop(ticket, None)
                 if answer is not None:
-                    answer(safe)
+                    answer(verdict)
             if self.lease.take_up(self.clock.now(), chain.view):
                 log.event(
-                    "view", epoch=chain.view.epoch, members=",".join(ip for ip, _ in chain.view.members),
-                    head=chain.head, member=chain.member,
+                    "view", epoch=chain.view.epoch, voters=",".join(ip for ip, _ in chain.view.voters),
+                    chain=",".join(ip for ip, _ in chain.view.chain), member=chain.member,
                 )  # fmt: skip
                 self._viewed()
             if news:
@@ -265,12 +285,12 @@
 
     async def _save(self) -> None:
         durable = {**self.chain.durable(), "disk": self.chain.me[1]}
-        hold = self.chain.hold.copy()
+        replica = self.chain.replica.copy()
         self.saving_since = self.clock.now()
         while True:
             try:
                 async with self._disk:
-                    await trio.to_thread.run_sync(self.keeper.save, durable, hold)
+                    await trio.to_thread.run_sync(self.keeper.save, durable, replica)
                 break
             except (sqlite3.Error, OSError) as error:
                 log.event("save_failed", reason=error)
@@ -291,24 +311,49 @@
         if told is None:
             return ["never heard"]
         why = [] if self.live(ip) else ["silent"]
-        disks = dict(chain.view.members)
+        disks = dict(chain.view.voters)
         if ip in disks and disks[ip] != told.disk:
             why.append("its disk is another than the view's: emptied, and not taken in again")
         if told.ill:
             why.append("its disk does not come back in time, or it is ending")
         if told.epoch < chain.view.epoch:
             why.append(f"epoch {told.epoch} of {chain.view.epoch}")
-        if told.version < chain.safe.version:
-            why.append(f"r{told.version} of r{chain.safe.version}")
-        if told.leavers < len(chain.safe.leavers):
-            why.append(f"{told.leavers} of {len(chain.safe.leavers)} leaving servers")
-        elif told.leavers == len(chain.safe.leavers) and told.mark != chain.safe.mark:
+        safe = chain.safe
+        if (told.safe_epoch, told.version) < safe.config.rank:
+            epoch, version = safe.config.rank
+            why.append(f"r{told.version} of epoch {told.safe_epoch}, not r{version} of {epoch}")
+        if told.leaving < len(safe.leaving):
+            why.append(f"{told.leaving} of {len(safe.leaving)} leaving servers")
+        elif told.leaving == len(safe.leaving) and told.leaving_sum != safe.leaving_sum:
             why.append("other leaving servers")
         return why
 
+    def short(self) -> list[str]:
+        """Say what of `tolerates` the present view does not bear; nothing where it bears all."""
+        zones = {ip: told.zone for ip, told in self.states.items()} | {self.ip: self.boot.zone}
+        return shortfalls(self.chain.view, self.chain.tolerance, zones, self.boot.zones)
+
+    @property
+    def in_contact(self) -> bool:
+        """Tell whether a majority of the voters has answered of late, of the same epoch as this machine's."""
+        view = self.chain.view
+        heard = [
+            (ip, disk) for ip, disk in view.voters
+            if (ip, disk) == self.chain.me or (
+                self.live(ip) and (told := self.states.get(ip)) is not None
+                and (told.disk, told.epoch) == (disk, view.epoch)
+            )
+        ]  # fmt: skip
+        return bool(view.epoch) and view.decides(heard)
+
+    @property
+    def may_leave(self) -> bool:
+        """Tell whether this machine may end: nothing depends on it alone, or there is nobody else."""
+        return self.chain.may_leave or not self.states
+
     @property
     def steady(self) -> bool:
-        """Tell whether a majority of the view grants this machine what only one may do."""
+        """Tell whether a majority of the voters grants this machine what only one may do."""
         return self.lease.held(self.clock.now(), self.chain)
 
     @property
--- a/wickspring/lighthouse/lease.py
+++ b/wickspring/lighthouse/lease.py
@@ -1,6 +1,6 @@
 """The lease under which a core machine does what only one may do: the keeping of counts.
 
-A majority of the view grants it, again and again: each tick carries the asker's own time, and each answer
+A majority of the voters grants it, again and again: each tick carries the asker's own time, and each answer
 that time back with the epoch it is granted for. So a grant counts from when it was asked for, by the
 holder's steady clock, and ends before whoever granted it could think so. Who has promised for the next
 view grants nothing in this one, and any majority that agrees on the next has one of each that granted in
@@ -13,7 +13,8 @@
 
 from __future__ import annotations
 
-from wickspring.lighthouse.chain import Chain, View
+from wickspring.lighthouse.chain import Chain
+from wickspring.lighthouse.views import View
 
 LEASE_MS = 480.0  # for which a grant holds, from when it was asked for: two ticks and some
 TENURE_MS = 500.0  # since a view was taken up, before its lease is used; clocks differ by less than the rest
@@ -24,7 +25,7 @@
 
 def grants(chain: Chain) -> int:
     """Return the epoch that this machine grants leases for; 0 where it grants none."""
-    return chain.view.epoch if chain.member and not chain.frozen else 0
+    return chain.view.epoch if chain.voter and not chain.frozen else 0
 
 
 class Lease:
@@ -51,12 +52,12 @@
             self._granted[ip, disk] = epoch, asked
 
     def held(self, now: float, chain: Chain) -> bool:
-        """Tell whether a majority of the present view has granted it of late, this machine among them."""
+        """Tell whether a majority of the present voters has granted it of late, this machine among them."""
         view = chain.view
         if not grants(chain) or view.epoch != self.epoch:
             return False
         count = 1
-        for member in view.members:
+        for member in view.voters:
             epoch, asked = self._granted.get(member, (0, 0.0))
             count += epoch == view.epoch and now - asked < self.lasts_ms
         return count >= view.majority
