--- a/wickspring/lighthouse/views.py
+++ b/wickspring/lighthouse/views.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from wickspring.core.invariants import holds
-from wickspring.lighthouse.replica import Replica
+from wickspring.lighthouse.replica import LEAVING_MOST, Replica
 
 Member = tuple[str, str]  # address, id of its disk
 VOTERS_LEAST = 3  # one may be lost while another is away
@@ -98,7 +98,7 @@
         """Tell whether it knows less of what is safe than another: the sweep that finds old copies."""
         if (self.safe_epoch, self.version) < safe.config.rank or self.leaving < len(safe.leaving):
             return True
-        return self.leaving == len(safe.leaving) and self.leaving_sum != safe.leaving_sum
+        return self.leaving == len(safe.leaving) < LEAVING_MOST and self.leaving_sum != safe.leaving_sum
 
 
 @dataclass(slots=True)
