Forget an order's ticket also where its caller is cancelled

Cause: a caller that gives up while an order is under way skipped the clean-up of its ticket. Change: try and finally.

--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -182,16 +182,14 @@
             told = self.chain.safe.pack() if read and verdict is Verdict.SAFE else None
             self.say(ip, "entered", ticket, int(verdict), told)
 
-        self._enter(order, done)
+        self._tickets += 1
+        self._enter(self._tickets, order, done)
 
     # Orders and reads.
 
-    def _enter(self, order: Order, done: Callable[[Verdict], None]) -> int:
-        self._tickets += 1
-        ticket = self._tickets
+    def _enter(self, ticket: int, order: Order, done: Callable[[Verdict], None]) -> None:
         self._waiting[ticket] = done
         self._queue(lambda: self.chain.enter(self.clock.now(), ticket, order))
-        return ticket
 
     async def enter(self, order: Order, read: bool = False) -> Entered:
         """Have an order made safe by the head, wherever it is; NOT_YET where that takes too long."""
@@ -208,19 +206,21 @@
             ended.set()
 
         head = self.chain.head
-        with trio.move_on_after(ENTER_MS / 1000.0):
-            if head == self.ip:
-                ticket = self._enter(order, here)
-            else:
-                self._tickets += 1
-                ticket = self._tickets
-                self._away[ticket] = away
-                if not self.say(head, "enter", ticket, order.pack(), read):
-                    ended.set()
-            await ended.wait()
-        self._away.pop(ticket, None)
-        if self._waiting.pop(ticket, None) is not None:
-            self._queue(lambda: self.chain.drop(ticket))
+        self._tickets += 1
+        ticket = self._tickets
+        try:
+            with trio.move_on_after(ENTER_MS / 1000.0):
+                if head == self.ip:
+                    self._enter(ticket, order, here)
+                    await ended.wait()
+                else:
+                    self._away[ticket] = away
+                    if self.say(head, "enter", ticket, order.pack(), read):
+                        await ended.wait()
+        finally:  # its caller may have given up
+            self._away.pop(ticket, None)
+            if self._waiting.pop(ticket, None) is not None:
+                self._queue(lambda: self.chain.drop(ticket))
         return result[0]
 
     # The chain's loop: what it says leaves only once what it holds is saved.
