Logbook schema 3: a checked copy; power lost at any step takes nothing back

Cause: the disk held number and text without epoch, digest or history; what a killed process had written but not synced was read, and told to others, without a sync; a disk that refused a read had a sound file set aside; a file was set aside log and all without syncing the folder, so an older state could come back; its sums were of rows, so parts of two saves could pass. Change: parts chain, accepted, config, document and a seal over them; tables history and leaving, of which only what differs is written; schemas 1 and 2 moved on in one transaction (an accepted view with the held copy as its state); files synced before they are read, folders before a name is used again; one file set aside at most; log bounded.

--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -16,10 +16,12 @@
 from wickspring.harbour.kinds import ANSWERS, FaultError, Kind
 from wickspring.harbour.seeds import Seeds
 from wickspring.harbour.servers import DRAINING, GONE, READY, Server
-from wickspring.lighthouse.chain import Chain, Hold, View
+from wickspring.lighthouse.chain import Chain
 from wickspring.lighthouse.check import check
 from wickspring.lighthouse.logbook import FILE, Logbook
 from wickspring.lighthouse.register import Register
+from wickspring.lighthouse.replica import Order, Replica
+from wickspring.lighthouse.views import View
 
 SETTINGS = """node_name=edge-a-1
 role=pilot
@@ -145,21 +147,26 @@
 
 
 def test_the_logbook_outlives_its_process_and_sets_aside_what_it_cannot_read(tmp_path: Path) -> None:
-    chain = Chain("a", "d1", View(3, (("a", "d1"), ("b", "d2"))), 1, Hold(9, b"doc", {"i1": 1}))
+    members = (("a", "d1"), ("b", "d2"))
+    replica = Replica()
+    replica.take(Order(9, b"doc", {"i1": 1}), 3)
+    chain = Chain("a", "d1", View(3, members, members), 1, replica)
+    chain.decree.accept(4, (2, "b"), (View(4, members, members[1:]), replica.begun(4)))
     book = Logbook(str(tmp_path))
     assert book.load() is None
-    book.save({**chain.durable(), "disk": "d1"}, chain.hold)
+    book.save({**chain.durable(), "disk": "d1"}, chain.replica)
     book.close()
     again = Logbook(str(tmp_path))
     found = again.load()
     assert found is not None
-    durable, hold = found
-    fresh = Chain("a", str(durable["disk"]), View(), 2, hold)
+    durable, held = found
+    fresh = Chain("a", str(durable["disk"]), View(), 2, held)
     fresh.restore(durable)
-    assert (fresh.view, fresh.hold, fresh.me) == (chain.view, chain.hold, chain.me)
+    assert (fresh.view, fresh.replica, fresh.me) == (chain.view, chain.replica, chain.me)
+    assert (fresh.decree.promised, fresh.decree.accepted) == (chain.decree.promised, chain.decree.accepted)
     again.close()
     with closing(sqlite3.connect(tmp_path / FILE)) as db:
-        db.execute("update part set data = ? where name = 'hold'", (b"\x93junk",))
+        db.execute("update part set data = ? where name = 'config'", (b"\x93junk",))
         db.commit()
     spoilt = Logbook(str(tmp_path))
     assert spoilt.load() is None and spoilt.set_aside  # as a machine with an empty disk: it has no vote
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -1,129 +1,399 @@
-"""What a core machine keeps: older files, torn rows, disks that refuse, and snapshots."""
+"""What a core machine keeps: older files, torn rows, disks that refuse, bounds, and snapshots."""
 
 from __future__ import annotations
 
 import json
+import resource
 import sqlite3
 from contextlib import closing
 from pathlib import Path
 from random import Random
 from typing import Any
 
-import msgpack
+import msgspec
 import pytest
 
+from tests.logbooks import DURABLE, MEMBERS, OLD, files, found_in, reopened, replica, write_older
 from tests.test_gateway_parts import document
 from wickspring.harbour.kinds import Kind
-from wickspring.lighthouse import snapshot
-from wickspring.lighthouse.chain import Chain, Hold, View
-from wickspring.lighthouse.logbook import FILE, OPEN_TRIES, Logbook, _sum
+from wickspring.lighthouse import logbook, snapshot
+from wickspring.lighthouse.logbook import BAD, FILE, LOG_MOST, OPEN_TRIES, PAGE, Logbook
+from wickspring.lighthouse.replica import HISTORY_MOST, Config, Order, Replica, Verdict, digest_of
 
-DURABLE = {**Chain("a", "d1", View(3, (("a", "d1"), ("b", "d2"))), 1).durable(), "disk": "d1"}
 BODY = json.dumps(document()).encode()
 
 
-def write_schema_1(folder: Path, hold: Hold) -> None:
-    """Write a file as the program before this one did."""
-    with closing(sqlite3.connect(folder / FILE, isolation_level=None)) as db:
-        db.execute("pragma journal_mode=wal")
-        db.execute("create table part (name text primary key, sum blob, data blob)")
-        parts = {
-            "chain": msgpack.packb(DURABLE),
-            "hold": msgpack.packb([hold.version, hold.leavers]),
-            "document": hold.document,
-        }
-        for name, data in parts.items():
-            db.execute("insert into part values (?, ?, ?)", (name, _sum(data), data))
-        db.execute("pragma user_version=1")
+@pytest.mark.parametrize("schema", [1, 2])
+def test_an_older_programs_file_is_moved_on_with_all_it_holds(tmp_path: Path, schema: int) -> None:
+    leavers = {f"i{n}": 1 + n % 2 for n in range(300)}
+    write_older(tmp_path, schema, 9, b"doc", leavers)
+    durable = {**DURABLE, "view": [3, MEMBERS, MEMBERS]}
+    held = Replica(Config(3, 9, b"doc", digest_of(b"doc")), dict(leavers))
+    book = Logbook(str(tmp_path))
+    assert book.load() == (durable, held) and book.load_servers() == ["s1"]
+    book = reopened(book)
+    found = book.load()
+    assert found == (durable, held) and book.load_servers() == ["s1"] and not book.set_aside
+    assert found is not None and list(found[1].leaving) == list(leavers)  # the oldest first
+    book.close()
 
 
-def reopened(book: Logbook, folder: Path) -> Logbook:
+@pytest.mark.parametrize(("slot", "kept"), [(4, True), (3, False), (2, False)])
+def test_an_older_accepted_view_goes_on_with_the_held_copy_unless_it_is_over(
+    tmp_path: Path, slot: int, kept: bool
+) -> None:
+    accepted = [slot, [2, "b"], [slot, MEMBERS[1:]]]
+    write_older(tmp_path, 2, 9, b"doc", {"i1": 1}, {**OLD, "accepted": accepted})
+    book = Logbook(str(tmp_path))
+    found = book.load()
+    assert found is not None
+    state = Replica(Config(4, 9, b"doc", digest_of(b"doc")), {"i1": 1})
+    expected = [4, [2, "b"], [4, MEMBERS[1:], MEMBERS[1:]], state.pack()] if kept else None
+    assert found[0]["accepted"] == expected
     book.close()
-    return Logbook(str(folder))
 
 
-def test_an_older_programs_file_is_moved_on_with_all_it_holds(tmp_path: Path) -> None:
-    hold = Hold(9, b"doc", {f"i{n}": 1 + n % 2 for n in range(300)})
-    write_schema_1(tmp_path, hold)
+def test_an_older_empty_file_stays_empty(tmp_path: Path) -> None:
+    write_older(tmp_path, 2, 0, b"", {})
     book = Logbook(str(tmp_path))
-    assert book.load() == (DURABLE, hold)
-    book = reopened(book, tmp_path)
     found = book.load()
-    assert found == (DURABLE, hold) and not book.set_aside
-    assert found is not None and list(found[1].leavers) == list(hold.leavers)  # the oldest first
+    assert found is not None and found[1].config.version == 0 and found[1].config.epoch == 3
+    book.close()
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    ["update part set data = x'00' where name = 'hold'", "update part set sum = null",
+     "update part set data = x'00' where name = 'document'", "delete from part where name = 'document'",
+     "delete from part where name = 'hold'",
+     "update leaver set state = 2", "delete from leaver", "drop table leaver", "drop table part"],
+)  # fmt: skip
+def test_an_older_file_that_is_not_whole_is_set_aside(tmp_path: Path, spoilt: str) -> None:
+    write_older(tmp_path, 2, 9, b"doc", {"i1": 1})
+    with closing(sqlite3.connect(tmp_path / FILE, isolation_level=None)) as db:
+        db.execute(spoilt)
+    book = Logbook(str(tmp_path))
+    assert book.set_aside and book.load() is None and (tmp_path / f"{FILE}{BAD}").exists()
     book.close()
 
 
-def test_a_file_is_moved_on_whole_or_not_at_all(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    hold = Hold(9, b"doc", {"i1": 1})
-    write_schema_1(tmp_path, hold)
+@pytest.mark.parametrize("schema", [1, 2])
+def test_a_file_is_moved_on_whole_or_not_at_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, schema: int
+) -> None:
+    write_older(tmp_path, schema, 9, b"doc", {"i1": 1})
     with monkeypatch.context() as patched:
         def refuse(*_: Any) -> None:
             raise sqlite3.OperationalError("database or disk is full")
 
-        patched.setattr(Logbook, "_put_leavers", refuse)
+        patched.setattr(Logbook, "_put_leaving", refuse)
         pauses: list[float] = []
         with pytest.raises(sqlite3.OperationalError):
             Logbook(str(tmp_path), pauses.append)
         assert len(pauses) == OPEN_TRIES - 1
     book = Logbook(str(tmp_path))
-    assert book.load() == (DURABLE, hold)  # nothing was given up because the disk refused
+    found = book.load()  # nothing was given up because the disk refused
+    assert found is not None and found[1] == Replica(Config(3, 9, b"doc", digest_of(b"doc")), {"i1": 1})
     book.close()
 
 
 def test_saves_under_random_load_are_read_back_whole(tmp_path: Path) -> None:
-    random, hold = Random(4), Hold()
+    random, held, durable = Random(4), Replica(), dict(DURABLE)
     book = Logbook(str(tmp_path))
-    for step in range(200):
+    for step in range(300):
+        epoch = 3 + step // 50
         if random.random() < 0.3:
-            hold.join(Hold(step, b"%d" % step))
-        hold.join(Hold(leavers={f"i{random.randrange(80)}": random.choice((1, 2))}))
-        if len(hold.leavers) > 60:  # as where too many are remembered
-            del hold.leavers[next(iter(hold.leavers))]
-        book.save(DURABLE, hold.copy())
+            held.take(Order(held.config.version + random.randint(1, 3), b"%d" % step), epoch)
+        held.leave({f"i{random.randrange(80)}": random.choice((1, 2))})
+        if len(held.leaving) > 60:  # as where too many are remembered
+            del held.leaving[next(iter(held.leaving))]
+        if step % 50 == 25:
+            view = [epoch + 1, MEMBERS, MEMBERS]
+            durable["accepted"] = [epoch + 1, [step, "b"], view, held.begun(epoch + 1).pack()]
+        elif step % 50 == 0:
+            durable |= {"accepted": None, "view": [epoch, MEMBERS, MEMBERS[:1]]}
+            held = held.begun(epoch)
+        elif step % 50 == 40:  # another epoch's text takes the place of this one's
+            lower = Config(epoch, 2, b"other", digest_of(b"other"), ((1, digest_of(b"%d" % step)),))
+            held = Replica(lower, held.leaving)
+        book.save(durable, held.copy())
         if random.random() < 0.1:
-            book = reopened(book, tmp_path)
+            book = reopened(book)
             found = book.load()
-            assert found == (DURABLE, hold)
-            assert found is not None and list(found[1].leavers) == list(hold.leavers)
+            assert found == (durable, held)
+            assert found is not None and list(found[1].leaving) == list(held.leaving)
+            assert not book.set_aside
     book.close()
 
 
 @pytest.mark.parametrize(
     "torn",
-    ["update leaver set state = 2", "delete from leaver where id = 'i1'", "update part set data = x'00'",
-     "update leaver set sum = null", "drop table leaver", "delete from part where name = 'hold'"],
+    ["update leaving set state = 2", "delete from leaving where id = 'i1'", "update part set data = x'00'",
+     "update leaving set sum = null", "drop table leaving", "delete from part where name = 'config'",
+     "delete from part where name = 'chain'", "delete from part where name = 'accepted'",
+     "delete from part where name = 'document'", "delete from part where name = 'seal'",
+     "delete from part", "update history set digest = x'00' where version = 2",
+     "delete from history where version = 2", "drop table history", "update part set sum = null"],
 )  # fmt: skip
 def test_what_does_not_add_up_is_set_aside(tmp_path: Path, torn: str) -> None:
     book = Logbook(str(tmp_path))
-    book.save(DURABLE, Hold(9, b"doc", {"i1": 1, "i2": 1}))
+    book.save(DURABLE, replica(9, {"i1": 1, "i2": 1}))
     book.close()
     with closing(sqlite3.connect(tmp_path / FILE, isolation_level=None)) as db:
         db.execute(torn)
     book = Logbook(str(tmp_path))
-    assert book.load() is None and book.set_aside and (tmp_path / f"{FILE}.bad").exists()
-    book.save(DURABLE, Hold(10, b"new", {"i3": 1}))
-    assert reopened(book, tmp_path).load() == (DURABLE, Hold(10, b"new", {"i3": 1}))
+    assert book.load() is None and book.set_aside and (tmp_path / f"{FILE}{BAD}").exists()
+    book.save(DURABLE, replica(10, {"i3": 1}))
+    book = reopened(book)
+    assert book.load() == (DURABLE, replica(10, {"i3": 1}))
+    book.close()
+
+
+@pytest.mark.parametrize("name", ["chain", "accepted", "config", "document", "seal"])
+def test_a_part_of_another_save_makes_no_copy_however_sound_it_is(tmp_path: Path, name: str) -> None:
+    book = Logbook(str(tmp_path))
+    accepted = [4, [2, "b"], [4, MEMBERS, MEMBERS], replica(1).pack()]
+    book.save({**DURABLE, "accepted": accepted}, replica(8))
+    row = book.db.execute("select * from part where name = ?", (name,)).fetchone()
+    book.save({**DURABLE, "promised": [4, [9, "c"]]}, replica(9))
+    book.close()
+    with closing(sqlite3.connect(tmp_path / FILE, isolation_level=None)) as db:
+        db.execute("insert or replace into part values (?, ?, ?)", row)
+    book = Logbook(str(tmp_path))
+    assert book.load() is None and book.set_aside
+    book.close()
+
+
+def test_the_known_servers_are_no_part_of_the_copy(tmp_path: Path) -> None:
+    book = Logbook(str(tmp_path))
+    book.save_servers([["s1", 1]])
+    book = reopened(book)
+    assert book.load() is None and book.load_servers() == [["s1", 1]]
+    book.save(DURABLE, replica(2))
+    book.save_servers([["s1", 2]])
+    book.db.execute("update part set data = x'00' where name = 'servers'")
+    book = reopened(book)
+    assert book.load() == (DURABLE, replica(2)) and book.load_servers() == []  # beats tell them anew
+    book.close()
+
+
+def test_a_copy_without_its_text_is_not_saved(tmp_path: Path) -> None:
+    book = Logbook(str(tmp_path))
+    book.save(DURABLE, replica(2))
+    for config in (Config(3, 9, b"", digest_of(b"x")), Config(3, 9, b"y", digest_of(b"x"))):
+        with pytest.raises((AssertionError, ValueError)):
+            book.save(DURABLE, Replica(config))
+    book = reopened(book)
+    assert book.load() == (DURABLE, replica(2))
+    book.close()
+
+
+def test_the_accepted_state_is_checked_as_a_copy_is(tmp_path: Path) -> None:
+    for state in (Config(4, 9, b"", digest_of(b"x")), Config(4, 9, b"y", digest_of(b"x"))):
+        book = Logbook(str(tmp_path))
+        accepted = [4, [2, "b"], [4, MEMBERS, MEMBERS], Replica(state).pack()]
+        book.save({**DURABLE, "accepted": accepted}, replica(2))
+        book = reopened(book)
+        assert book.load() is None and book.set_aside
+        book.close()
+
+
+# Disks that refuse.
+
+
+def test_a_full_disk_leaves_the_last_whole_state_and_takes_the_next(tmp_path: Path) -> None:
+    book, held = Logbook(str(tmp_path / "a")), replica(3, {"i1": 1}, b"x" * 20_000)
+    book.save(DURABLE, held)
+    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+    more = replica(4, {"i1": 2}, b"y" * 600_000)
+    for room in range(40_000, 600_000, 70_000):
+        resource.setrlimit(resource.RLIMIT_FSIZE, (room, hard))  # the log can grow no further
+        try:
+            for _ in range(3):
+                with pytest.raises(sqlite3.OperationalError):
+                    book.save(DURABLE, more)
+        finally:
+            resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+        assert found_in(tmp_path / "b", files(tmp_path / "a")) == (DURABLE, held)  # as after a kill
+    book.save(DURABLE, more)  # there is room again
+    assert found_in(tmp_path / "b", files(tmp_path / "a")) == (DURABLE, more)
+    book.close()
+
+
+def test_a_disk_that_refuses_a_read_costs_no_copy(tmp_path: Path) -> None:
+    book = Logbook(str(tmp_path))
+    book.save(DURABLE, replica(3))
+    book.close()
+    pauses: list[float] = []
+    book = Logbook(str(tmp_path), pauses.append)
+    read, refused = book._read, [sqlite3.SQLITE_IOERR, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_FULL]
+
+    def reads() -> Any:
+        if refused:
+            error = sqlite3.OperationalError("disk I/O error")
+            error.sqlite_errorcode = refused.pop() | 1 << 8
+            raise error
+        return read()
+
+    book._read = reads  # type: ignore[method-assign]
+    assert book.load() == (DURABLE, replica(3)) and len(pauses) == 3 and not book.set_aside
+    book.close()
+
+
+# Bounds.
+
+
+def sizes(folder: Path) -> dict[str, int]:
+    return {path.name: path.stat().st_size for path in folder.iterdir()}
+
+
+def test_files_stay_bounded_after_thousands_of_changes(tmp_path: Path) -> None:
+    book, held = Logbook(str(tmp_path)), Replica()
+    text, most = b"x" * 100_000, {FILE: 0, f"{FILE}-wal": 0}
+    for number in range(1, 2001):
+        held.take(Order(number, b"%d %s" % (number, text)), 3)
+        held.leave({f"server-{number * 3}": 1, f"server-{number * 3 + 1}": 1, f"server-{number - 7}": 2})
+        book.save(DURABLE, held)
+        if number % 100 == 0:
+            most = {name: max(most[name], size) for name, size in sizes(tmp_path).items()}
+    kept = len(text) + sum(len(server) + 20 for server in held.leaving) + 24 * HISTORY_MOST
+    assert len(held.leaving) == 4096 and len(held.config.history) == HISTORY_MOST
+    assert most[FILE] <= 3 * kept + 64 * PAGE
+    assert most[f"{FILE}-wal"] <= LOG_MOST + 2 * (kept + 64 * PAGE)
+    book = reopened(book)
+    assert book.load() == (DURABLE, held)
+    assert set(sizes(tmp_path)) <= {FILE, f"{FILE}-wal"}
+    book.close()
+
+
+def test_the_log_gives_back_what_a_large_save_took(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(logbook, "CHECKPOINT_PAGES", 20)
+    monkeypatch.setattr(logbook, "LOG_MOST", 20 * (PAGE + 24))
+    book, held = Logbook(str(tmp_path)), replica(1, {}, b"x" * 4_000_000)
+    book.save(DURABLE, held)
+    assert sizes(tmp_path)[f"{FILE}-wal"] > 4_000_000
+    for number in range(2, 30):
+        held.take(Order(number, b"%d" % number), 3)
+        book.save(DURABLE, held)
+    assert sizes(tmp_path)[f"{FILE}-wal"] <= 40 * (PAGE + 24)
+    book.close()
+
+
+def test_a_change_writes_what_it_changes(tmp_path: Path) -> None:
+    """Pages of the log, of a copy with 4,096 leaving servers, 512 numbers and a text of 100 KB."""
+    book = Logbook(str(tmp_path))
+    held = replica(600, {f"server-{n}": 1 for n in range(4096)})
+    held.take(Order(601, b"x" * 100_000), 3)
+    book.save(DURABLE, held)
+
+    def written(change: Any) -> int:
+        book.db.execute("pragma wal_checkpoint(truncate)")
+        change()
+        book.save(DURABLE | promised, held)
+        return sizes(tmp_path)[f"{FILE}-wal"] // (PAGE + 24)
+
+    promised: dict[str, Any] = {}
+    assert written(lambda: None) == 0
+    assert written(lambda: held.leave({"server-9": 2})) <= 6
+    assert written(lambda: held.leave({"server-new": 1})) <= 12  # and the oldest is forgotten
+    assert written(lambda: promised.update(promised=[4, [7, "c"]])) <= 4
+    assert written(lambda: held.take(Order(602, b"y" * 100_000), 3)) <= 25 + 10
+    assert written(lambda: held.take(Order(603, b"z" * 100), 3)) <= 25 + 10  # pages that come free
+    assert written(lambda: held.take(Order(604, b"w" * 100), 3)) <= 10
+    book.close()
+
+
+def test_files_that_were_set_aside_do_not_pile_up(tmp_path: Path) -> None:
+    for turn in range(8):
+        book = Logbook(str(tmp_path))
+        book.save(DURABLE, replica(turn + 1, {}, b"x" * 50_000))
+        if turn % 2:
+            book.db.execute("update part set data = x'00' where name = 'chain'")
+            book.close()
+        else:  # killed, so that its log stays; and its file is no database
+            left = files(tmp_path)
+            book.close()
+            (tmp_path / FILE).write_bytes(b"no database at all" * 999)
+            (tmp_path / f"{FILE}-wal").write_bytes(b"no log" * 99 + left[f"{FILE}-wal"])
+        stale = b"of one set aside before"
+        for ending in ("", "-wal", "-journal"):
+            (tmp_path / f"{FILE}{ending}{BAD}").write_bytes(stale)
+        book = Logbook(str(tmp_path))
+        assert book.load() is None and book.set_aside
+        assert book.load() is None  # the fresh file is sound
+        book.close()
+        now = files(tmp_path)
+        assert f"{FILE}{BAD}" in now and now.keys() <= {FILE, f"{FILE}{BAD}", f"{FILE}-wal{BAD}"}
+        assert stale not in now.values()
+        assert sum(map(len, now.values())) < 500_000
+
+
+# Snapshots.
+
+
+def held_with(number: int) -> Replica:
+    one = replica(number - 1)
+    one.take(Order(number, BODY), 3)
+    one.leave({"i1": 1, "i2": 2})
+    return one
 
 
 def test_a_snapshot_comes_back_whole_or_is_refused() -> None:
-    hold = Hold(7, BODY, {"i1": 1, "i2": 2})
-    body = snapshot.pack(hold, 5)
-    assert snapshot.unpack(body).ok == hold
-    assert snapshot.unpack(snapshot.pack(Hold(leavers={"i1": 2}), 1)).ok == Hold(leavers={"i1": 2})
+    body, order = snapshot.pack(held_with(7), 5), Order(7, BODY, {"i1": 1, "i2": 2})
+    assert snapshot.unpack(body).ok == order
+    empty = Replica(leaving={"i1": 2})
+    assert snapshot.unpack(snapshot.pack(empty, 1)).ok == Order(leaving={"i1": 2})
     tree = json.loads(body)
-    for change in ({"format": 2}, {"leavers": {"i1": 2, "i2": 2}}, {"config": ""}, {"sum": ""}):
+    assert tree["format"] == 2 and tree["number"] == 7 and tree["digest"] == digest_of(BODY).hex()
+    assert tree["epoch"] == 5 and [number for number, _ in tree["history"]] == [1, 2, 3, 4, 5, 6]
+    changes: tuple[dict[str, Any], ...] = (
+        {"format": 1}, {"format": 3}, {"leaving": {"i1": 2, "i2": 2}}, {"config": ""}, {"sum": ""},
+        {"number": 8}, {"digest": "00"}, {"history": []}, {"epoch": 6},
+    )  # fmt: skip
+    for change in changes:
         refused = snapshot.unpack(json.dumps(tree | change).encode())
         assert refused.is_error() and refused.error.kind is Kind.INVALID_SNAPSHOT
+    for cut in range(len(body)):
+        assert snapshot.unpack(body[:cut]).is_error()
     random = Random(2)
-    for _ in range(500):
+    for _ in range(1000):
         at = random.randrange(len(body))
         spoilt = body[:at] + bytes([random.randrange(256)]) + body[at + random.choice((0, 1, 9)) :]
         read = snapshot.unpack(spoilt)
-        assert read.is_error() or read.ok == hold
+        assert read.is_error() or read.ok == order
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"number": 8}, {"digest": "00" * 16}, {"history": [(3, "00" * 16), (2, "00" * 16)]}, {"config": ""},
+     {"history": [(7, "00" * 16)]}, {"history": [(1, "00")]}, {"leaving": {"i1": 3}}, {"leaving": {"": 1}},
+     {"number": 0}, {"config": BODY.decode() + " "}, {"config": "{}"}],
+)  # fmt: skip
+def test_a_snapshot_whose_parts_do_not_belong_together_is_refused_with_a_fitting_sum(
+    change: dict[str, Any],
+) -> None:
+    one = msgspec.json.decode(snapshot.pack(held_with(7), 5), type=snapshot._Snapshot)
+    for name, value in change.items():
+        setattr(one, name, value)
+    one.sum = snapshot._sum_of(one)
+    refused = snapshot.unpack(msgspec.json.encode(one))
+    assert refused.is_error() and refused.error.kind is Kind.INVALID_SNAPSHOT
+
+
+def test_a_snapshot_of_the_program_before_is_still_read() -> None:
+    leavers = {"i2": 2, "i1": 1}
+    told = {"format": 1, "epoch": 4, "config": BODY.decode(), "leavers": leavers}
+    told["sum"] = snapshot._sum(BODY.decode(), sorted(leavers.items()))
+    assert snapshot.unpack(json.dumps(told).encode()).ok == Order(7, BODY, leavers)
+    assert snapshot.unpack(json.dumps(told | {"leavers": {}}).encode()).is_error()
 
 
 def test_an_old_snapshot_takes_nothing_back() -> None:
-    now = Hold(9, b"newer", {"i1": 2, "i3": 1})
-    assert now.join(snapshot.unpack(snapshot.pack(Hold(7, BODY, {"i1": 1, "i2": 1}), 1)).ok)
-    assert now == Hold(9, b"newer", {"i1": 2, "i3": 1, "i2": 1})
+    now = replica(9, {"i1": 2, "i3": 1})
+    before = now.config
+    order = snapshot.unpack(snapshot.pack(held_with(7), 1)).ok
+    assert now.take(order, 4)  # as the head of a later epoch does
+    assert now.config == before and now.leaving == {"i1": 2, "i3": 1, "i2": 2}
+    # Its number was another text's here: it is told so, and nothing changes.
+    assert now.config.judge(order.version, digest_of(order.document)) is Verdict.CONFLICT
+    assert not now.take(order, 4) and now.config == before  # and again
--- /dev/null
+++ b/tests/test_power.py
@@ -0,0 +1,206 @@
+"""Power lost at each step: on disk is the state before or after, whole, and never one older than synced.
+
+The files are real ones. Which bytes a loss may take is reckoned from copies before and after a save and from
+the order of sqlite's writes and syncs (`logbooks.after_power`); renames and removals are kept or lost one by
+one until their folder is synced.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from tests.logbooks import DURABLE, LOG, MEMBERS, Files, after_power, files, found_in, replica, write_older
+from wickspring.lighthouse import logbook
+from wickspring.lighthouse.logbook import BAD, FILE, Logbook
+from wickspring.lighthouse.logbook_older import NotWholeError
+from wickspring.lighthouse.replica import Config, Order, Replica, digest_of
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_power_lost_in_a_save_leaves_the_state_before_or_after(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    monkeypatch.setattr(logbook, "CHECKPOINT_PAGES", 24)  # so that there are many checkpoints
+    random, held, durable = Random(seed), Replica(), dict(DURABLE)
+    book = Logbook(str(tmp_path / "a"))
+    book.save(durable, held)
+    last, seen = (dict(durable), held.copy()), Counter[str]()
+    for step in range(24):
+        before = files(tmp_path / "a")
+        if random.random() < 0.7:
+            text = random.randbytes(random.choice((20, 3000, 20_000)))
+            held.take(Order(held.config.version + 1, text), durable["view"][0])
+        if random.random() < 0.5:
+            held.leave({f"i{random.randrange(30)}": random.choice((1, 2)) for _ in range(9)})
+        if random.random() < 0.3:
+            epoch = durable["view"][0] + 1
+            durable["promised"] = [epoch, [step, "b"]]
+            durable["accepted"] = [epoch, [step, "b"], [epoch, MEMBERS, MEMBERS], held.begun(epoch).pack()]
+        elif random.random() < 0.3:
+            epoch = durable["view"][0] + 1
+            durable |= {"view": [epoch, MEMBERS, MEMBERS], "accepted": None}
+            held = held.begun(epoch)
+        book.save(durable, held)
+        now = (dict(durable), held.copy())
+        if before == files(tmp_path / "a"):
+            continue
+        after = files(tmp_path / "a")
+        seen["checkpoint"] += before[FILE] != after[FILE]
+        seen["log anew"] += before[LOG][:32] != after[LOG][:32]
+        for left, synced in after_power(before, after, random):
+            found = found_in(tmp_path / "b", left)
+            assert found == now or (not synced and found == last), step
+            seen["before" if found == last else "after"] += 1
+        last = now
+    book.close()
+    assert min(seen[name] for name in ("checkpoint", "log anew", "before", "after")) >= 3, seen
+
+
+def test_a_log_kept_with_an_older_file_is_the_newest_state(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The file is as its last checkpoint left it, or as any since the log began, whatever came after."""
+    monkeypatch.setattr(logbook, "CHECKPOINT_PAGES", 30)
+    book, held = Logbook(str(tmp_path / "a")), Replica()
+    older: list[bytes] = []
+    log = b""
+    for number in range(1, 60):
+        held.take(Order(number, b"%d" % number * 4000), 3)
+        book.save(DURABLE, held)
+        now = files(tmp_path / "a")
+        if now[LOG][:32] != log:
+            older, log = older[-1:], now[LOG][:32]
+        older.append(now[FILE])
+        for file in {older[0], older[-1]}:
+            assert found_in(tmp_path / "b", {FILE: file, LOG: now[LOG]}) == (DURABLE, held)
+    book.close()
+    assert found_in(tmp_path / "b", files(tmp_path / "a")) == (DURABLE, held)
+    # The log's removal is lost.
+    assert found_in(tmp_path / "b", files(tmp_path / "a") | {LOG: now[LOG]}) == (DURABLE, held)
+
+
+@pytest.mark.parametrize("schema", [1, 2])
+def test_power_lost_while_an_older_file_is_moved_on(tmp_path: Path, schema: int) -> None:
+    random = Random(schema)
+    (tmp_path / "a").mkdir()
+    write_older(tmp_path / "a", schema, 9, b"doc" * 3000, {f"i{n}": 1 for n in range(200)})
+    before = files(tmp_path / "a")
+    held = Replica(Config(3, 9, b"doc" * 3000, digest_of(b"doc" * 3000)), {f"i{n}": 1 for n in range(200)})
+    book = Logbook(str(tmp_path / "a"))
+    after = files(tmp_path / "a")
+    book.close()
+    for _ in range(5):
+        for left, _ in after_power(before, after, random):
+            assert found_in(tmp_path / "b", left) == ({**DURABLE, "view": [3, MEMBERS, MEMBERS]}, held)
+
+
+class Names:
+    """A folder whose renames may each be lost until it is synced, and power that goes at any of them."""
+
+    def __init__(self, folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.folder = folder
+        self.synced, self.since = files(folder), list[tuple[str, str]]()
+        self.left: list[Files] = []
+        self._move, self._sync = logbook._move, logbook._sync
+        monkeypatch.setattr(logbook, "_move", self.move)
+        monkeypatch.setattr(logbook, "_sync", self.sync)
+
+    def losses(self) -> Iterator[Files]:
+        for kept in itertools.product((False, True), repeat=len(self.since)):
+            names = dict(self.synced)
+            for (name, to), there in zip(self.since, kept, strict=True):
+                if there and name in names:
+                    names[to] = names.pop(name)
+            yield names
+
+    def move(self, path: Path, to: Path) -> None:
+        self._move(path, to)
+        self.since.append((path.name, to.name))
+        self.left += self.losses()
+
+    def sync(self, path: Path) -> None:
+        self.left += self.losses()
+        self._sync(path)
+        if path == self.folder:
+            self.synced, self.since = files(path), []
+
+
+def test_power_lost_while_a_file_is_set_aside_brings_no_older_state_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    folder = tmp_path / "a"
+    book = Logbook(str(folder))
+    book.save(DURABLE, replica(3))
+    book.db.execute("pragma wal_checkpoint(truncate)")
+    book.save({**DURABLE, "promised": [4, [9, "c"]]}, replica(4))
+    left = files(folder)
+    book.close()
+    assert found_in(tmp_path / "b", {FILE: left[FILE]}) == (DURABLE, replica(3))  # older, and whole by itself
+    spoilt = left | {FILE: left[FILE][:4096] + b"\xff" * (len(left[FILE]) - 4096)}
+    for start in (spoilt, left):
+        for name in (FILE, LOG):
+            (folder / name).write_bytes(start[name])
+        with monkeypatch.context() as patched:
+            names = Names(folder, patched)
+            book = Logbook(str(folder))
+            book._read = _not_whole  # type: ignore[method-assign]
+            assert book.load() is None and book.set_aside
+            book.close()
+        assert len(names.left) > 6
+        for one in names.left:
+            found = found_in(tmp_path / "b", one)
+            assert found is None or found == ({**DURABLE, "promised": [4, [9, "c"]]}, replica(4))
+        for path in folder.iterdir():
+            path.unlink()
+
+
+def _not_whole() -> Any:
+    raise NotWholeError("as where a page is damaged")
+
+
+def test_an_old_log_beside_a_new_file_is_nothing(tmp_path: Path) -> None:
+    """The file's removal kept, its log's lost."""
+    book = Logbook(str(tmp_path / "a"))
+    book.save(DURABLE, replica(3))
+    log = files(tmp_path / "a")[LOG]
+    book.close()
+    assert found_in(tmp_path / "b", {LOG: log}) is None
+    assert found_in(tmp_path / "b", {LOG: log, FILE: b"", f"{FILE}{BAD}": b"x"}) is None
+
+
+def test_what_a_killed_process_left_is_synced_before_it_is_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was killed between write and sync; its successor tells what it reads, so that must outlast power."""
+    book = Logbook(str(tmp_path / "a"))
+    book.save(DURABLE, replica(3))
+    left = files(tmp_path / "a")
+    book.close()
+    for name, data in left.items():
+        (tmp_path / "a" / name).write_bytes(data)
+    done: list[str] = []
+    sync, connect = logbook._sync, Logbook._connect
+
+    def synced(path: Path) -> None:
+        sync(path)
+        done.append(path.name)
+
+    def connected(self: Logbook) -> None:
+        done.append("read")
+        connect(self)
+
+    monkeypatch.setattr(logbook, "_sync", synced)
+    monkeypatch.setattr(Logbook, "_connect", connected)
+    book = Logbook(str(tmp_path / "a"))
+    assert set(done[: done.index("read")]) == {"a", FILE, LOG}
+    assert done[-1] == "a"  # the file's own name, and the removal of the journal of its making
+    assert book.load() == (DURABLE, replica(3))
+    book.close()
+    assert done[-1] == "a" and not (tmp_path / "a" / LOG).exists()  # the log's removal
--- a/wickspring/lighthouse/logbook.py
+++ b/wickspring/lighthouse/logbook.py
@@ -3,40 +3,64 @@
 The journal is a write-ahead log and locking is exclusive, so that a commit costs one sync and no shared
 memory is needed. What cannot be read whole is set aside and the machine starts as one with an empty disk.
 
-Schema 2: table `part` has the view and votes (`chain`), the version and how many servers leave (`hold`),
-the configuration (`document`) and the servers that are known (`servers`); table `leaver` a row for each
-server that leaves. Each row has a sum of its own. Schema 1 had all leavers in `hold`, so each drain wrote
-all of them again; its files are moved on when they are opened, in one transaction.
+Schema 3: table `part` has the view and votes (`chain`), the accepted view with its state (`accepted`), what
+the copy's configuration is (`config`: epoch, version, digest, sums of the tables), its text (`document`), the
+sums of these four (`seal`), and the servers that are known (`servers`); table `history` has the digest of
+each number before, table `leaving` a row for each server that leaves. All but `servers` is checked as one:
+a file that mixes two saves is no copy. Files of schemas 1 and 2 (`logbook_older.py`) are moved on when they
+are opened, in one transaction.
+
+Files are bounded: pages are used again, the log begins anew once it has `CHECKPOINT_PAGES`, and at most one
+file that was set aside is kept. A folder is synced before a name in it is used again: a removal or a rename
+that power undoes would else bring an old log back beside a new file. What is found is synced before it is
+read: its writer may have been killed between the write and the sync.
 """
 
 from __future__ import annotations
 
 import hashlib
+import os
 import sqlite3
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgpack
 from zope.interface import Interface, implementer
 
+from wickspring.core.invariants import holds
 from wickspring.harbour import log
-from wickspring.lighthouse.chain import Hold
+from wickspring.lighthouse import logbook_older
+from wickspring.lighthouse.logbook_older import NotWholeError
+from wickspring.lighthouse.replica import Config, Replica, digest_of
+
+T = TypeVar("T")
 
-SCHEMA = 2
+SCHEMA = 3
 OPEN_TRIES, OPEN_AGAIN_S = 20, 0.25  # while a disk refuses; what it holds is not given up for that
 FILE = "logbook.sqlite"
+BAD = ".bad"  # of what was set aside
+PAGE = 4096
+CHECKPOINT_PAGES = 1000  # of the log, after which they go to the file and the log begins anew
+LOG_MOST = CHECKPOINT_PAGES * (PAGE + 24) + 32  # bytes that the log keeps after one larger save
+SEALED = ("chain", "accepted", "config", "document")
+_REFUSED = {
+    sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_NOMEM,
+    sqlite3.SQLITE_READONLY, sqlite3.SQLITE_INTERRUPT, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL,
+    sqlite3.SQLITE_CANTOPEN,
+}  # fmt: skip
+_UNREADABLE = (sqlite3.DatabaseError, ValueError, TypeError, KeyError, IndexError, msgpack.UnpackException)
 
 
 class IKeeper(Interface):  # type: ignore[misc]
     """Where a core machine's state outlives its process."""
 
-    def load(self) -> tuple[dict[str, Any], Hold] | None:
+    def load(self) -> tuple[dict[str, Any], Replica] | None:
         """Return what was saved last, or None where nothing is there."""
 
-    def save(self, durable: dict[str, Any], hold: Hold) -> None:
+    def save(self, durable: dict[str, Any], replica: Replica) -> None:
         """Save it whole; it is on disk when this returns. OSError or sqlite3.Error where it is not."""
 
 
@@ -44,114 +68,199 @@
     return hashlib.blake2b(blob, digest_size=16).digest()
 
 
+def _refuses(error: Exception) -> bool:
+    """Tell whether the disk does not do what it is asked now; what it holds may be sound."""
+    code = getattr(error, "sqlite_errorcode", None)
+    if code is None:
+        return isinstance(error, sqlite3.OperationalError)
+    return code & 0xFF in _REFUSED
+
+
+def _sync(path: Path) -> None:
+    """Make what a file holds, or what a folder names, outlast a loss of power."""
+    handle = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def _move(path: Path, to: Path) -> None:
+    with suppress(FileNotFoundError):
+        path.replace(to)
+
+
+def _history_sum(history: dict[int, bytes]) -> bytes:
+    return _sum(msgpack.packb(sorted(history.items())))
+
+
 @implementer(IKeeper)
 class Logbook:
     """The file in a folder of this machine's disk."""
 
     def __init__(self, folder: str, pause: Callable[[float], None] = time.sleep) -> None:
         self.path = Path(folder) / FILE
-        self._saved: dict[str, bytes] = {}
-        self._leavers: dict[str, int] = {}  # that are on disk
         self.set_aside = False
+        self._pause = pause
+        self._db: sqlite3.Connection | None = None
+        self._saved: dict[str, bytes] = {}  # the parts that are on disk,
+        self._history: dict[int, bytes] = {}
+        self._leaving: dict[str, int] = {}
+        self._patiently(self._open)
+
+    @property
+    def db(self) -> sqlite3.Connection:
+        """Return the open file."""
+        if self._db is None:
+            raise sqlite3.OperationalError("the logbook is closed")
+        return self._db
+
+    def _patiently(self, what: Callable[[], T]) -> T:
+        """Do it again while the disk refuses; the file may be sound."""
         for _ in range(OPEN_TRIES - 1):
             try:
-                self._open()
-                return
-            except (sqlite3.OperationalError, OSError) as error:  # the disk refuses; the file may be sound
+                return what()
+            except (sqlite3.OperationalError, OSError) as error:
                 log.event("open_failed", reason=error)
-                pause(OPEN_AGAIN_S)
-        self._open()
+                self._pause(OPEN_AGAIN_S)
+        return what()
+
+    # Opening.
 
     def _open(self) -> None:
         self.path.parent.mkdir(parents=True, exist_ok=True)
-        self.db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False, timeout=0.0)
+        _sync(self.path.parent)  # names that an earlier life removed stay removed
+        for path in (self.path, Path(f"{self.path}-wal")):
+            # An earlier life may have been killed between a write and its sync. What it wrote will be read,
+            # and told to others, so it must not be lost with power after that.
+            with suppress(FileNotFoundError):
+                _sync(path)
         try:
-            self.db.execute("pragma locking_mode=exclusive")
-            self.db.execute("pragma journal_mode=wal")
-            self.db.execute("pragma synchronous=full")
-            self.db.execute("pragma cache_size=-256")
-            found = self.db.execute("pragma user_version").fetchone()[0]
-            if found > SCHEMA:
-                raise ValueError(f"written by a newer program: schema {found}, this one knows {SCHEMA}")
-            if found != SCHEMA:
-                self._move_on(found)
-        except sqlite3.OperationalError:
-            self.db.close()
-            raise
-        except sqlite3.DatabaseError:
-            if self.set_aside:
+            self._connect()
+        except (sqlite3.DatabaseError, NotWholeError) as error:
+            self.close()
+            if _refuses(error):
                 raise
             self._set_aside()
+            self._connect()
+        _sync(self.path.parent)  # the file is there, and the journal of its making is not
 
-    def _move_on(self, found: int) -> None:
-        """Bring a file of an older schema, or a new one, to this schema; all of it or nothing."""
+    def _connect(self) -> None:
+        self._db = sqlite3.connect(self.path, isolation_level=None, check_same_thread=False, timeout=0.0)
+        self.db.execute("pragma locking_mode=exclusive")
+        if self.db.execute("pragma journal_mode=wal").fetchone()[0] != "wal":
+            raise sqlite3.OperationalError("the disk gives no write-ahead log")
+        self.db.execute("pragma synchronous=full")
+        self.db.execute("pragma cache_size=-256")
+        self.db.execute(f"pragma wal_autocheckpoint={CHECKPOINT_PAGES}")
+        self.db.execute(f"pragma journal_size_limit={LOG_MOST}")
+        found = self.db.execute("pragma user_version").fetchone()[0]
+        if found > SCHEMA:
+            self.close()
+            raise ValueError(f"written by a newer program: schema {found}, this one knows {SCHEMA}")
+        if found != SCHEMA:
+            self._transact(lambda: self._move_on(found))
+
+    def _transact(self, change: Callable[[], None]) -> None:
+        """Make a change whole, or not at all."""
         self.db.execute("begin immediate")
         try:
-            self.db.execute("create table if not exists part (name text primary key, sum blob, data blob)")
-            self.db.execute("create table if not exists leaver (id text primary key, state int, sum blob)")
-            if found == 1:
-                row = self.db.execute("select sum, data from part where name = 'hold'").fetchone()
-                if row is not None and _sum(bytes(row[1])) == row[0]:  # else it is set aside when loaded
-                    version, leavers = msgpack.unpackb(bytes(row[1]))
-                    self._put({"hold": msgpack.packb([version, len(leavers)])})
-                    self._put_leavers(leavers)
-            self.db.execute(f"pragma user_version={SCHEMA}")
+            change()
             self.db.execute("commit")
         except BaseException:
             with suppress(sqlite3.Error):
                 self.db.execute("rollback")
             raise
 
-    def _put(self, parts: dict[str, bytes]) -> None:
-        for name, data in parts.items():
-            self.db.execute("insert or replace into part values (?, ?, ?)", (name, _sum(data), data))
-
-    def _put_leavers(self, leavers: dict[str, int]) -> None:
-        rows = [(id_, state, _sum(f"{id_} {state}".encode())) for id_, state in leavers.items()]
-        put = "insert into leaver values (?, ?, ?) on conflict (id) do update set state = ?2, sum = ?3"
-        self.db.executemany(put, rows)  # a row keeps its place: the oldest are forgotten first
+    def _move_on(self, found: int) -> None:
+        """Bring a file of an older schema, or a new one, to this schema."""
+        try:
+            held = logbook_older.read(self.db, found) if found else None
+        except _UNREADABLE as error:
+            if isinstance(error, sqlite3.DatabaseError) and _refuses(error):
+                raise
+            raise NotWholeError(f"schema {found}: {error}") from error
+        if found:
+            self.db.execute("drop table if exists leaver")
+            self.db.execute("drop table part")
+        self.db.execute("create table part (name text primary key, sum blob, data blob)")
+        self.db.execute("create table leaving (id text primary key, state int, sum blob)")
+        self.db.execute("create table history (version integer primary key, digest blob)")
+        if held is not None:
+            durable, replica, servers = held
+            self._put(self._parts(durable, replica) | ({} if servers is None else {"servers": servers}))
+            self._put_leaving(replica.leaving)
+        self.db.execute(f"pragma user_version={SCHEMA}")
 
     def _set_aside(self) -> None:
-        """What cannot be read is kept for a look, and this machine is as one whose disk was lost."""
+        """What cannot be read is kept for a look, and this machine is as one whose disk was lost.
+
+        The file goes before its log does, and each is synced: a file without its log might be read as an
+        older state, a log without its file is nothing. Of what was set aside before nothing stays.
+        """
         self.set_aside = True
-        self.db.close()
-        for ending in ("", "-wal", "-shm"):
-            with suppress(OSError):
-                Path(f"{self.path}{ending}").rename(f"{self.path}{ending}.bad")
-        self._saved.clear()
-        self._leavers.clear()
-        self._open()
+        self.close()
+        logs = Path(f"{self.path}-wal"), Path(f"{self.path}-journal")
+        for path in logs:
+            Path(f"{path}{BAD}").unlink(missing_ok=True)
+        _move(self.path, Path(f"{self.path}{BAD}"))
+        _sync(self.path.parent)
+        for path in logs:
+            _move(path, Path(f"{path}{BAD}"))
+        _sync(self.path.parent)
+        self._saved, self._history, self._leaving = {}, {}, {}
+
+    # Reading.
 
-    def load(self) -> tuple[dict[str, Any], Hold] | None:
+    def load(self) -> tuple[dict[str, Any], Replica] | None:
         """Return what was saved last, or None where nothing whole is there."""
+        return self._patiently(self._load)
+
+    def _load(self) -> tuple[dict[str, Any], Replica] | None:
+        if self._db is None:
+            self._open()
         try:
-            rows = self.db.execute("select name, sum, data from part").fetchall()
-            parts = {str(name): bytes(data) for name, checked, data in rows if _sum(data) == checked}
-            if len(parts) < len(rows):
-                raise ValueError("a sum does not fit")
-            if "chain" not in parts:
-                return None
-            durable = msgpack.unpackb(parts["chain"])
-            version, count = msgpack.unpackb(parts["hold"])
-            told = self.db.execute("select id, state, sum from leaver order by rowid").fetchall()
-            leavers = {str(id_): int(state) for id_, state, _ in told}
-            if len(told) != count or any(_sum(f"{id_} {state}".encode()) != s for id_, state, s in told):
-                raise ValueError("the leaving servers are not whole")
-            self._saved, self._leavers = parts, leavers
-            return durable, Hold(version, parts.get("document", b""), dict(leavers))
-        except (sqlite3.DatabaseError, ValueError, TypeError, KeyError, msgpack.UnpackException):
-            if not self.set_aside:
-                self._set_aside()
+            return self._read()
+        except _UNREADABLE as error:
+            if isinstance(error, sqlite3.DatabaseError) and _refuses(error):
+                raise
+            self._set_aside()
+            self._open()
             return None
 
-    def save(self, durable: dict[str, Any], hold: Hold) -> None:
-        """Save what differs from what was saved last, in one transaction."""
-        parts = {
-            "chain": msgpack.packb(durable),
-            "hold": msgpack.packb([hold.version, len(hold.leavers)]),
-            "document": hold.document,
-        }
-        self._write(parts, hold.leavers)
+    def _read(self) -> tuple[dict[str, Any], Replica] | None:
+        """Read all of it and check it; ValueError and the like where it does not add up."""
+        rows = self.db.execute("select name, sum, data from part").fetchall()
+        parts = {str(name): bytes(data) for name, checked, data in rows if _sum(bytes(data)) == checked}
+        bad = {str(name) for name, _, _ in rows} - parts.keys() - {"servers"}
+        if bad:
+            raise NotWholeError(f"sums do not fit: {bad}")
+        past = {int(n): bytes(one) for n, one in self.db.execute("select version, digest from history")}
+        told = self.db.execute("select id, state, sum from leaving order by rowid").fetchall()
+        leaving = {str(server): int(state) for server, state, _ in told}
+        if "seal" not in parts:
+            if parts.keys() & set(SEALED) or past or told:
+                raise NotWholeError("no seal")
+            self._saved = parts
+            return None
+        if parts["seal"] != b"".join(_sum(parts[name]) for name in SEALED):
+            raise NotWholeError("parts of two saves")
+        epoch, version, digest, before, left = msgpack.unpackb(parts["config"])
+        if [len(past), _history_sum(past)] != before:
+            raise NotWholeError("the history is not whole")
+        if any(_sum(f"{server} {state}".encode()) != checked for server, state, checked in told):
+            raise NotWholeError("a leaving server's sum does not fit")
+        history = sorted(past.items())
+        config = Config.unpack([epoch, version, parts["document"], digest, history])
+        replica = Replica(config, dict(leaving))
+        if not config.whole or [len(leaving), replica.leaving_sum] != left:
+            raise NotWholeError("the copy is not whole")
+        durable: dict[str, Any] = msgpack.unpackb(parts["chain"])
+        durable["accepted"] = accepted = msgpack.unpackb(parts["accepted"])
+        if accepted is not None and not Replica.unpack(accepted[3]).config.whole:
+            raise NotWholeError("the accepted view's state is not whole")
+        self._saved, self._history, self._leaving = parts, past, leaving
+        return durable, replica
 
     def load_servers(self) -> list[Any]:
         """Return the servers that were saved last; they may be gone by now."""
@@ -160,31 +269,66 @@
         except (ValueError, TypeError, msgpack.UnpackException):
             return []
 
+    # Writing.
+
+    def save(self, durable: dict[str, Any], replica: Replica) -> None:
+        """Save what differs from what was saved last, in one transaction."""
+        history = dict(replica.config.history)
+        self._write(self._parts(durable, replica), history, replica.leaving)
+
     def save_servers(self, servers: list[Any]) -> None:
         """Save the servers that are known, so that all may start again without waiting for beats."""
-        self._write({"servers": msgpack.packb(servers)})
+        self._write({"servers": msgpack.packb(servers)}, self._history, self._leaving)
 
-    def _write(self, parts: dict[str, bytes], leavers: dict[str, int] | None = None) -> None:
-        """Write what differs from what is on disk; of the leaving servers only where they are given."""
+    def _parts(self, durable: dict[str, Any], replica: Replica) -> dict[str, bytes]:
+        config, history = replica.config, dict(replica.config.history)
+        if self._saved.get("document") != config.document:
+            right = digest_of(config.document) if config.version else b""
+            if not holds(config.whole and config.digest == right, "what is saved is whole"):
+                raise ValueError(f"r{config.version} is not whole")
+        sums = [[len(history), _history_sum(history)], [len(replica.leaving), replica.leaving_sum]]
+        parts = {
+            "chain": msgpack.packb({key: told for key, told in durable.items() if key != "accepted"}),
+            "accepted": msgpack.packb(durable["accepted"]),
+            "config": msgpack.packb([config.epoch, config.version, config.digest, *sums]),
+            "document": config.document,
+        }
+        return parts | {"seal": b"".join(_sum(parts[name]) for name in SEALED)}
+
+    def _put(self, parts: dict[str, bytes]) -> None:
+        for name, data in parts.items():
+            self.db.execute("insert or replace into part values (?, ?, ?)", (name, _sum(data), data))
+
+    def _put_leaving(self, leaving: dict[str, int]) -> None:
+        rows = [(server, state, _sum(f"{server} {state}".encode())) for server, state in leaving.items()]
+        put = "insert into leaving values (?, ?, ?) on conflict (id) do update set state = ?2, sum = ?3"
+        self.db.executemany(put, rows)  # a row keeps its place: the oldest are forgotten first
+
+    def _write(self, parts: dict[str, bytes], history: dict[int, bytes], leaving: dict[str, int]) -> None:
+        """Write what differs from what is on disk."""
         changed = {name: data for name, data in parts.items() if self._saved.get(name) != data}
-        told = self._leavers if leavers is None else leavers
-        fresh = {id_: state for id_, state in told.items() if self._leavers.get(id_) != state}
-        past = self._leavers.keys() - told.keys()
-        if not changed and not fresh and not past:
+        numbers = [(n, digest) for n, digest in history.items() if self._history.get(n) != digest]
+        past = self._history.keys() - history.keys()
+        fresh = {server: state for server, state in leaving.items() if self._leaving.get(server) != state}
+        forgotten = self._leaving.keys() - leaving.keys()
+        if not changed and not numbers and not past and not fresh and not forgotten:
             return
-        self.db.execute("begin immediate")
-        try:
+
+        def change() -> None:
             self._put(changed)
-            self._put_leavers(fresh)
-            self.db.executemany("delete from leaver where id = ?", [(id_,) for id_ in past])
-            self.db.execute("commit")
-        except sqlite3.Error:
-            with suppress(sqlite3.Error):
-                self.db.execute("rollback")
-            raise
+            self.db.executemany("delete from history where version = ?", [(n,) for n in past])
+            self.db.executemany("insert or replace into history values (?, ?)", numbers)
+            self.db.executemany("delete from leaving where id = ?", [(server,) for server in forgotten])
+            self._put_leaving(fresh)
+
+        self._transact(change)
         self._saved |= parts
-        self._leavers = dict(told)
+        self._history, self._leaving = dict(history), dict(leaving)
 
     def close(self) -> None:
         """Let go of the file."""
-        self.db.close()
+        if self._db is not None:
+            self._db.close()
+            self._db = None
+            with suppress(OSError):
+                _sync(self.path.parent)
