--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -162,6 +162,27 @@
     play(monkeypatch, cut_off)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_contact_is_not_taken_from_words_of_before_the_cut(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Cables are up again at once; what the others said last was said twenty seconds ago."""
+
+    async def cut_off(site: Site) -> None:
+        victim, other = LIGHTS[2], site.lights[LIGHTS[0]]
+        light = site.lights[victim]
+        assert (await replace(light, 1)).status == 200
+        site.cut(victim)
+        assert (await site.until_safe(other.boot.ip, 2)).status == 200
+        await trio.sleep(CUT_S)
+        site.heal()
+        while light.chart.version != 2:
+            assert not light.core.in_contact or light.epoch >= other.epoch
+            await trio.sleep(0.0005)
+
+    play(monkeypatch, cut_off, seed=seed)
+
+
 def plays_first_news(monkeypatch: pytest.MonkeyPatch, restarted: bool) -> list[int]:
     """Start a pilot that hears one cut off at once, and after a second one in contact; what it goes by."""
     taken: list[int] = []
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -72,7 +72,8 @@
         self._told, self._viewed, self._heard = told, viewed, heard
         self.ip = boot.ip
         self.callers: dict[str, Caller] = {}
-        self.states: dict[str, Told] = {}  # what the others said of themselves last
+        self.states: dict[str, Told] = {}  # what the others said of themselves last,
+        self.asked_at: dict[str, float] = {}  # and when they were asked for that
         self.leaving = False
         self.seeds = Seeds(boot)
         self.saving_since = 0.0
@@ -151,7 +152,8 @@
         """Hear an answer on a cable that this machine called."""
         if message[0] == "tock":
             ip = str(message[1])
-            told = self.states[ip] = Told(*message[2])
+            told, self.asked_at[ip] = Told(*message[2]), float(message[3])
+            self.states[ip] = told
             self.lease.granted(ip, told.disk, float(message[3]), int(message[4]))
             if set(told.sees) - {self.ip} != set(self.callers) - {ip} and self.random.random() < ASK_CORES:
                 cable.send("cores")  # it reaches more of them, or fewer
@@ -335,12 +337,15 @@
 
     @property
     def in_contact(self) -> bool:
-        """Tell whether a majority of the voters has answered of late, of the same epoch as this machine's."""
-        view = self.chain.view
+        """Tell whether a majority of the voters has answered of late, of the same epoch as this machine's.
+
+        By when they were asked: after a cut, cables are up again before what was heard on them is new.
+        """
+        view, now = self.chain.view, self.clock.now()
         heard = [
             (ip, disk) for ip, disk in view.voters
             if (ip, disk) == self.chain.me or (
-                self.live(ip) and (told := self.states.get(ip)) is not None
+                now - self.asked_at.get(ip, -LIVE_MS) < LIVE_MS and (told := self.states.get(ip)) is not None
                 and (told.disk, told.epoch) == (disk, view.epoch)
             )
         ]  # fmt: skip
