Tell copies apart by number, text and history, not by the text alone

Cause: a copy was sent without text and history to who held the same text; with one text under two numbers, or numbers of an ended epoch between, the history of the receiver's own copy stood in, and lacked digests: a number's other text could then be acknowledged. Change: Config.identity, a digest of number, text and history, is what is told as held and compared.

--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -74,7 +74,7 @@
         self._passing: Replica | None = None  # what the pass under way brings, the same however often it goes
         self._passed_at = -math.inf
         self._waiting: dict[int, _Waiting] = {}
-        self._holds: dict[Member, bytes] = {}  # the digest that others have said they hold
+        self._holds: dict[Member, bytes] = {}  # the identity that others have said they hold
         # Of who looks.
         self._want_since = math.inf
         self._turn = self.random.random()
@@ -186,7 +186,8 @@
         at = self.view.chain.index(self.me)
         if at:
             above = self.view.chain[at - 1][0]
-            self.out.append((above, ["passed", self.view.epoch, seq, self.replica.config.digest, self.me[1]]))
+            held = self.replica.config.identity
+            self.out.append((above, ["passed", self.view.epoch, seq, held, self.me[1]]))
             return
         for ticket in [ticket for ticket, one in self._waiting.items() if one.seq == seq]:
             one = self._waiting.pop(ticket)
@@ -200,7 +201,7 @@
             return
         config = told.config.filled(self.replica.config)
         if not config.whole:
-            self.out.append((sender, ["fetch", view.epoch, self.replica.config.digest, self.me[1]]))
+            self.out.append((sender, ["fetch", view.epoch, self.replica.config.identity, self.me[1]]))
             return
         told = Replica(config, told.leaving)
         if view.epoch > self.view.epoch:
@@ -210,22 +211,22 @@
         self.dirty |= self.replica.join(told)
         self._down(seq, told)
 
-    def _take_passed(self, now: float, epoch: int, seq: int, digest: bytes, member: Member) -> None:
+    def _take_passed(self, now: float, epoch: int, seq: int, identity: bytes, member: Member) -> None:
         if epoch != self.view.epoch or self.frozen or not self.member:
             return
-        self._holds[member] = digest
+        self._holds[member] = identity
         if seq != self.seq or self._passing is None:
             return  # of a pass that is over: it says nothing of the one under way
         self._up(seq, self._passing)
         if self.head == self.ip:
             self._begin(now)
 
-    def _take_fetch(self, sender: str, epoch: int, digest: bytes, disk: str) -> None:
+    def _take_fetch(self, sender: str, epoch: int, identity: bytes, disk: str) -> None:
         """Send the whole text to who lacks it."""
-        self._holds[sender, disk] = digest
+        self._holds[sender, disk] = identity
         if epoch != self.view.epoch:
             return
-        self._tell_view(sender, digest)
+        self._tell_view(sender, identity)
         at = self.view.chain.index(self.me) + 1 if self.member else 0
         after = self.view.chain[at] if 0 < at < len(self.view.chain) else None
         if after == (sender, disk) and self._passing is not None and not self.frozen:
@@ -271,9 +272,9 @@
                 continue
             self._copied[ip] = now
             if behind:
-                self._tell_view(ip, one.digest)
+                self._tell_view(ip, one.identity)
             if lacks:
-                self.out.append((ip, ["copy", self.safe.pack(one.digest)]))
+                self.out.append((ip, ["copy", self.safe.pack(one.identity)]))
 
     def _take_copy(self, told: Replica) -> None:
         """Take what another machine knows to be safe."""
@@ -297,7 +298,7 @@
     def _propose(self, now: float) -> None:
         self._turn = self.random.random()
         proposal = self.decree.propose(now, self.view.epoch + 1, self.ip)
-        told = ["prepare", proposal.slot, list(proposal.ballot), self.replica.config.digest]
+        told = ["prepare", proposal.slot, list(proposal.ballot), self.replica.config.identity]
         for ip, _ in self.view.voters:
             self._say(now, ip, told)
 
@@ -389,7 +390,7 @@
         if state is None or not state.config.whole:
             if self.me in view.chain:
                 if view.epoch > self.view.epoch:
-                    self.out.append((sender, ["fetch", view.epoch, self.replica.config.digest, self.me[1]]))
+                    self.out.append((sender, ["fetch", view.epoch, self.replica.config.identity, self.me[1]]))
                 return
             state = None
         if view.epoch > self.view.epoch:
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -43,7 +43,7 @@
     version: int
     leaving: int
     leaving_sum: int
-    digest: bytes
+    identity: bytes
     ill: bool
     zone: str
     control: str
@@ -143,7 +143,7 @@
         chain, safe = self.chain, self.chain.safe
         return [
             chain.me[1], chain.view.epoch, safe.config.epoch, safe.config.version, len(safe.leaving),
-            safe.leaving_sum, chain.replica.config.digest, chain.hampered or chain.leaving, self.boot.zone,
+            safe.leaving_sum, chain.replica.config.identity, chain.hampered or chain.leaving, self.boot.zone,
             self.boot.bind.control_addr, [ip for ip in self.callers if self.live(ip)],
         ]  # fmt: skip
 
@@ -233,7 +233,7 @@
         return {
             ip: Reach(
                 self.live(ip), told.disk, told.ill, told.zone, told.epoch, told.safe_epoch, told.version,
-                told.leaving, told.leaving_sum, told.digest, frozenset(told.sees),
+                told.leaving, told.leaving_sum, told.identity, frozenset(told.sees),
             )
             for ip, told in self.states.items()
         }  # fmt: skip
--- a/wickspring/lighthouse/decree.py
+++ b/wickspring/lighthouse/decree.py
@@ -45,7 +45,7 @@
     slot: int
     ballot: Ballot
     begun: float
-    promises: dict[Member, bytes] = field(default_factory=dict)  # and the digest that each holds
+    promises: dict[Member, bytes] = field(default_factory=dict)  # and the identity of what each holds
     accepts: set[Member] = field(default_factory=set)
     state: Replica = field(default_factory=Replica)  # of highest rank among the promises
     best: tuple[Ballot, Value] | None = None  # the accepted one of the highest ballot
@@ -120,7 +120,7 @@
         """Take a promise; True where they are enough now."""
         if one.value is not None or member not in view.voters:
             return False
-        one.promises[member] = told.config.digest
+        one.promises[member] = told.config.identity
         one.state.join(told)
         if accepted is not None and (one.best is None or accepted[0] > one.best[0]):
             one.best = accepted
--- a/wickspring/lighthouse/replica.py
+++ b/wickspring/lighthouse/replica.py
@@ -48,6 +48,7 @@
     document: bytes = NO_DOCUMENT
     digest: bytes = b""
     history: tuple[tuple[int, bytes], ...] = ()  # number and digest, the newest last
+    bare: bytes = b""  # identity of the copy that this stands for, where it came without text and history
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -57,7 +58,17 @@
     @property
     def whole(self) -> bool:
         """Tell whether its text is here, not its digest alone."""
-        return bool(self.document) or not self.version
+        return not self.bare and (bool(self.document) or not self.version)
+
+    @property
+    def identity(self) -> bytes:
+        """Return the digest of number, text and history: what two copies have in common, whatever the epoch.
+
+        The digest of the text alone would not do: one text may come under two numbers, with other histories.
+        """
+        told = hashlib.blake2b(b"%d %s" % (self.version, self.digest), digest_size=DIGEST_SIZE)
+        told.update(b"".join(b"%d %s " % one for one in self.history))
+        return told.digest()
 
     def judge(self, version: int, digest: bytes) -> Verdict:
         """Say what may be told of an order once this is safe."""
@@ -73,25 +84,26 @@
         return Config(epoch, version, document, digest_of(document), history[-HISTORY_MOST:])
 
     def pack(self, known: bytes = b"") -> list[Any]:
-        """Return it for a message; text and history are left out for who holds the digest `known`."""
-        bare = bool(known) and known == self.digest
-        history = [] if bare else [list(one) for one in self.history]
-        return [self.epoch, self.version, NO_DOCUMENT if bare else self.document, self.digest, history]
+        """Return it for a message; text and history are left out for who holds the identity `known`."""
+        if known and known == self.identity:
+            return [self.epoch, self.version, NO_DOCUMENT, b"", [], known]
+        history = [list(one) for one in self.history]
+        return [self.epoch, self.version, self.document, self.digest, history, b""]
 
     @staticmethod
     def unpack(told: Any) -> Config:
         """Read it from a message or a file; ValueError where text and digest do not belong together."""
-        epoch, version, document, digest, history = told
+        epoch, version, document, digest, history, bare = told
         if document and digest_of(bytes(document)) != digest:
             raise ValueError(f"r{version}: the text does not have the digest that was told")
         past = tuple((int(number), bytes(one)) for number, one in history)
-        return Config(int(epoch), int(version), bytes(document), bytes(digest), past)
+        return Config(int(epoch), int(version), bytes(document), bytes(digest), past, bytes(bare))
 
     def filled(self, own: Config) -> Config:
-        """Return it with text and history from a copy of the same digest, where it came without."""
-        if self.whole or own.digest != self.digest:
+        """Return it with text and history from the copy that it stands for, where it came without."""
+        if not self.bare or own.identity != self.bare:
             return self
-        return replace(self, document=own.document, history=own.history)
+        return replace(own, epoch=self.epoch)
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickspring/lighthouse/views.py
+++ b/wickspring/lighthouse/views.py
@@ -91,7 +91,7 @@
     version: int = 0  # and number
     leaving: int = 0  # how many servers it knows to be leaving,
     leaving_sum: int = 0  # and a number for all of them
-    digest: bytes = b""  # of the configuration that it holds, safe or not
+    identity: bytes = b""  # of the configuration that it holds, safe or not
     sees: frozenset[str] = frozenset()  # addresses of machines that it reaches, where it says so
 
     def lacks(self, safe: Replica) -> bool:
