Let voters grow or shrink where a zone that may go holds half of them

Cause: of four voters two were in one zone; replacing one by a spare left two in some zone, so nothing changed, and the loss of that zone left two of four. Change: a spare may be added too, or the most crowded left out while there are more than tolerated losses need.

--- a/wickspring/lighthouse/views.py
+++ b/wickspring/lighthouse/views.py
@@ -167,13 +167,17 @@
     while len(chosen) < tolerance.voters and spare:
         spare.sort(key=crowded)
         chosen.append(spare.pop(0))
-    while spare and tolerance.zones and (over := _crowd(chosen, scene, zones)):
+    while tolerance.zones and (over := _crowd(chosen, scene, zones)):
         spare.sort(key=crowded)
-        gone = max((one for one in chosen if one not in view.chain[:1]), key=crowded)
-        better = [spare[0] if one == gone else one for one in chosen]
+        gone = max((one for one in chosen if one not in view.chain[:1]), key=crowded, default=None)
+        ways = [[*chosen, one] for one in spare[:1]]
+        ways += [[one if other == gone else other for other in chosen] for one in spare[:1]]
+        if len(chosen) > tolerance.voters:  # of four, two in one zone, no zone may go; of three it may
+            ways.append([one for one in chosen if one != gone])
+        better = min(ways, key=lambda way: _crowd(way, scene, zones), default=chosen)
         if _crowd(better, scene, zones) >= over:
             break
-        chosen, spare = better, spare[1:]
+        chosen, spare = better, [one for one in spare if one not in better]
     # An even number decides no better than one more; whoever is away may come back, and then counts.
     replaced = {ip for ip, _ in chosen}
     away = [one for one in view.voters if one not in chosen and one[0] not in replaced]
