Keep what pilots are offered in a class of its own; helm status tells who has no contact

Change: lighthouse/offers.py; status tells contact; a test that a restarted lighthouse hands out nothing of its disk as safe, with that defect seeded and caught.

--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -8,7 +8,7 @@
 import zlib
 from collections.abc import Callable
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 import pytest
 import trio
@@ -27,6 +27,7 @@
 )
 from tests.test_gateway_parts import SETTINGS
 from wickspring.harbour import boot, log
+from wickspring.harbour.cable import Cable
 from wickspring.harbour.kinds import FaultError
 from wickspring.harbour.servers import GONE, READY
 from wickspring.harbour.standing import Contact, Standing
@@ -94,7 +95,7 @@
         light = site.lights[victim]
         await trio.sleep(2.0 * GAP_MS / 1000.0)
         assert light.status()["chain"]["contact"] == "none"
-        await site.until(lambda: others[0].core.in_contact and others[0].chart.version == 2)
+        await site.until(lambda: others[0].core.in_contact and others[0].offers.chart.version == 2)
         version = 3
         while trio.current_time() - begun < CUT_S:
             asked = trio.current_time()
@@ -112,7 +113,7 @@
             await trio.sleep(2.5)
         site.heal()
         assert await site.until(lambda: light.look() is not Contact.NONE) < 4.0
-        await site.until(lambda: light.chart.version == version - 1, 2.0)
+        await site.until(lambda: light.offers.chart.version == version - 1, 2.0)
         tried = trio.current_time()  # the chain takes it in again meanwhile
         assert (await site.until_safe(victim, version)).status == 200 and trio.current_time() - tried < 3.0
         assert (await replace(light, version)).status == 200  # however often
@@ -176,7 +177,7 @@
         assert (await site.until_safe(other.boot.ip, 2)).status == 200
         await trio.sleep(CUT_S)
         site.heal()
-        while light.chart.version != 2:
+        while light.offers.chart.version != 2:
             assert not light.core.in_contact or light.epoch >= other.epoch
             await trio.sleep(0.0005)
 
@@ -248,6 +249,53 @@
     assert plays_first_news(monkeypatch, True) == [1, 2]
 
 
+class Heard:
+    """A pilot's end of a cable, with what came to it and when."""
+
+    def __init__(self) -> None:
+        self.name, self.about, self.live = "", dict[str, Any](), True
+        self.charts: list[tuple[float, Standing]] = []
+
+    def send(self, *message: Any) -> None:
+        if message[0] == "chart":
+            self.charts.append((trio.current_time(), Standing(message[4])))
+
+    def close(self) -> None:
+        self.live = False
+
+
+@pytest.mark.parametrize("defect", [False, True])
+def test_a_started_lighthouse_hands_out_nothing_of_its_disk_as_safe(
+    monkeypatch: pytest.MonkeyPatch, defect: bool
+) -> None:
+    async def restarted(site: Site) -> None:
+        victim = LIGHTS[1]
+        assert (await replace(site.lights[victim], 1)).status == 200
+        await trio.sleep(1.0)
+        site.cut(victim)
+        site.kill(victim)
+        if defect:
+            begin = Light._begin
+
+            def hasty(light: Light) -> None:
+                begin(light)
+                light._safe(light.core.chain.replica)
+
+            monkeypatch.setattr(Light, "_begin", hasty)
+        light, begun, heard = await site.start_light(victim), trio.current_time(), Heard()
+        cable = cast(Cable, heard)
+        light._take(cable, ["hello", "pilot", PILOTS[0], {"version": 0, "digest": b""}])
+        for _ in range(20):
+            await trio.sleep(0.2)
+            light._take(cable, ["tick", 0, b""])
+        (at, standing), *more = heard.charts
+        assert not more
+        seen = at - begun < ALONE_MS / 1000.0 or standing is not Standing.HELD
+        assert seen == defect
+
+    play(monkeypatch, restarted)
+
+
 def in_light(monkeypatch: pytest.MonkeyPatch, test: Callable[[Light], Any]) -> None:
     """Play with one lighthouse whose core is told what to answer."""
 
--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -51,7 +51,8 @@
                 continue
             chain = one["chain"]
             state = "steady" if chain["steady"] else "frozen" if chain["frozen"] else "spare"
-            if chain["member"] and not chain["steady"] and not chain["frozen"]:
+            missed = chain["contact"] == "none" or (chain["member"] and not chain["steady"])
+            if missed and not chain["frozen"]:
                 state = "alone"
             rows.append(
                 {
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from functools import partial
 from random import Random
 from typing import Any
@@ -14,19 +13,19 @@
 from wickspring.harbour import log
 from wickspring.harbour.boot import Boot
 from wickspring.harbour.cable import Cable, Message, answer
-from wickspring.harbour.chart import Chart, lay_out
 from wickspring.harbour.early import Started
 from wickspring.harbour.kinds import Fault, Kind
 from wickspring.harbour.lines import parse_ip
 from wickspring.harbour.servers import READY, Server, digest
-from wickspring.harbour.standing import Contact, Standing
+from wickspring.harbour.standing import Contact
 from wickspring.lighthouse.berths import Berths
 from wickspring.lighthouse.calls import Call, Said, fault
 from wickspring.lighthouse.contact import ContactLog
 from wickspring.lighthouse.core import NOT_ENTERED, Core, Entered
 from wickspring.lighthouse.logbook import Logbook
+from wickspring.lighthouse.offers import Offers
 from wickspring.lighthouse.register import Register
-from wickspring.lighthouse.replica import Config, Order, Replica, Verdict
+from wickspring.lighthouse.replica import Order, Replica, Verdict
 from wickspring.lighthouse.resources import RESOURCES
 from wickspring.lighthouse.tally import Tally
 from wickspring.net.calls import Client
@@ -46,20 +45,6 @@
 AGAIN_S = 0.04  # between two tries of an order in that time, and two looks for contact
 
 
-@dataclass(slots=True, frozen=True)
-class _Copy:
-    """A configuration as pilots get it: packed, with the digest of its text."""
-
-    version: int = 0
-    digest: bytes = b""
-    packed: bytes = b""
-
-    @staticmethod
-    def of(config: Config) -> _Copy:
-        """Pack a configuration."""
-        return _Copy(config.version, config.digest, zlib.compress(config.document, 6))
-
-
 class Light(Host):
     """One lighthouse."""
 
@@ -76,9 +61,7 @@
         self.berths = Berths(self.random.getrandbits(32))
         self.resources = [make(self) for make in RESOURCES]
         self.pilots: dict[Cable, str] = {}
-        self.chart = Chart()
-        self.copy = _Copy()  # what is safe, as pilots get it
-        self._disk_copy = _Copy()  # what the disk holds, for want of better
+        self.offers = Offers()
         self.contact = ContactLog(self.clock.now(), 1000.0 * boot.heartbeat_s)
         self._saved: set[str] = set()  # servers on disk
         self._silent: set[str] = set()  # servers taken for lost of which the pilots have not been told
@@ -223,15 +206,7 @@
 
     def _safe(self, replica: Replica) -> None:
         """Tell the pilots what has become safe."""
-        config, known = replica.config, self.chart.version
-        if config.version > known or (known == config.version and config.digest != self.copy.digest):
-            if config.version == known:
-                log.event("config_two_texts", version=known, digest=config.digest.hex())
-            try:
-                self.chart, self.copy = lay_out(config.document), _Copy.of(config)
-                log.event("chart", version=config.version)
-            except (KeyError, TypeError, ValueError) as error:
-                log.event("chart_unusable", version=config.version, reason=repr(error))
+        if self.offers.safe(replica.config):
             for cable in self.pilots:
                 self._offer(cable)
         told = self.register.leaving
@@ -257,28 +232,10 @@
         """How many pilots are in reach."""
         return len({name for cable, name in self.pilots.items() if cable.live})
 
-    def _last_known(self) -> _Copy:
-        """Return what the disk holds, where there is nothing better to hand out and has not been for long."""
-        config = self.core.chain.replica.config
-        if self.look() is not Contact.NONE or not self.contact.alone(self.clock.now()):
-            return _Copy()
-        if (self._disk_copy.version, self._disk_copy.digest) != (config.version, config.digest):
-            self._disk_copy = _Copy.of(config)
-        return self._disk_copy
-
     def _offer(self, cable: Cable) -> None:
-        """Hand a pilot the configuration, where it says that it has an older one or none."""
-        version, digest = cable.about.get("holds", (0, b""))
-        copy, standing = self.copy, Standing.SAFE
-        if not copy.version and not version:
-            copy, standing = self._last_known(), Standing.HELD
-        elif self.look() is not Contact.NONE:
-            standing = Standing.CURRENT
-        other = copy.version == version and copy.digest != digest and standing is Standing.CURRENT
-        offer = copy.version, copy.digest, standing, version, digest  # it may wait with what it was handed
-        if (copy.version > version or other) and cable.about.get("offered") != offer:
-            cable.about["offered"] = offer
-            cable.send("chart", copy.version, copy.packed, copy.digest, int(standing))
+        """Hand a pilot the configuration, where it has none or an older one."""
+        contact, alone = self.look(), self.contact.alone(self.clock.now())
+        self.offers.offer(cable, contact, self.core.chain.replica.config if alone else None)
 
     def _whole(self, cable: Cable) -> None:
         now, fresh = self.clock.now(), self.look() is Contact.SETTLED
@@ -314,7 +271,8 @@
                 others = sorted(set(self.pilots.values()) - {cable.name})
                 cable.send("pilots", self.random.sample(others, min(INTRODUCED, len(others))))
                 self._whole(cable)
-                self._holds(cable, message[3].get("version", 0), message[3].get("digest", b""))
+                self.offers.holds(cable, message[3].get("version", 0), message[3].get("digest", b""))
+                self._offer(cable)
         elif cable.about.get("core"):
             self.core.take(cable, message)
         elif name == "add":
@@ -330,7 +288,7 @@
         elif name == "in":
             self.berths.ended(self.clock.now(), cable.name, str(message[1]), float(message[2]))
         elif name == "spent":
-            tenant = self.chart.tenants.get(str(message[1]))
+            tenant = self.offers.chart.tenants.get(str(message[1]))
             if tenant is not None:
                 self.tally.spent(self.clock.now(), tenant.name, cable.name, tenant.rate, tenant.burst)
         elif name == "back":
@@ -338,21 +296,17 @@
         elif name == "past":
             self.tally.past(self.clock.now(), str(message[1]), cable.name, message[2])
         elif name == "tick":
-            copy, contact, servers = self.copy, self.look(), self.digest()
+            copy, contact, servers = self.offers.copy, self.look(), self.digest()
             cable.send("tock", self.epoch, copy.version, self.fleet, servers, copy.digest, int(contact))
-            self._holds(cable, message[1], message[2])
+            self.offers.holds(cable, message[1], message[2])
+            self._offer(cable)
         elif name == "whole":
             cable.send(*self._view())
             self._whole(cable)
 
-    def _holds(self, cable: Cable, version: Any, digest: Any) -> None:
-        """Hear which configuration a pilot goes by, and hand it a better one."""
-        cable.about["holds"] = int(version), bytes(digest)
-        self._offer(cable)
-
     def _add(self, cable: Cable, number: int, name: str, again: bool, epoch: int) -> None:
         now = self.clock.now()
-        tenant = self.chart.tenants.get(name)
+        tenant = self.offers.chart.tenants.get(name)
         if tenant is None or not self.core.keeps or epoch != self.core.lease.epoch:
             cable.send("moved", number)
             return
@@ -401,7 +355,7 @@
                 told_at = now
                 self.core.say_all("alive", list(self._fresh.items()))
                 self._fresh = {}
-            bursts = {name: tenant.burst for name, tenant in self.chart.tenants.items()}
+            bursts = {name: tenant.burst for name, tenant in self.offers.chart.tenants.items()}
             much_used = self.tally.much_used(now, bursts)
             if much_used and self.core.steady:
                 self.core.say_all("shadow", much_used)
--- /dev/null
+++ b/wickspring/lighthouse/offers.py
@@ -0,0 +1,74 @@
+"""Which configuration a lighthouse hands to pilots, and how far it may be relied on (`harbour.standing`)."""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass
+from typing import Any
+
+from wickspring.harbour import log
+from wickspring.harbour.cable import Cable
+from wickspring.harbour.chart import Chart, lay_out
+from wickspring.harbour.standing import Contact, Standing
+from wickspring.lighthouse.replica import Config
+
+
+@dataclass(slots=True, frozen=True)
+class _Copy:
+    """A configuration as pilots get it: packed, with the digest of its text."""
+
+    version: int = 0
+    digest: bytes = b""
+    packed: bytes = b""
+
+    @staticmethod
+    def of(config: Config) -> _Copy:
+        """Pack a configuration."""
+        return _Copy(config.version, config.digest, zlib.compress(config.document, 6))
+
+
+class Offers:
+    """What is safe, as pilots get it, and what each of them was handed."""
+
+    def __init__(self) -> None:
+        self.chart = Chart()
+        self.copy = _Copy()
+        self._last_known = _Copy()
+
+    def safe(self, config: Config) -> bool:
+        """Take in what has become safe; True where that is news."""
+        known = self.chart.version
+        if config.version < known or (config.version == known and config.digest == self.copy.digest):
+            return False
+        if config.version == known:
+            log.event("config_two_texts", version=known, digest=config.digest.hex())
+        try:
+            self.chart, self.copy = lay_out(config.document), _Copy.of(config)
+        except (KeyError, TypeError, ValueError) as error:
+            log.event("chart_unusable", version=config.version, reason=repr(error))
+            return False
+        log.event("chart", version=config.version)
+        return True
+
+    def holds(self, cable: Cable, version: Any, digest: Any) -> None:
+        """Hear which configuration a pilot goes by."""
+        cable.about["holds"] = int(version), bytes(digest)
+
+    def offer(self, cable: Cable, contact: Contact, last_known: Config | None) -> None:
+        """Hand a pilot the configuration, where it has said that it has an older one or none.
+
+        The last known, which may never have become safe, goes only to one that has none.
+        """
+        version, digest = cable.about.get("holds", (0, b""))
+        copy, standing = self.copy, Standing.SAFE if contact is Contact.NONE else Standing.CURRENT
+        if not copy.version:
+            if version or last_known is None:
+                return
+            if (self._last_known.version, self._last_known.digest) != (last_known.version, last_known.digest):
+                self._last_known = _Copy.of(last_known)
+            copy, standing = self._last_known, Standing.HELD
+        other = copy.version == version and copy.digest != digest and standing is Standing.CURRENT
+        offer = copy.version, copy.digest, standing, version, digest  # it may wait with what it was handed
+        if (copy.version > version or other) and cable.about.get("offered") != offer:
+            cable.about["offered"] = offer
+            cable.send("chart", copy.version, copy.packed, copy.digest, int(standing))
