--- a/wickspring/lighthouse/logbook.py
+++ b/wickspring/lighthouse/logbook.py
@@ -251,7 +251,7 @@
         if any(_sum(f"{server} {state}".encode()) != checked for server, state, checked in told):
             raise NotWholeError("a leaving server's sum does not fit")
         history = sorted(past.items())
-        config = Config.unpack([epoch, version, parts["document"], digest, history])
+        config = Config.unpack([epoch, version, parts["document"], digest, history, b""])
         replica = Replica(config, dict(leaving))
         if not config.whole or [len(leaving), replica.leaving_sum] != left:
             raise NotWholeError("the copy is not whole")
--- a/wickspring/lighthouse/replica.py
+++ b/wickspring/lighthouse/replica.py
@@ -49,6 +49,7 @@
     digest: bytes = b""
     history: tuple[tuple[int, bytes], ...] = ()  # number and digest, the newest last
     bare: bytes = b""  # identity of the copy that this stands for, where it came without text and history
+    _identity: list[bytes] = field(default_factory=list, init=False, compare=False, repr=False)
 
     @property
     def rank(self) -> tuple[int, int]:
@@ -66,9 +67,11 @@
 
         The digest of the text alone would not do: one text may come under two numbers, with other histories.
         """
-        told = hashlib.blake2b(b"%d %s" % (self.version, self.digest), digest_size=DIGEST_SIZE)
-        told.update(b"".join(b"%d %s " % one for one in self.history))
-        return told.digest()
+        if not self._identity:
+            told = hashlib.blake2b(b"%d %s" % (self.version, self.digest), digest_size=DIGEST_SIZE)
+            told.update(b"".join(b"%d %s " % one for one in self.history))
+            self._identity.append(told.digest())
+        return self._identity[0]
 
     def judge(self, version: int, digest: bytes) -> Verdict:
         """Say what may be told of an order once this is safe."""
