Try a held-up order again with doubled pauses

Cause: each try may send an order of up to 4 MiB to the head, some 20 times within the caller's second. Change: 5 tries at most; looks for contact go on as often as before.

--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -42,7 +42,8 @@
 INTRODUCED = 3  # pilots that a new one is told of
 LEAVE_SHARE = 0.85  # of the grace, for the others to take over what this machine keeps before it ends
 ORDER_S = 0.85  # for an order to become safe; callers give up after a second
-AGAIN_S = 0.04  # between two tries of an order in that time, and two looks for contact
+AGAIN_S = 0.05  # between two tries of an order in that time, doubled each time: it may be a long one
+LOOK_S = 0.04  # between two looks for contact that is waited for
 
 
 class Light(Host):
@@ -157,18 +158,22 @@
         """
         if self.cut_off:
             return NOT_ENTERED
+        pause = AGAIN_S
         with trio.move_on_after(ORDER_S):
             while True:
-                if self.look() is not Contact.NONE:
-                    entered = await self.core.enter(order, read)
-                    if entered.verdict is not Verdict.NOT_YET:
-                        break
-                await trio.sleep(AGAIN_S)
-            while self.look() is Contact.NONE:
-                await trio.sleep(AGAIN_S)
-            return entered
+                await self._in_contact()
+                entered = await self.core.enter(order, read)
+                if entered.verdict is not Verdict.NOT_YET:
+                    await self._in_contact()
+                    return entered
+                await trio.sleep(pause)
+                pause *= 2.0
         return NOT_ENTERED
 
+    async def _in_contact(self) -> None:
+        while self.look() is Contact.NONE:
+            await trio.sleep(LOOK_S)
+
     # Servers.
 
     def beat(self, server: Server) -> None:
