Let a machine leave only once it has no vote either

Cause: may_leave asked whether a view's chain goes on without the machine; where a view still had it as a voter it ended, and of five voters bearing two the loss of two more left two. Change: it waits for a view whose voters go on without it, or its grace. Rule 6 of docs/design/control.md says so already (a view without it).

--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -107,8 +107,8 @@
 
     @property
     def may_leave(self) -> bool:
-        """Tell whether what this machine keeps is kept without it."""
-        if self.member:
+        """Tell whether what this machine keeps is kept without it, and what it decides decided without it."""
+        if self.voter:
             return False
         chain = dict(self.view.chain)
         return not self.view.epoch or any(
