--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -43,7 +43,7 @@
     version: int
     leaving: int
     leaving_sum: int
-    digest: bytes
+    identity: bytes
     ill: bool
     zone: str
     control: str
@@ -72,7 +72,8 @@
         self._told, self._viewed, self._heard = told, viewed, heard
         self.ip = boot.ip
         self.callers: dict[str, Caller] = {}
-        self.states: dict[str, Told] = {}  # what the others said of themselves last
+        self.states: dict[str, Told] = {}  # what the others said of themselves last,
+        self.asked_at: dict[str, float] = {}  # and when they were asked for that
         self.leaving = False
         self.seeds = Seeds(boot)
         self.saving_since = 0.0
@@ -143,7 +144,7 @@
         chain, safe = self.chain, self.chain.safe
         return [
             chain.me[1], chain.view.epoch, safe.config.epoch, safe.config.version, len(safe.leaving),
-            safe.leaving_sum, chain.replica.config.digest, chain.hampered or chain.leaving, self.boot.zone,
+            safe.leaving_sum, chain.replica.config.identity, chain.hampered or chain.leaving, self.boot.zone,
             self.boot.bind.control_addr, [ip for ip in self.callers if self.live(ip)],
         ]  # fmt: skip
 
@@ -151,7 +152,8 @@
         """Hear an answer on a cable that this machine called."""
         if message[0] == "tock":
             ip = str(message[1])
-            told = self.states[ip] = Told(*message[2])
+            told, self.asked_at[ip] = Told(*message[2]), float(message[3])
+            self.states[ip] = told
             self.lease.granted(ip, told.disk, float(message[3]), int(message[4]))
             if set(told.sees) - {self.ip} != set(self.callers) - {ip} and self.random.random() < ASK_CORES:
                 cable.send("cores")  # it reaches more of them, or fewer
@@ -182,16 +184,14 @@
             told = self.chain.safe.pack() if read and verdict is Verdict.SAFE else None
             self.say(ip, "entered", ticket, int(verdict), told)
 
-        self._enter(order, done)
+        self._tickets += 1
+        self._enter(self._tickets, order, done)
 
     # Orders and reads.
 
-    def _enter(self, order: Order, done: Callable[[Verdict], None]) -> int:
-        self._tickets += 1
-        ticket = self._tickets
+    def _enter(self, ticket: int, order: Order, done: Callable[[Verdict], None]) -> None:
         self._waiting[ticket] = done
         self._queue(lambda: self.chain.enter(self.clock.now(), ticket, order))
-        return ticket
 
     async def enter(self, order: Order, read: bool = False) -> Entered:
         """Have an order made safe by the head, wherever it is; NOT_YET where that takes too long."""
@@ -208,19 +208,21 @@
             ended.set()
 
         head = self.chain.head
-        with trio.move_on_after(ENTER_MS / 1000.0):
-            if head == self.ip:
-                ticket = self._enter(order, here)
-            else:
-                self._tickets += 1
-                ticket = self._tickets
-                self._away[ticket] = away
-                if not self.say(head, "enter", ticket, order.pack(), read):
-                    ended.set()
-            await ended.wait()
-        self._away.pop(ticket, None)
-        if self._waiting.pop(ticket, None) is not None:
-            self._queue(lambda: self.chain.drop(ticket))
+        self._tickets += 1
+        ticket = self._tickets
+        try:
+            with trio.move_on_after(ENTER_MS / 1000.0):
+                if head == self.ip:
+                    self._enter(ticket, order, here)
+                    await ended.wait()
+                else:
+                    self._away[ticket] = away
+                    if self.say(head, "enter", ticket, order.pack(), read):
+                        await ended.wait()
+        finally:  # its caller may have given up
+            self._away.pop(ticket, None)
+            if self._waiting.pop(ticket, None) is not None:
+                self._queue(lambda: self.chain.drop(ticket))
         return result[0]
 
     # The chain's loop: what it says leaves only once what it holds is saved.
@@ -233,7 +235,7 @@
         return {
             ip: Reach(
                 self.live(ip), told.disk, told.ill, told.zone, told.epoch, told.safe_epoch, told.version,
-                told.leaving, told.leaving_sum, told.digest, frozenset(told.sees),
+                told.leaving, told.leaving_sum, told.identity, frozenset(told.sees),
             )
             for ip, told in self.states.items()
         }  # fmt: skip
@@ -335,12 +337,15 @@
 
     @property
     def in_contact(self) -> bool:
-        """Tell whether a majority of the voters has answered of late, of the same epoch as this machine's."""
-        view = self.chain.view
+        """Tell whether a majority of the voters has answered of late, of the same epoch as this machine's.
+
+        By when they were asked: after a cut, cables are up again before what was heard on them is new.
+        """
+        view, now = self.chain.view, self.clock.now()
         heard = [
             (ip, disk) for ip, disk in view.voters
             if (ip, disk) == self.chain.me or (
-                self.live(ip) and (told := self.states.get(ip)) is not None
+                now - self.asked_at.get(ip, -LIVE_MS) < LIVE_MS and (told := self.states.get(ip)) is not None
                 and (told.disk, told.epoch) == (disk, view.epoch)
             )
         ]  # fmt: skip
