--- a/wickspring/lab/varied.py
+++ b/wickspring/lab/varied.py
@@ -2,13 +2,16 @@
 
 `python -m wickspring.lab.varied SITE FOLDER --seed N` writes one copy: delays, processor shares, quotas, the
 number of tenants, beats, disks, bounds of connections and the seeds of days are drawn anew around what the
-file says. Files that the site file names beside itself go along.
+file says; with `--seed 0` they stay. `--core five` (or `six`, `seven`) widens the core and what it has to
+bear. `--days FOLDER` puts the days of our own for this site in place of the file's, with `--luck N` as their
+seed. Files that the site file names beside itself go along.
 """
 
 from __future__ import annotations
 
 import re
 import shutil
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
@@ -30,6 +33,30 @@
 WHOLE = frozenset({"beat_ms", "conn_cap", "idle_close_ms"})
 TENANTS = (0.6, 1.6)
 MOST_SEED = 2**28
+DAY = "[[day]]"
+
+
+@dataclass(slots=True, frozen=True)
+class Core:
+    """How wide a core is, and what is lost of it at once with all rules kept."""
+
+    machines: int
+    zones: int  # over how many it is spread at most, from the first on
+    bears: int  # machines
+    bears_zones: int = 0
+
+    def counts(self, zones: int) -> list[int]:
+        """Return how many core machines stand in each zone, in the zones' order."""
+        used = min(self.zones, zones)
+        each, more = divmod(self.machines, used)
+        return [each + (nth < more) if nth < used else 0 for nth in range(zones)]
+
+
+CORES = {
+    "five": Core(machines=5, zones=5, bears=2),
+    "six": Core(machines=6, zones=3, bears=2, bears_zones=1),
+    "seven": Core(machines=7, zones=7, bears=3, bears_zones=1),
+}
 
 
 def vary(text: str, seed: int) -> str:
@@ -51,15 +78,53 @@
     return re.sub(r"(\[tenants\]\ncount = )([0-9]+)", tenants, text)
 
 
-def write(site: str, folder: str, seed: int = 1) -> str:
+def widen(text: str, core: Core) -> str:
+    """Return a site file's text with another core, and with what it bears; what else stands there stays."""
+    listed = re.search(r"(?ms)^zones = \[\n(.*?)^\]", text)
+    if listed is None:
+        raise ValueError("the site file lists no zones")
+    zones = re.findall(r'name = "([^"]+)"', listed[1])
+    counts = dict(zip(zones, core.counts(len(zones)), strict=True))
+    found = set()
+
+    def machine(line: re.Match[str]) -> str:
+        zone = line[2]
+        if zone in found:
+            raise ValueError(f"two lines of core machines in {zone}")
+        found.add(zone)
+        return re.sub(r"\bcount = [0-9]+", f"count = {counts[zone]}", line[0]) if counts[zone] else ""
+
+    text = re.sub(r'(?m)^( *\{ class = "core", [^\n]*?zone = "([^"]+)"[^\n]*\n)', machine, text)
+    if missing := [zone for zone, count in counts.items() if count and zone not in found]:
+        raise ValueError(f"no line of core machines in {', '.join(missing)}")
+    borne = f"[tolerate]\nmachines = {core.bears}\nzones = {core.bears_zones}\n"
+    text, done = re.subn(r"\[tolerate\]\nmachines = [0-9]+\nzones = [0-9]+\n", borne, text)
+    if done != 1:
+        raise ValueError("the site file does not say once what is to be borne")
+    return text
+
+
+def replace_days(text: str, days: list[str], luck: int) -> str:
+    """Return a site file's text with other days, each with this seed."""
+    ours = [re.sub(r"(?m)^seed = [0-9]+", f"seed = {luck}", day) for day in days]
+    return "\n".join([text.split(DAY)[0], *ours])
+
+
+def write(site: str, folder: str, seed: int = 1, core: str = "", days: str = "", luck: int = 1) -> str:
     """Write one varied copy of a site file and return its path."""
     source, target = Path(site), Path(folder)
     target.mkdir(parents=True, exist_ok=True)
     text = source.read_text()
+    if core:
+        text = widen(text, CORES[core])
+    if days:
+        ours = sorted(Path(days).glob(f"*.{source.stem}.toml"))
+        text = replace_days(text, [day.read_text() for day in ours], luck)
     for name in re.findall(r'(?m)^wire = "([^"/]+)"', text):
         shutil.copyfile(source.with_name(name), target / name)
-    written = target / f"{source.stem}-v{seed}.toml"
-    written.write_text(vary(text, seed))
+    marks = [f"v{seed}", *([core] if core else []), *([f"own{luck}"] if days else [])]
+    written = target / f"{'-'.join([source.stem, *marks])}.toml"
+    written.write_text(vary(text, seed) if seed else text)
     return str(written)
 
 
