Send a long body whose rest has begun to go out to no second server

Cause: the part of a body that is not held is taken once, but a further try was sent all the same, with what was left. Told by its length that raised an error outside every guard, and the pilot ended; in chunks the server took half a body for whole. Change: Tries.streamed, an invariant in Tries.begin.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -18,3 +18,8 @@
 def test_servers_that_keep_to_the_rules_are_passed_on_whole() -> None:
     seen = play(range(20), odd=0.0)
     assert seen["told[200]"] > 250 and set(seen) <= {"good", "told[200]", "told[504]"}
+
+
+def test_a_long_body_that_has_begun_to_go_out_goes_to_no_second_server() -> None:
+    seen = play(range(40), only=("turned_away", "closes", "reset_unread"))
+    assert seen["told[503]"] and seen["turned_away"] > 50
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -402,13 +402,19 @@
             heard=self._headers,
         )  # fmt: skip
         passage.flowing = partial(self._flows, request)
-        passage.flows = lambda: not tries.ended
+        passage.flows = partial(self._streams, request)
         self.upstream.start(passage)
         if tries.sent == 1 and tries.route.pure and tries.route.tries > 1 and request.feed is None:
             at = tries.hedge_at(self.choice.usual.get(tries.route.name, 0.0))
             if at < until:
                 request.hedge = self.timers.at(at, partial(self._hedge, request)).cancel
 
+    def _streams(self, request: Request) -> bool:
+        """Let the part of a body go out that is not held, after which there is no further try."""
+        tries = request.tries
+        tries.streamed = tries.streamed or not tries.ended
+        return not tries.ended
+
     def _afford(self, tries: Tries, now: float) -> bool:
         """Pay for a further try; a first one earns."""
         budget = self._budget(tries.service)
--- a/wickspring/pilot/policy/tries.py
+++ b/wickspring/pilot/policy/tries.py
@@ -49,17 +49,19 @@
     sent: int = 0
     never: bool = True  # none of its tries can have run
     timed_out: bool = False
+    streamed: bool = False  # the part of its body that is not held has begun to go out
     ended: bool = False
 
     def may_send(self, now: float) -> bool:
         """Tell whether a further try is allowed by all but the budget."""
-        if self.ended or self.sent >= self.route.tries or self.until - now < WORTH_MS:
+        if self.ended or self.streamed or self.sent >= self.route.tries or self.until - now < WORTH_MS:
             return False
         return self.route.pure or (self.never and self.out == 0)
 
     def begin(self, server: str) -> None:
         """Note a try as sent."""
         holds(self.route.pure or (self.never and self.out == 0), "what may run once is out once")
+        holds(not self.streamed, "a body that is not held goes out once")
         self.tried.add(server)
         self.out += 1
         self.sent += 1
