Let a flowing answer be ended by its own try alone

Cause: of a pure request with two tries out, the end of the one ended the answer of the other that was flowing to the client: in chunks a cut answer looked whole, told by its length an error left the client waiting, and further bytes went to the client's connection, whatever it was at. Change: the request knows which try flows, and Flow passes on only while that is so.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -23,3 +23,8 @@
 def test_a_long_body_that_has_begun_to_go_out_goes_to_no_second_server() -> None:
     seen = play(range(40), only=("turned_away", "closes", "reset_unread"))
     assert seen["told[503]"] and seen["turned_away"] > 50
+
+
+def test_an_answer_that_flows_is_ended_by_its_own_try_alone() -> None:
+    seen = play(range(70), only=("drips", "silent"))
+    assert seen["drips"] > 300 and not seen["reset to the client"]  # no server cuts one here
--- a/wickspring/lab/answers.py
+++ b/wickspring/lab/answers.py
@@ -38,11 +38,12 @@
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say: it has not run and never will
 GRACE_MS = 130.0  # after a request's deadline until its answer must have come; it may be sent in two parts
 LONG = 64 * 1024
+MOST_S = 120.0  # of a play
 TRICKS = {
     "good": 30, "failure": 2, "late_refusal": 2, "turned_away": 4, "wrong_door": 2, "missing": 1,
     "no_seal": 2, "empty_seal": 1, "hidden_seal": 1, "other_id": 3, "no_id": 1, "two_ids": 2, "encoded": 1,
     "silent": 2, "cut": 10, "junk": 2, "early": 2, "surplus": 5, "late_surplus": 6, "glued": 6,
-    "to_the_end": 4, "slow": 4, "reset_unread": 2, "closes": 3,
+    "to_the_end": 4, "slow": 4, "drips": 6, "reset_unread": 2, "closes": 3,
 }  # fmt: skip
 
 
@@ -311,7 +312,7 @@
         random, books = self.books.random, self.books
         code, seal = 200, f"seal.{id_}.{self.name}.{len(books.meant[id_])}"
         body = f"{id_} by {self.name}\n".encode() * random.choice((0, 1, 3))
-        if run and random.random() < 0.12:
+        if run and (trick == "drips" or random.random() < 0.12):
             body = f"{id_} at length by {self.name}\n".encode() * random.randint(1500, 6000)
         if trick == "failure":
             code = 500
@@ -443,6 +444,12 @@
             await trio.sleep(random.choice((0.0, 0.0, 0.05, 3.0)))
             end.close(random.choice(("end", "reset")))
             return False
+        if trick == "drips":
+            size = len(said) // random.randint(3, 8) + 1
+            while len(said) > size:
+                end.say(said[:size])
+                said = said[size:]
+                await trio.sleep(random.uniform(0.02, 0.5))
         at = random.randint(0, len(said)) if random.random() < 0.3 else len(said)
         end.say(said[:at])
         if at < len(said):
@@ -451,7 +458,7 @@
         if trick == "to_the_end":
             end.close()
             return False
-        if trick != "glued":
+        if trick not in ("glued", "drips"):
             books.replays.append(said[:3000])
         if trick in ("surplus", "late_surplus"):
             more = self._spoilt() if random.random() < 0.7 else said
@@ -505,16 +512,19 @@
             nursery.start_soon(pilot.timers.run)
             pilot.tidy()
             chart = lay_out(document(1, once=ONCE))
-            pilot.moorings.chart = chart
+            pilot.moorings.chart, pilot.moorings.fleet = chart, 1
             pilot._charted(chart)
             for number, name in enumerate(self.peers):
                 service = ("looker", "doer")[number % 2]
                 pilot.choice.heard(pilot.clock.now(), Server(name, service, f"10.0.0.{number}:80", "a", 2))
             self.nursery = nursery
             cast(Any, pilot.upstream).connect = self._connect
-            async with trio.open_nursery() as clients:
-                for number in range(self.clients):
-                    clients.start_soon(self._client, number)
+            with trio.move_on_after(MOST_S) as limit:
+                async with trio.open_nursery() as clients:
+                    for number in range(self.clients):
+                        clients.start_soon(self._client, number)
+            if limit.cancelled_caught:
+                self.books.wrong("a client waits without end")
             await trio.sleep(4.0)  # whoever runs late has run by then
             if pilot.requests or pilot.ids:
                 self.books.wrong("still owed", list(pilot.requests))
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -13,6 +13,7 @@
 from wickspring import interface as api
 from wickspring.connections.limits import ConnectionLimits
 from wickspring.connections.pools import Conn
+from wickspring.core.invariants import holds
 from wickspring.harbour import log
 from wickspring.harbour.boot import Address, Boot, parse_address
 from wickspring.harbour.cable import Cable, Message, answer
@@ -79,12 +80,35 @@
         self.again = False  # its client has been here before, by the time that it has left
         self.offers: list[tuple[str, float]] | None = None  # servers best taken; None: not told yet
         self.ruled = False  # its quota lets it go on
-        self.passing = False  # its answer flows
+        self.passing = 0  # the number of the try whose answer flows
         self.landing: Landing | None = None  # a whole answer that is no success, kept while others are out
         self.timer: Callable[[], None] = lambda: None  # cancels the end
         self.hedge: Callable[[], None] = lambda: None
 
 
+class Flow:
+    """The way of one try's long answer to the client, for as long as it is the client's present one."""
+
+    __slots__ = ("client", "number", "request")
+
+    def __init__(self, request: Request, number: int, client: Http1Connection) -> None:
+        self.request, self.number, self.client = request, number, client
+
+    def _own(self) -> bool:
+        request = self.request
+        return request.client is self.client and request.passing == self.number and not request.tries.ended
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+        waits = self.client.number == self.request.number
+        if self._own() and holds(waits, "whom an answer is passed on to waits for it"):
+            self.client.write(data)
+
+    async def room(self) -> bool:
+        """Wait until the client has read what was passed on; False where it has gone."""
+        return self._own() and await self.client.room() and self._own()
+
+
 class Pilot(Host):
     """One pilot."""
 
@@ -139,7 +163,7 @@
     @property
     def flowing(self) -> int:
         """How many long bodies and answers are on their way."""
-        return sum(one.feed is not None or one.passing for one in self.requests.values())
+        return sum(one.feed is not None or one.passing > 0 for one in self.requests.values())
 
     # What is told.
 
@@ -401,7 +425,7 @@
             body=request.body, feed=request.feed, done=partial(self._ended, request, berth, number, told),
             heard=self._headers,
         )  # fmt: skip
-        passage.flowing = partial(self._flows, request)
+        passage.flowing = partial(self._flows, request, number)
         passage.flows = partial(self._streams, request)
         self.upstream.start(passage)
         if tries.sent == 1 and tries.route.pure and tries.route.tries > 1 and request.feed is None:
@@ -456,16 +480,16 @@
                 pools.idle_close = min(pools.idle_close, 1000.0 * KEEP_ALIVE_SHARE * int(seconds))
 
     def _flows(
-        self, request: Request, code: int, pairs: list[tuple[str, str]], length: int | None
+        self, request: Request, number: int, code: int, pairs: list[tuple[str, str]], length: int | None
     ) -> Sink | None:
         """Begin an answer that is longer than what is held."""
         client = request.client
         if request.tries.ended or request.passing or not isinstance(client, Http1Connection):
             return None
-        request.passing = True
+        request.passing = number
         request.timer()
         client.begin(length, code, own(pairs))
-        return client
+        return Flow(request, number, client)
 
     def _ended(self, request: Request, berth: Berth, number: int, told: str, reply: Reply) -> None:
         """Learn from a try's end, and go on from there."""
@@ -482,6 +506,8 @@
         self.tally[f"tries[{outcome.value}]"] += 1
         if tries.ended:
             return
+        if request.passing and request.passing != number:
+            return  # another's answer flows, and ends by itself
         if request.passing:
             self._finish(request)
             if isinstance(request.client, Http1Connection):
