Take a request of which a server can have read a byte for one that may have run

Cause: a request whose last byte was not written yet counted as unsent, so one that may run once went to a second server, or was answered 503, though the first had its head and part of its body and may have run by these. Change: GatewayLink asks whether the kernel took a byte of it; Http1Link keeps its own rule, now in a method. An invariant: nothing is left over when a request is written.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -28,3 +28,8 @@
 def test_an_answer_that_flows_is_ended_by_its_own_try_alone() -> None:
     seen = play(range(70), only=("drips", "silent"))
     assert seen["drips"] > 300 and not seen["reset to the client"]  # no server cuts one here
+
+
+def test_what_was_written_in_part_may_have_run() -> None:
+    seen = play(range(60), only=("early", "silent"))  # servers that run by the head alone
+    assert seen["early"] > 200 and seen["told[502]"]
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -260,9 +260,13 @@
             self.job = None
             self.close()
 
+    def written(self) -> bool:
+        """Tell whether the present job may have run: its last byte was written."""
+        return self.sent and self._whole and self.link is not None and self.link.flushed
+
     def close(self, end: End = End.HERE) -> None:
-        """Close; whether the last byte was written decides what may have run."""
-        written = self.sent and self._whole and self.link is not None and self.link.flushed
+        """Close; what was written decides what may have run."""
+        written = self.written()
         self.closed, self.sent = True, False
         if self.link is not None:
             self.link.close()
--- a/wickspring/pilot/upstream.py
+++ b/wickspring/pilot/upstream.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wickspring.core.invariants import holds
 from wickspring.interface import Status
 from wickspring.net.upstream.carrier import Job, Reply, Sink
 from wickspring.net.upstream.http1 import Http1Link
@@ -66,6 +67,19 @@
 class GatewayLink(Http1Link):
     """A connection to a server of the gateway."""
 
+    _before = 0  # bytes that the kernel had taken before the present job
+
+    def begin(self, job: Job) -> None:
+        """Write the job; nothing is left over of what came before."""
+        holds(not self.reader.http.trailing_data[0], "no bytes are left over for the next request")
+        if self.link is not None:
+            self._before = self.link.taken
+        super().begin(job)
+
+    def written(self) -> bool:
+        """Tell whether the server can have read a byte: one that runs by the head alone may have run."""
+        return self.sent and self.link is not None and self.link.taken > self._before
+
     def read(self, answer: tuple[int, dict[str, str], bytes]) -> Reply:
         """Take a whole answer for the server's, or its connection for spoilt."""
         code, headers, body = answer
