Take no empty seal, nor strip one that the server names as its connection's

Cause: a seal without a value passed, two did as well, and `Connection: x-server-seal` had the seal of a good answer stripped as a hop header: successes without a seal. Change: exactly one seal, and with a value; id and seal stay whatever Connection says.

--- a/wickspring/pilot/upstream.py
+++ b/wickspring/pilot/upstream.py
@@ -53,9 +53,9 @@
 
 
 def own(pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Return the headers that are not of a single connection, nor named so by it."""
+    """Return the headers that are not of a single connection, nor named so by it; id and seal always stay."""
     values = [value for name, value in pairs if name.lower() == "connection"]
-    named = {word.strip().lower() for value in values for word in value.split(",")}
+    named = {word.strip().lower() for value in values for word in value.split(",")} - {ID, SEAL}
     return [(k, v) for k, v in pairs if k.lower() not in HOP and k.lower() not in named]
 
 
@@ -76,7 +76,10 @@
     code, headers = reader.code, dict(reader.pairs)
     if not is_for(reader, passage):
         return False
-    return not (200 <= code < 300) or (SEAL in headers and "content-encoding" not in headers)
+    seals = [value for name, value in reader.pairs if name == SEAL]
+    if len(seals) > 1:
+        return False
+    return not (200 <= code < 300) or (any(seals) and "content-encoding" not in headers)
 
 
 class GatewayLink(Http1Link):
