Take no answer for whole that only the end of its connection ends

Cause: an answer without a length, which says that it ends with its connection, passed wherever it was cut, as a whole success. Change: the gateway takes only answers that tell their end; the rest may have run (502, or a further try where the route is pure).

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -39,7 +39,7 @@
 
 @pytest.mark.parametrize(
     ("trick", "least"),
-    [("glued", 0), ("two_ids", 0), ("empty_seal", 0), ("hidden_seal", 500)],
+    [("to_the_end", 0), ("glued", 0), ("two_ids", 0), ("empty_seal", 0), ("hidden_seal", 500)],
 )
 def test_a_head_that_is_not_wholly_this_answers_own_is_not_believed(trick: str, least: int) -> None:
     """Heads glued of two answers, two ids, no seal or one named as the connection's, no length told."""
--- a/wickspring/pilot/upstream.py
+++ b/wickspring/pilot/upstream.py
@@ -72,8 +72,14 @@
 
 
 def is_own(reader: AnswerReader, passage: Passage) -> bool:
-    """Tell whether an answer is the server's to this request, as far as its head can show."""
+    """Tell whether an answer is the server's to this request, as far as its head can show.
+
+    The answer itself must tell its end: one that ends with its connection looks whole wherever it is cut.
+    """
     code, headers = reader.code, dict(reader.pairs)
+    bodiless = code in (204, 304) or passage.method == "HEAD"
+    if not (bodiless or "content-length" in headers or "transfer-encoding" in headers):
+        return False
     if not is_for(reader, passage):
         return False
     seals = [value for name, value in reader.pairs if name == SEAL]
