Answer 502 where a server refuses without saying that it has not run

Cause: a server's own 503, 429 or 408 without X-Not-Executed was passed on as it came, and a client takes these for a promise that its request has not run and will not. Change: such an answer ends as MAY_HAVE_RUN, and an invariant in _end keeps all our own refusals from what may have run.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -46,3 +46,8 @@
     seen = play(range(40), only=(trick,))
     assert seen[trick] > 300 and seen["told[200]"] > max(least, 200)
     assert least or seen["told[502]"] > 150
+
+
+def test_a_refusal_by_a_server_that_has_run_it_is_not_passed_on_as_one() -> None:
+    seen = play(range(40), only=("late_refusal",))  # 503, 429 and 408 without X-Not-Executed
+    assert seen["late_refusal"] > 300 and seen["told[502]"] > 200
--- a/wickspring/lab/answers.py
+++ b/wickspring/lab/answers.py
@@ -254,7 +254,6 @@
     runs: Counter[str] = field(default_factory=Counter)
     sent_to: defaultdict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
     meant: defaultdict[str, list[tuple[int, str, bytes]]] = field(default_factory=lambda: defaultdict(list))
-    replays: list[bytes] = field(default_factory=list)  # whole answers, as they were
     told: dict[str, int] = field(default_factory=dict)  # id to the status that its client read
     seen: Counter[str] = field(default_factory=Counter)
 
@@ -298,6 +297,7 @@
     books: Books
     odd: float  # share of requests that are not answered well
     only: tuple[str, ...] = ()
+    replays: list[bytes] = field(default_factory=list)  # its answers, as they were
 
     def _trick(self) -> str:
         random = self.books.random
@@ -365,7 +365,7 @@
     def _spoilt(self) -> bytes:
         """Return an old answer, or the beginning of one."""
         random = self.books.random
-        old = random.choice(self.books.replays) if self.books.replays else b"HTTP/1.1 200 OK\r\n\r\n"
+        old = random.choice(self.replays) if self.replays else b"HTTP/1.1 200 OK\r\n\r\n"
         return old[: random.randint(1, len(old))] if random.random() < 0.6 else old
 
     async def serve(self, end: Far) -> None:
@@ -423,7 +423,7 @@
 
     async def _reply(self, end: Far, id_: str, trick: str, runs: bool) -> bool:
         """Answer a request that has been read; True where the connection goes on."""
-        random, books = self.books.random, self.books
+        random = self.books.random
         await trio.sleep(random.choice((0.0, 0.003, 0.02, 0.2)))
         if trick == "silent":
             await trio.sleep(5.0)
@@ -459,7 +459,7 @@
             end.close()
             return False
         if trick not in ("glued", "drips"):
-            books.replays.append(said[:3000])
+            self.replays.append(said[:3000])
         if trick in ("surplus", "late_surplus"):
             more = self._spoilt() if random.random() < 0.7 else said
             if trick == "late_surplus":  # in the place of the next one
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -58,6 +58,7 @@
     Status.OK: Outcome.ANSWERED, Status.FULL: Outcome.TURNED_AWAY, Status.CONNECT_FAILED: Outcome.UNSENT,
     Status.MOOT: Outcome.UNSENT, Status.TIMEOUT: Outcome.SILENT, Status.ERROR: Outcome.ANSWERED,
 }  # fmt: skip
+PROMISES = frozenset({408, 421, 429, 503})  # a client takes them for: it has not run and never will
 _SET_HERE = frozenset({"host", "x-key", "x-tenant", "x-target-instance", "x-deadline-ms", "expect"})
 
 
@@ -524,7 +525,10 @@
             self._give_up(request)
 
     def _land(self, request: Request, landing: Landing) -> None:
-        """Give the client the server's answer as it came."""
+        """Give the client the server's answer as it came, unless it would be read as `it has not run`."""
+        if landing.code in PROMISES:
+            self._end(request, Kind.MAY_HAVE_RUN)
+            return
         client = request.client
         self._finish(request)
         self.tally["answered"] += 1
@@ -554,6 +558,10 @@
             self._end(request, tries.verdict, self.random.uniform(*BACK_MS))
 
     def _end(self, request: Request, kind: Kind, wait: float = 0.0) -> None:
+        tries = request.tries
+        never = tries.never and tries.out == 0
+        if not holds(never or ANSWERS[kind].status not in PROMISES, "what may have run is not refused"):
+            kind = Kind.MAY_HAVE_RUN
         client = request.client
         self._finish(request)
         if client is not None:
