Let no id that is borne twice have its request run twice

Cause: the end of a pure request freed the id of one that may run once and was still at work, so its copy went to a second server. And of two X-Attempt-Id in one request the last was looked at while both went on. Change: only a request that may run once frees its id; two ids are answered 400.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -5,8 +5,10 @@
 from collections import Counter
 
 import pytest
+import trio
 
-from wickspring.lab.answers import Play
+from wickspring.lab.answers import ONCE, Play
+from wickspring.lab.harbour import HOST, KEY, PREFIX
 
 
 def play(seeds: range, **how: object) -> Counter[str]:
@@ -51,3 +53,51 @@
 def test_a_refusal_by_a_server_that_has_run_it_is_not_passed_on_as_one() -> None:
     seen = play(range(40), only=("late_refusal",))  # 503, 429 and 408 without X-Not-Executed
     assert seen["late_refusal"] > 300 and seen["told[502]"] > 200
+
+
+class Copied(Play):
+    """Each request that may run once is sent again while it is at work, after a pure one with its id."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        for number, peer in enumerate(self.peers.values()):
+            peer.odd, peer.only = float(number % 2), ("silent",)  # those that do what may run once
+
+    async def client(self, number: int) -> None:
+        id_ = f"a{number}"
+        self.books.asked[id_] = ONCE, 0
+        ends = [self.knock() for _ in range(3)]
+        for end, path in zip(ends, (ONCE, PREFIX, ONCE), strict=True):
+            end.say(head(path, id_))
+            await trio.sleep(0.01 if path == ONCE else 0.1)
+            if path == PREFIX:
+                await self.read(end, id_, b"")
+        await self.read(ends[2], id_, b"")
+        self.books.seen["still at work"] += not ends[0].got
+
+
+def head(path: str, *ids: str) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"X-Key: {KEY}", "Content-Length: 0"]
+    return "\r\n".join([*lines, *(f"X-Attempt-Id: {id_}" for id_ in ids), "", ""]).encode()
+
+
+def test_a_copy_of_what_is_at_work_is_turned_away() -> None:
+    for seed in range(30):
+        seen = Copied(seed).run().seen
+        assert seen["still at work"] == 3 == seen["told[409]"] == seen["told[200]"]
+
+
+class Doubled(Play):
+    """Requests with two ids: which of them would a server go by?"""
+
+    async def client(self, number: int) -> None:
+        for first, second in (("a", "b"), ("a", "a"), ("c", "a")):
+            self.books.asked[first] = self.books.asked[second] = ONCE, 0
+            end = self.knock()
+            end.say(head(ONCE, first, second))
+            await self.read(end, second, b"")
+
+
+def test_a_request_with_two_ids_is_turned_away() -> None:
+    books = Doubled(1, odd=0.0).run()
+    assert books.seen == {"told[400]": 9} and not books.runs
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -259,7 +259,9 @@
             self._refuse(client, Kind.NO_KEY)
             return
         id_, left = headers.get(ID, ""), headers.get("x-deadline-ms", "")
-        if not id_ or (left and not left.isdecimal()):
+        pairs = client.pairs() if isinstance(client, Http1Connection) else list(headers.items())
+        ids = sum(name == ID for name, _ in pairs)
+        if not id_ or ids > 1 or (left and not left.isdecimal()):
             self._refuse(client, Kind.BAD_REQUEST)
             return
         if not route.pure and id_ in self.ids:
@@ -271,7 +273,6 @@
         request = Request(
             self._last, client, method, target, Tries(route, service, now, now + wait - END_MS)
         )
-        pairs = client.pairs() if isinstance(client, Http1Connection) else list(headers.items())
         request.headers = [pair for pair in own(pairs) if pair[0] not in _SET_HERE]
         request.host, request.id, request.body, request.feed = host, id_, body, feed
         if tenant is not None:
@@ -572,7 +573,8 @@
         request.timer()
         request.hedge()
         self.requests.pop(request.number, None)
-        self.ids.discard(request.id)
+        if not request.tries.route.pure:  # a pure one may bear the id of one that is at work
+            self.ids.discard(request.id)
         if request.feed is not None:
             request.feed.close()
 
