--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -37,7 +37,7 @@
 from wickspring.pilot.policy.choice import Berth, Choice
 from wickspring.pilot.policy.quota import Quota, Ruling
 from wickspring.pilot.policy.tries import END_MS, HEDGE_LEFT, Outcome, Tries
-from wickspring.pilot.upstream import ID, Dials, GatewayLink, Landing, Passage, own
+from wickspring.pilot.upstream import ID, SEAL, Dials, GatewayLink, Landing, Passage, own
 
 BACK_MS = (60.0, 160.0)  # until a client may come again where no server took its request
 CONN_SHARE = 0.9  # of a server's connections that all pilots together take
@@ -487,7 +487,7 @@
         self, request: Request, number: int, code: int, pairs: list[tuple[str, str]], length: int | None
     ) -> Sink | None:
         """Begin an answer that is longer than what is held."""
-        client = request.client
+        client = self._place(request)
         if request.tries.ended or request.passing or not isinstance(client, Http1Connection):
             return None
         request.passing = number
@@ -513,9 +513,10 @@
         if request.passing and request.passing != number:
             return  # another's answer flows, and ends by itself
         if request.passing:
+            client = self._place(request)
             self._finish(request)
-            if isinstance(request.client, Http1Connection):
-                request.client.end(outcome is Outcome.ANSWERED)
+            if isinstance(client, Http1Connection):
+                client.end(outcome is Outcome.ANSWERED)
             return
         if isinstance(reply, Landing) and outcome is Outcome.ANSWERED:
             if reply.code < 500 or not tries.may_send(now):
@@ -527,14 +528,21 @@
         elif tries.out == 0:
             self._give_up(request)
 
+    def _place(self, request: Request) -> Client | None:
+        """Return the client while it waits for this very request; its connection may be ending."""
+        client = request.client
+        return client if not isinstance(client, Http1Connection) or client.number == request.number else None
+
     def _land(self, request: Request, landing: Landing) -> None:
         """Give the client the server's answer as it came, unless it would be read as `it has not run`."""
         if landing.code in PROMISES:
             self._end(request, Kind.MAY_HAVE_RUN)
             return
-        client = request.client
+        client = self._place(request)
         self._finish(request)
         self.tally["answered"] += 1
+        sealed = any(name == SEAL and value for name, value in landing.pairs)
+        holds(sealed or not 200 <= landing.code < 300, "a success bears its seal")
         if isinstance(client, Http1Connection):
             client.answer(landing.code, "", landing.body, own(landing.pairs))
 
@@ -565,7 +573,7 @@
         never = tries.never and tries.out == 0
         if not holds(never or ANSWERS[kind].status not in PROMISES, "what may have run is not refused"):
             kind = Kind.MAY_HAVE_RUN
-        client = request.client
+        client = self._place(request)
         self._finish(request)
         if client is not None:
             self._refuse(client, kind, wait)
--- a/wickspring/pilot/policy/tries.py
+++ b/wickspring/pilot/policy/tries.py
@@ -68,6 +68,7 @@
 
     def end(self, outcome: Outcome) -> None:
         """Note how a try ended."""
+        holds(self.out > 0, "a try ends once")
         self.out -= 1
         self.never = self.never and outcome.never
         self.timed_out = self.timed_out or outcome is Outcome.SILENT
