--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -17,9 +17,11 @@
 from wickspring.lab.harbour import HOST, KEY, PREFIX
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.upstream.http1 import AnswerReader, Http1Link
-from wickspring.pilot import pilot, upstream
-from wickspring.pilot.pilot import Pilot, Request
+from wickspring.pilot import request as way
+from wickspring.pilot import upstream
+from wickspring.pilot.pilot import Pilot
 from wickspring.pilot.policy.tries import Outcome, Tries
+from wickspring.pilot.request import Request
 from wickspring.pilot.upstream import GatewayLink
 
 
@@ -186,7 +188,7 @@
     "sent again after a reset": (0, TWICE, [(Outcome, "never", property(resent))]),
     "a cut answer that looks whole": (63, OTHER, [(Http1Connection, "end", whole_whatever)]),
     "refused though it may have run": (0, "what may have run is not refused", [REFUSES]),
-    "refused, without the invariant": (0, REFUSED, [REFUSES, (pilot, "holds", by_place)]),
+    "refused, without the invariant": (0, REFUSED, [REFUSES, (way, "holds", by_place)]),
     "left over for the next": (0, "no bytes are left over", [LEFT_OVER, BY_PLACE]),
     "left over, without the invariant": (0, OTHER, [LEFT_OVER, BY_PLACE, (upstream, "holds", by_place)]),
     "unsent until all is written": (82, REFUSED, [(GatewayLink, "written", Http1Link.written)]),
