Let no long answer without a length flow to a client of HTTP/1.0

Cause: to such a client h11 ends the answer with its connection, so one that was cut by the end of this process looked whole. Change: it is answered 502 (or another server is asked); the books of the plays want every answer to tell its end.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -133,6 +133,24 @@
     assert books.seen == {"told[400]": 9} and not books.runs
 
 
+class Elder(Play):
+    """Clients that know no chunks."""
+
+    async def client(self, number: int) -> None:
+        for step in range(self.asks):
+            id_, end = f"a{number}.{step}", self.knock()
+            self.books.asked[id_] = PREFIX, 0
+            end.say(head(PREFIX, id_).replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await self.read(end, id_, b"")
+
+
+def test_a_client_that_knows_no_chunks_is_told_the_length() -> None:
+    seen: Counter[str] = Counter()
+    for seed in range(20):
+        seen.update(Elder(seed, odd=1.0, only=("drips",)).run().seen)
+    assert seen["told[200]"] > 50 and seen["told[502]"] > 5
+
+
 class Half(Play):
     """Long bodies that stop half way, at servers that run a request by its head."""
 
--- a/wickspring/lab/answers.py
+++ b/wickspring/lab/answers.py
@@ -270,6 +270,8 @@
             self.wrong("a success without a seal", id_, status)
         if (seal or 200 <= status < 300) and (status, seal, body) not in self.meant[id_]:
             self.wrong("not what a server said to it", id_, status, seal, len(body), self.meant[id_])
+        if status != 204 and not ({"content-length", "transfer-encoding"} & headers.keys()):
+            self.wrong("an answer that does not tell its end", id_, status)
         if status < 500 and headers.get("x-attempt-id", id_) != id_:
             self.wrong("another's answer", id_, headers)
 
--- a/wickspring/pilot/request.py
+++ b/wickspring/pilot/request.py
@@ -382,6 +382,8 @@
         client = self._place(request)
         if request.tries.ended or request.passing or not isinstance(client, Http1Connection):
             return None
+        if length is None and client.http.their_http_version == b"1.0":
+            return None  # such a client would take its end for whole wherever this process were to end
         request.passing = number
         request.timer()
         client.begin(length, code, own(pairs))
