--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -119,6 +119,11 @@
         """Return the status of the present answer; 0 while none has begun."""
         return self._response.status_code if self._response is not None else 0
 
+    @property
+    def reason(self) -> str:
+        """Return the words beside the status of the present answer."""
+        return self._response.reason.decode("latin-1") if self._response is not None else ""
+
     @property
     def pairs(self) -> list[tuple[str, str]]:
         """Return the headers of the present answer, in order, their names in lower case."""
@@ -260,9 +265,13 @@
             self.job = None
             self.close()
 
+    def written(self) -> bool:
+        """Tell whether the present job may have run: its last byte was written."""
+        return self.sent and self._whole and self.link is not None and self.link.flushed
+
     def close(self, end: End = End.HERE) -> None:
-        """Close; whether the last byte was written decides what may have run."""
-        written = self.sent and self._whole and self.link is not None and self.link.flushed
+        """Close; what was written decides what may have run."""
+        written = self.written()
         self.closed, self.sent = True, False
         if self.link is not None:
             self.link.close()
--- a/wickspring/pilot/pilot.py
+++ b/wickspring/pilot/pilot.py
@@ -13,6 +13,7 @@
 from wickspring import interface as api
 from wickspring.connections.limits import ConnectionLimits
 from wickspring.connections.pools import Conn
+from wickspring.core.invariants import holds
 from wickspring.harbour import log
 from wickspring.harbour.boot import Address, Boot, parse_address
 from wickspring.harbour.cable import Cable, Message, answer
@@ -36,7 +37,7 @@
 from wickspring.pilot.policy.choice import Berth, Choice
 from wickspring.pilot.policy.quota import Quota, Ruling
 from wickspring.pilot.policy.tries import END_MS, HEDGE_LEFT, Outcome, Tries
-from wickspring.pilot.upstream import ID, Dials, GatewayLink, Landing, Passage, own
+from wickspring.pilot.upstream import ID, SEAL, Dials, GatewayLink, Landing, Passage, own
 
 BACK_MS = (60.0, 160.0)  # until a client may come again where no server took its request
 CONN_SHARE = 0.9  # of a server's connections that all pilots together take
@@ -57,6 +58,7 @@
     Status.OK: Outcome.ANSWERED, Status.FULL: Outcome.TURNED_AWAY, Status.CONNECT_FAILED: Outcome.UNSENT,
     Status.MOOT: Outcome.UNSENT, Status.TIMEOUT: Outcome.SILENT, Status.ERROR: Outcome.ANSWERED,
 }  # fmt: skip
+PROMISES = frozenset({408, 421, 429, 503})  # a client takes them for: it has not run and never will
 _SET_HERE = frozenset({"host", "x-key", "x-tenant", "x-target-instance", "x-deadline-ms", "expect"})
 
 
@@ -79,15 +81,40 @@
         self.again = False  # its client has been here before, by the time that it has left
         self.offers: list[tuple[str, float]] | None = None  # servers best taken; None: not told yet
         self.ruled = False  # its quota lets it go on
-        self.passing = False  # its answer flows
+        self.passing = 0  # the number of the try whose answer flows
         self.landing: Landing | None = None  # a whole answer that is no success, kept while others are out
         self.timer: Callable[[], None] = lambda: None  # cancels the end
         self.hedge: Callable[[], None] = lambda: None
 
 
+class Flow:
+    """The way of one try's long answer to the client, for as long as it is the client's present one."""
+
+    __slots__ = ("client", "number", "request")
+
+    def __init__(self, request: Request, number: int, client: Http1Connection) -> None:
+        self.request, self.number, self.client = request, number, client
+
+    def _own(self) -> bool:
+        request = self.request
+        return request.client is self.client and request.passing == self.number and not request.tries.ended
+
+    def write(self, data: bytes) -> None:
+        """Pass on a piece."""
+        waits = self.client.number == self.request.number
+        if self._own() and holds(waits, "whom an answer is passed on to waits for it"):
+            self.client.write(data)
+
+    async def room(self) -> bool:
+        """Wait until the client has read what was passed on; False where it has gone."""
+        return self._own() and await self.client.room() and self._own()
+
+
 class Pilot(Host):
     """One pilot."""
 
+    parts_run = True
+
     def __init__(self, boot: Boot, nursery: trio.Nursery, seed: int) -> None:
         super().__init__(nursery, boot.limits.memory_mb)
         self.boot, self.random = boot, Random(seed)
@@ -139,7 +166,7 @@
     @property
     def flowing(self) -> int:
         """How many long bodies and answers are on their way."""
-        return sum(one.feed is not None or one.passing for one in self.requests.values())
+        return sum(one.feed is not None or one.passing > 0 for one in self.requests.values())
 
     # What is told.
 
@@ -236,7 +263,9 @@
             self._refuse(client, Kind.NO_KEY)
             return
         id_, left = headers.get(ID, ""), headers.get("x-deadline-ms", "")
-        if not id_ or (left and not left.isdecimal()):
+        pairs = client.pairs() if isinstance(client, Http1Connection) else list(headers.items())
+        ids = sum(name == ID for name, _ in pairs)
+        if not id_ or ids > 1 or (left and not left.isdecimal()):
             self._refuse(client, Kind.BAD_REQUEST)
             return
         if not route.pure and id_ in self.ids:
@@ -248,7 +277,6 @@
         request = Request(
             self._last, client, method, target, Tries(route, service, now, now + wait - END_MS)
         )
-        pairs = client.pairs() if isinstance(client, Http1Connection) else list(headers.items())
         request.headers = [pair for pair in own(pairs) if pair[0] not in _SET_HERE]
         request.host, request.id, request.body, request.feed = host, id_, body, feed
         if tenant is not None:
@@ -403,14 +431,20 @@
             body=request.body, feed=request.feed, done=partial(self._ended, request, berth, number, told),
             heard=self._headers,
         )  # fmt: skip
-        passage.flowing = partial(self._flows, request)
-        passage.flows = lambda: not tries.ended
+        passage.flowing = partial(self._flows, request, number)
+        passage.flows = partial(self._streams, request)
         self.upstream.start(passage)
         if tries.sent == 1 and tries.route.pure and tries.route.tries > 1 and request.feed is None:
             at = tries.hedge_at(self.choice.usual.get(tries.route.name, 0.0))
             if at < until:
                 request.hedge = self.timers.at(at, partial(self._hedge, request)).cancel
 
+    def _streams(self, request: Request) -> bool:
+        """Let the part of a body go out that is not held, after which there is no further try."""
+        tries = request.tries
+        tries.streamed = tries.streamed or not tries.ended
+        return not tries.ended
+
     def _afford(self, tries: Tries, now: float) -> bool:
         """Pay for a further try; a first one earns."""
         budget = self._budget(tries.service)
@@ -452,16 +486,16 @@
                 pools.idle_close = min(pools.idle_close, 1000.0 * KEEP_ALIVE_SHARE * int(seconds))
 
     def _flows(
-        self, request: Request, code: int, pairs: list[tuple[str, str]], length: int | None
+        self, request: Request, number: int, code: int, pairs: list[tuple[str, str]], length: int | None
     ) -> Sink | None:
         """Begin an answer that is longer than what is held."""
-        client = request.client
+        client = self._place(request)
         if request.tries.ended or request.passing or not isinstance(client, Http1Connection):
             return None
-        request.passing = True
+        request.passing = number
         request.timer()
         client.begin(length, code, own(pairs))
-        return client
+        return Flow(request, number, client)
 
     def _ended(self, request: Request, berth: Berth, number: int, told: str, reply: Reply) -> None:
         """Learn from a try's end, and go on from there."""
@@ -478,10 +512,13 @@
         self.tally[f"tries[{outcome.value}]"] += 1
         if tries.ended:
             return
+        if request.passing and request.passing != number:
+            return  # another's answer flows, and ends by itself
         if request.passing:
+            client = self._place(request)
             self._finish(request)
-            if isinstance(request.client, Http1Connection):
-                request.client.end(outcome is Outcome.ANSWERED)
+            if isinstance(client, Http1Connection):
+                client.end(outcome is Outcome.ANSWERED)
             return
         if isinstance(reply, Landing) and outcome is Outcome.ANSWERED:
             if reply.code < 500 or not tries.may_send(now):
@@ -493,11 +530,21 @@
         elif tries.out == 0:
             self._give_up(request)
 
-    def _land(self, request: Request, landing: Landing) -> None:
-        """Give the client the server's answer as it came."""
+    def _place(self, request: Request) -> Client | None:
+        """Return the client while it waits for this very request; its connection may be ending."""
         client = request.client
+        return client if not isinstance(client, Http1Connection) or client.number == request.number else None
+
+    def _land(self, request: Request, landing: Landing) -> None:
+        """Give the client the server's answer as it came, unless it would be read as `it has not run`."""
+        if landing.code in PROMISES:
+            self._end(request, Kind.MAY_HAVE_RUN)
+            return
+        client = self._place(request)
         self._finish(request)
         self.tally["answered"] += 1
+        sealed = any(name == SEAL and value for name, value in landing.pairs)
+        holds(sealed or not 200 <= landing.code < 300, "a success bears its seal")
         if isinstance(client, Http1Connection):
             client.answer(landing.code, "", landing.body, own(landing.pairs))
 
@@ -524,7 +571,11 @@
             self._end(request, tries.verdict, self.random.uniform(*BACK_MS))
 
     def _end(self, request: Request, kind: Kind, wait: float = 0.0) -> None:
-        client = request.client
+        tries = request.tries
+        never = tries.never and tries.out == 0
+        if not holds(never or ANSWERS[kind].status not in PROMISES, "what may have run is not refused"):
+            kind = Kind.MAY_HAVE_RUN
+        client = self._place(request)
         self._finish(request)
         if client is not None:
             self._refuse(client, kind, wait)
@@ -534,7 +585,8 @@
         request.timer()
         request.hedge()
         self.requests.pop(request.number, None)
-        self.ids.discard(request.id)
+        if not request.tries.route.pure:  # a pure one may bear the id of one that is at work
+            self.ids.discard(request.id)
         if request.feed is not None:
             request.feed.close()
 
