--- a/wickspring/lab/keel.py
+++ b/wickspring/lab/keel.py
@@ -87,6 +87,7 @@
     """All core machines of one run."""
 
     crash_odds = 0.0
+    over = False  # nothing more befalls them
 
     def __init__(
         self, seed: int, machines: int = 4, seeds: int = 3, chain: type[Chain] = Chain,
@@ -376,12 +377,15 @@
 
     def ends_well(self) -> None:
         """End all that is wrong; check that the core answers, and that all copies become one."""
+        self.over = True
         self.cut.clear()
         self.ambush = None
         self.loss = self.crash_odds = 0.0
         for machine in list(self.machines.values()):
             machine.save_crash, machine.stopped_until = 0.0, min(machine.stopped_until, self.now)
             self.revive(machine)
+            if machine.chain is not None:
+                machine.chain.hampered = False
         began = self.now
         self.answers_within(ANSWER_MS)
         self.run(max(self.now, began + SETTLE_MS))
--- a/wickspring/lab/keel_faults.py
+++ b/wickspring/lab/keel_faults.py
@@ -87,6 +87,14 @@
 
         self.at(length_ms, heal_soon)
 
+    def hamper(self, machine: Machine, length_ms: float) -> None:
+        """A machine's disk does not come back in time, and it says so."""
+        chain = machine.chain
+        if chain is not None:
+            chain.hampered = True
+            machine.back_at = self.now + length_ms
+            self.at(length_ms, lambda: setattr(chain, "hampered", False))
+
     def new_machine(self, zone: str) -> Machine:
         """Put an empty machine at an address of its own."""
         machine = Machine(f"m{next(self.names)}", zone)
@@ -139,6 +147,7 @@
 
     kinds: tuple[str, ...] = (
         "kill", "wipe", "wipe", "kill_all", "cut", "one_way", "lossy", "crash", "stop", "replace", "planned",
+        "slow",
     )  # fmt: skip
 
     def trouble(self) -> None:
@@ -152,6 +161,8 @@
     def befall(self, kind: str) -> None:
         """Have one thing go wrong."""
         draw = self.random
+        if self.over:
+            return
         if kind == "kill_all":
             self.kill_all()
             return
@@ -171,6 +182,9 @@
         elif kind == "stop":
             for one in lost:
                 one.stopped_until = self.now + draw.uniform(100.0, 4000.0)
+        elif kind == "slow":
+            for one in lost:
+                self.hamper(one, draw.uniform(500.0, 6000.0))
         elif kind in ("cut", "one_way"):
             length = draw.choice((draw.uniform(500.0, 5000.0), CUT_MS))
             self.cut_off(lost, length, kind == "cut", draw.random() < 0.5)
