Name what catches each seeded defect; explore two writes of two numbers as before

The move of these tests to the new chain had left out what the message must be, and the exploring of two numbers.

--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -9,7 +9,7 @@
 from wickspring.lab.keel_states import ONE_NUMBER, explore
 from wickspring.lighthouse.chain import Chain
 from wickspring.lighthouse.lease import LEASE_MS, Lease, grants
-from wickspring.lighthouse.replica import Replica
+from wickspring.lighthouse.replica import Order, Replica
 from wickspring.lighthouse.views import Reach, Scene, Tolerance, View, changes, next_view
 
 ONE, TWO, THREE, ZONE = Tolerance(1), Tolerance(2), Tolerance(3), Tolerance(1, 1)
@@ -153,8 +153,9 @@
 
 @pytest.mark.parametrize("loses", ["a", "b", "c"])
 def test_no_order_of_events_breaks_a_small_core(loses: str) -> None:
-    """Two writers give one number two texts."""
+    """Two writers give one number two texts; or two numbers."""
     assert explore(ONE_NUMBER, loses) > 9_000
+    assert explore((Order(1, b"1"), Order(2, b"2")), loses) > 9_000
 
 
 @pytest.mark.parametrize("returns", ["empty", "its disk"])
--- a/tests/test_chain_defects.py
+++ b/tests/test_chain_defects.py
@@ -178,29 +178,34 @@
     Cut(seed, 4, chain=chain, lease=Kept).play(25_000.0)
 
 
-DEFECTS: list[tuple[Callable[[int, type[Chain]], None], type[Chain], int]] = [
-    (chaos, Careless, 0),  # acknowledged with another text
-    (chaos, Hasty, 0),
-    (chaos, Stern, 0),  # refused, though no other text is safe
-    (chaos, Sure, 0),  # confirmed without contact
-    (chaos, Early, 0),  # handed out before contact
-    (leaving, Forgetful, 8),  # a leaving member forgotten early: by its copies
-    (leaving_of_five, Voteless, 192),  # by those who decide
-    (chaos, Hollow, 0),  # a copy without its text counted as a copy
-    (chaos, Bare, 30),  # a view installed without its state
-    (chaos, Numbered, 41),  # copies told apart by their number alone
-    (chaos, Alone, 0),  # a view agreed by one
-    (wiped, Chain, 58),  # a wiped disk's name used again
-    (kept, Chain, 5),  # a lease kept too long
+DEFECTS: list[tuple[Callable[[int, type[Chain]], None], type[Chain], int, str]] = [
+    (chaos, Careless, 0, "has another text of it"),  # acknowledged with another text
+    (chaos, Hasty, 0, "acknowledged, m1 has"),
+    (chaos, Stern, 0, "no other text of it is safe"),  # refused, though no other text is safe
+    (chaos, Sure, 0, "had been acknowledged before"),  # confirmed without contact
+    (chaos, Early, 0, "before it has heard another"),  # handed out before contact
+    (leaving, Forgetful, 8, "no read was answered"),  # a leaving member forgotten early: by its copies
+    (leaving_of_five, Voteless, 192, "no read was answered"),  # by those who decide
+    (chaos, Hollow, 0, "calls .* safe"),  # a copy without its text counted as a copy
+    (chaos, Bare, 30, "two texts of"),  # a view installed without its state
+    (chaos, Numbered, 41, "two texts of"),  # copies told apart by their number alone
+    (chaos, Alone, 0, "two views|differ|no read"),  # a view agreed by one
+    (
+        wiped,
+        Chain,
+        58,
+        "holds the state of its view|two |acknowledged|differ|no read",
+    ),  # a wiped disk's name used again
+    (kept, Chain, 5, "usable at once"),  # a lease kept too long
 ]
 
 
-@pytest.mark.parametrize(("play", "chain", "seed"), DEFECTS)
+@pytest.mark.parametrize(("play", "chain", "seed", "what"), DEFECTS)
 def test_seeded_defects_are_caught(
-    play: Callable[[int, type[Chain]], None], chain: type[Chain], seed: int
+    play: Callable[[int, type[Chain]], None], chain: type[Chain], seed: int, what: str
 ) -> None:
     """The listed seed is tried first; a change of the chain draws other runs, and then another may be it."""
-    with pytest.raises(AssertionError) as caught:
+    with pytest.raises(AssertionError, match=what) as caught:
         for one in (seed, *range(400)):
             play(one, chain)
     print(caught.value)
