Say what the core does not bear; tell configurations in ticks only where they are news

Cause: a core too small for tolerates was told to nobody; digests in each tick had doubled a pilot's bytes.

--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -151,11 +151,14 @@
     assert bare.filled(told) == told
 
 
-@pytest.mark.parametrize("loses", ["a", "b", "c"])
-def test_no_order_of_events_breaks_a_small_core(loses: str) -> None:
-    """Two writers give one number two texts; or two numbers."""
-    assert explore(ONE_NUMBER, loses) > 9_000
-    assert explore((Order(1, b"1"), Order(2, b"2")), loses) > 9_000
+@pytest.mark.parametrize(
+    ("loses", "one_number", "two_numbers"),
+    [("a", 17_505, 20_200), ("b", 9_969, 11_391), ("c", 24_104, 28_002)],
+)
+def test_no_order_of_events_breaks_a_small_core(loses: str, one_number: int, two_numbers: int) -> None:
+    """Two writers give one number two texts; or two numbers. Every state is visited: the counts say so."""
+    assert explore(ONE_NUMBER, loses) == one_number
+    assert explore((Order(1, b"1"), Order(2, b"2")), loses) == two_numbers
 
 
 @pytest.mark.parametrize("returns", ["empty", "its disk"])
--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -129,7 +129,7 @@
     of_pilots: list[list[Any]] = [
         ["hello", "pilot", "10.1.0.2", {"version": 3}], ["add", 1, "n", False, 1], ["berth", 2, "s", "a"],
         ["out", "i1"], ["in", "i1", 1.2], ["spent", "n"], ["back", "n"], ["past", "n", [[0, 3], [4, 1]]],
-        ["tick", 3, b"d"], ["whole"],
+        ["tick", 3, b"d"], ["tick"], ["whole"],
     ]  # fmt: skip
     of_core: list[list[Any]] = [
         ["tick", 5.0], ["cores"], ["chain", ["pass", [1, [["a", "first"]]], 1, [1, b"", {"i": 1}]]],
--- a/wickspring/helm/__main__.py
+++ b/wickspring/helm/__main__.py
@@ -59,10 +59,13 @@
                     "lighthouse": address, "state": state, "epoch": chain["epoch"],
                     "held": f"r{chain['held']}", "safe": f"r{chain['safe']}",
                     "servers": len(one["servers"]), "pilots": ",".join(one["pilots"]) or "-",
+                    "short": chain["short"],
                 }
             )  # fmt: skip
         names = ("lighthouse", "state", "epoch", "held", "safe", "servers", "pilots")
-        return self._show(rows, _table([{name: row.get(name, "") for name in names} for row in rows]))
+        text = _table([{name: row.get(name, "") for name in names} for row in rows])
+        short = sorted({what for row in rows for what in row.get("short", ())})
+        return self._show(rows, "\n".join([text, *(f"the core does not bear {what}" for what in short)]))
 
     def chain(self) -> str:
         """Show the chain: its view, and which copy is behind."""
--- a/wickspring/lab/capacity_site.py
+++ b/wickspring/lab/capacity_site.py
@@ -47,6 +47,7 @@
 
 CORE, INGRESS, SERVER = "core", "ingress", "server"
 WORK_MS = 50.0  # that a server takes for an answer
+SEAL = [("x-server-seal", "1.1.1.1.1.1")]  # as any success of a server bears
 PORT = 7340
 ROLE: ContextVar[str] = ContextVar("role", default="lab")
 PART: ContextVar[str] = ContextVar("part", default="rest")
@@ -229,7 +230,7 @@
     def start(self, job: Job) -> None:
         """Answer a try later."""
         job_done = job.done
-        self.timers.at(self.clock.now() + WORK_MS, lambda: job_done(Landing(Status.OK, code=200)))
+        self.timers.at(self.clock.now() + WORK_MS, lambda: job_done(Landing(Status.OK, code=200, pairs=SEAL)))
 
 
 class Caller:
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import asdict
 from functools import partial
@@ -37,6 +38,7 @@
 
 SWEEP_MS = 250.0
 ALIVE_MS = 500.0
+SHORT_MS = 3000.0  # that the core must bear too little to be told in the log
 SAVE_MS = 1500.0  # between two saves of which servers there are
 MOST_ORDER = 4 << 20  # bytes of a configuration
 INTRODUCED = 3  # pilots that a new one is told of
@@ -69,6 +71,8 @@
         self._begin()
         self._fresh: dict[str, int] = {}  # beats since the core was last told
         self._last = 0
+        self._short: list[str] = []
+        self._short_since = math.inf
 
     def _begin(self) -> None:
         """Begin with what this machine's disk holds of servers.
@@ -302,8 +306,12 @@
             self.tally.past(self.clock.now(), str(message[1]), cable.name, message[2])
         elif name == "tick":
             copy, contact, servers = self.offers.copy, self.look(), self.digest()
-            cable.send("tock", self.epoch, copy.version, self.fleet, servers, copy.digest, int(contact))
-            self.offers.holds(cable, message[1], message[2])
+            same = cable.about.get("tocked") == copy.digest
+            cable.about["tocked"] = copy.digest
+            told = b"" if same else copy.digest  # as last told on this cable
+            cable.send("tock", self.epoch, copy.version, self.fleet, servers, told, int(contact))
+            if len(message) > 1:
+                self.offers.holds(cable, message[1], message[2])
             self._offer(cable)
         elif name == "whole":
             cable.send(*self._view())
@@ -345,6 +353,16 @@
 
     # Upkeep.
 
+    def _tell_short(self, now: float) -> None:
+        """Say in one line what the core does not bear of what it should, once that has lasted."""
+        short = self.core.short()
+        if short != self._short:
+            self._short, self._short_since = short, now
+        elif now - self._short_since > SHORT_MS:
+            self._short_since = math.inf
+            if short:
+                log.event("core_bears_too_little", lacks="; ".join(short))
+
     async def upkeep(self) -> None:
         """Look after servers and views, again and again."""
         told_at = saved_at = 0.0
@@ -353,6 +371,8 @@
             await trio.sleep(SWEEP_MS * self.random.uniform(0.9, 1.1) / 1000.0)
             now = self.clock.now()
             contact = self.look()
+            if contact is Contact.SETTLED:
+                self._tell_short(now)
             if self._cores() != cores:
                 cores = self._cores()
                 self._tell(*self._view())
@@ -404,6 +424,7 @@
                 "held": chain.replica.config.version,
                 "safe": chain.safe.config.version,
                 "disk": chain.me[1],
+                "short": self.core.short(),  # what of `tolerates` the view does not bear
             },
             "core": {
                 ip: {
--- a/wickspring/lighthouse/views.py
+++ b/wickspring/lighthouse/views.py
@@ -217,16 +217,16 @@
     short = []
     may_go = (len(view.voters) - 1) // 2
     if tolerance.machines > may_go:
-        short.append(f"{tolerance.machines} machines: {len(view.voters)} voters bear {may_go}")
+        short.append(f"tolerates.machines={tolerance.machines}: {len(view.voters)} voters bear {may_go}")
     if tolerance.copies > len(view.chain):
-        short.append(f"{tolerance.machines} machines: {len(view.chain)} copies")
+        short.append(f"tolerates.machines={tolerance.machines}: copies are {len(view.chain)}")
     by_zone = {ip: zones.get(ip, ip) for ip, _ in view.voters}
     by_region = {ip: regions.get(zone, zone) for ip, zone in by_zone.items()}
     for name, most, where in (("zones", tolerance.zones, by_zone), ("regions", tolerance.regions, by_region)):
         shares = Counter(where[ip] for ip, _ in view.voters).most_common(most)
         lost = sum(count for _, count in shares)
         if lost > may_go:
-            short.append(f"{most} {name}: {lost} of {len(view.voters)} voters are in {most}")
+            short.append(f"tolerates.{name}={most}: {lost} of {len(view.voters)} voters may go at once")
         elif most and {where[ip] for ip, _ in view.chain} <= {name for name, _ in shares}:
-            short.append(f"{most} {name}: all copies are in {most}")
+            short.append(f"tolerates.{name}={most}: all copies may go at once")
     return short
--- a/wickspring/pilot/moorings.py
+++ b/wickspring/pilot/moorings.py
@@ -90,6 +90,7 @@
     def _greet(self, cable: Cable) -> None:
         about = {"version": self.chart.version, "digest": self.adoption.digest, "zone": self.boot.zone}
         cable.send("hello", "pilot", self.boot.ip, about)
+        cable.about["told"] = self.chart.version, self.adoption.digest
         self._tell_past(cable)
 
     def _tell_past(self, cable: Cable) -> None:
@@ -177,8 +178,11 @@
             self.fleet = max(self._fleets.values())
             cable.about["digest"] = int(message[4])
             contact = cable.about["contact"] = Contact(message[6])
+            if message[5]:  # else as last told on this cable
+                cable.about["safe"] = bytes(message[5])
             if contact > Contact.NONE:
-                confirmed = self.adoption.confirmed(now, int(message[2]), bytes(message[5]))
+                safe = cable.about.get("safe", b"")
+                confirmed = self.adoption.confirmed(now, int(message[2]), safe)
                 if confirmed is not None:
                     self._take_chart(confirmed)
 
@@ -298,7 +302,7 @@
         while True:
             self.know(self.seeds.ips(self.clock.now(), bool(self.live)))
             for caller in list(self.callers.values()):
-                caller.send("tick", self.chart.version, self.adoption.digest)
+                self._tick(caller)
             now = self.clock.now()
             self.settle(now)
             if now - swept > 1000.0 * SWEEP_S:
@@ -307,6 +311,15 @@
                 self._forget(now)
             await trio.sleep(TICK_MS * self.random.uniform(0.85, 1.15) / 1000.0)
 
+    def _tick(self, caller: Caller) -> None:
+        """Say that this pilot is there; which configuration it goes by only where that is news."""
+        mine = self.chart.version, self.adoption.digest
+        cable = caller.cable
+        if cable is not None and cable.about.get("told") != mine and caller.send("tick", *mine):
+            cable.about["told"] = mine
+        else:
+            caller.send("tick")
+
     def settle(self, now: float) -> None:
         """Go by the last known configuration where nobody in contact tells of any."""
         due = self.adoption.due(now)
