Spoil passes of the present form among the strangers' messages

Cause: the pass that the fuzz spoils was of the form before, so all of its kind were refused at once. Change: one that is whole.

--- a/tests/test_strangers.py
+++ b/tests/test_strangers.py
@@ -21,8 +21,9 @@
 from wickspring.lab.keel_faults import Chaos
 from wickspring.lighthouse.calls import Call
 from wickspring.lighthouse.light import Light
-from wickspring.lighthouse.replica import Order
+from wickspring.lighthouse.replica import Config, Order, Replica, digest_of
 from wickspring.lighthouse.resources import Heartbeat
+from wickspring.lighthouse.views import View
 from wickspring.pilot.pilot import Pilot
 
 ODD: list[Any] = [
@@ -30,6 +31,9 @@
     b"\xff", [], {}, [[]], {"a": {}}, True, [None] * 9, {"i": -1},
 ]  # fmt: skip
 
+_FIRST = View(1, (("a", "first"),), (("a", "first"),)).pack()
+PASS = ["pass", _FIRST, 1, Replica(Config(1, 1, b"x", digest_of(b"x")), {"i": 1}).pack()]
+
 
 def spoil(random: Random, told: Any) -> Any:
     """Return a message with one of its parts, at any depth, replaced, dropped or doubled."""
@@ -132,7 +136,7 @@
         ["tick", 3, b"d"], ["tick"], ["whole"],
     ]  # fmt: skip
     of_core: list[list[Any]] = [
-        ["tick", 5.0], ["cores"], ["chain", ["pass", [1, [["a", "first"]]], 1, [1, b"", {"i": 1}]]],
+        ["tick", 5.0], ["cores"], ["chain", PASS],
         ["enter", 4, [1, b"{}", {"i1": 1}], True], ["entered", 4, True, None], ["servers", [server]],
         ["shadow", {"n": [[0, 2]]}], ["alive", [["i1", 4]]], ["tell", ["i1"]],
     ]  # fmt: skip
