--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -232,6 +232,14 @@
         if after == (sender, disk) and self._passing is not None and not self.frozen:
             self._down(self.seq, self._passing)
 
+    def reached(self, ip: str) -> None:
+        """Pass again at once to the next member that has just come into reach: it may have missed it."""
+        if self._passing is None or self.frozen or not self.member:
+            return
+        at = self.view.chain.index(self.me) + 1
+        if at < len(self.view.chain) and self.view.chain[at][0] == ip:
+            self._down(self.seq, self._passing)
+
     # Looking round.
 
     def tick(self, now: float, reach: Mapping[str, Reach]) -> None:
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -112,13 +112,15 @@
         for ip in ips:
             if ip != self.ip and ip not in self.callers:
                 caller = Caller(
-                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, self._greet, self._take
+                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, partial(self._greet, ip), self._take
                 )
                 self.callers[ip] = caller
                 self.nursery.start_soon(caller.run)
 
-    def _greet(self, cable: Cable) -> None:
+    def _greet(self, ip: str, cable: Cable) -> None:
         cable.send("hello", "core", self.ip, {})
+        cable.send("tick", self.clock.now())
+        self._queue(lambda: self.chain.reached(ip))
 
     def say(self, ip: str, *message: object) -> bool:
         """Say something to another core machine."""
