--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -112,8 +112,9 @@
         for ip in ips:
             if ip != self.ip and ip not in self.callers:
                 caller = Caller(
-                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random, partial(self._greet, ip), self._take
-                )
+                    (ip, self.boot.talk_port), self.clock, self.nursery, self.random,
+                    partial(self._greet, ip), self._take,
+                )  # fmt: skip
                 self.callers[ip] = caller
                 self.nursery.start_soon(caller.run)
 
