Call back at once a core machine that has just called

Cause: each side dials its own cable and tries again after 120 to 320 ms, so after a start of all machines the head reached the last one late, and pilots without a configuration refused. Change: Caller.hurry, on the hello of a core machine.

--- a/wickspring/harbour/cable.py
+++ b/wickspring/harbour/cable.py
@@ -90,6 +90,7 @@
         self.tried_at = -1e12
         self.closed = False
         self._scope = trio.CancelScope()
+        self._hurried = trio.Event()
 
     @property
     def live(self) -> bool:
@@ -117,7 +118,14 @@
                 self.tried_at = self.clock.now()
                 if sock is not None:
                     await self._use(sock)
-                await trio.sleep(self.random.uniform(*REDIAL_MS) / 1000.0)
+                with trio.move_on_after(self.random.uniform(*REDIAL_MS) / 1000.0):
+                    await self._hurried.wait()
+                self._hurried = trio.Event()
+
+    def hurry(self) -> None:
+        """Dial at once where no cable is up: the other side has just shown that it is there."""
+        if self.cable is None:
+            self._hurried.set()
 
     async def _use(self, sock: socket.socket) -> None:
         cable = self.cable = Cable(Link(sock, self.nursery), self.clock)
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -118,6 +118,12 @@
                 self.callers[ip] = caller
                 self.nursery.start_soon(caller.run)
 
+    def called(self, ip: str) -> None:
+        """Note that another core machine has called: it is there, so call it back at once."""
+        self.know([ip])
+        if ip in self.callers:
+            self.callers[ip].hurry()
+
     def _greet(self, ip: str, cable: Cable) -> None:
         cable.send("hello", "core", self.ip, {})
         cable.send("tick", self.clock.now())
--- a/wickspring/lighthouse/light.py
+++ b/wickspring/lighthouse/light.py
@@ -271,7 +271,7 @@
             cable.name = parse_ip(message[2])
             if message[1] == "core":
                 cable.about = {"core": True}
-                self.core.know([cable.name])
+                self.core.called(cable.name)
             else:
                 self.pilots[cable] = cable.name
                 self.tally.back(cable.name)
