--- /dev/null
+++ b/tests/test_start_of_the_core.py
@@ -0,0 +1,93 @@
+"""A start of all core machines: what is safe is known as soon as the last of them is there."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+
+from wickspring.harbour import cable
+from wickspring.lighthouse.chain import Chain
+from wickspring.lighthouse.replica import Order, Replica
+from wickspring.lighthouse.views import View
+from wickspring.net.clock import Clock
+
+MEMBERS = tuple((ip, "disk") for ip in "abc")
+
+
+def started() -> dict[str, Chain]:
+    """Return the chains of three machines as a loss of all power leaves them, none with a cable yet."""
+    replica = Replica()
+    replica.take(Order(7, b"seven"), 3)
+    view = View(3, MEMBERS, MEMBERS)
+    chains = {ip: Chain(ip, "disk", view, at, replica.copy()) for at, ip in enumerate("abc")}
+    for chain in chains.values():
+        chain.begin(0.0)
+        chain.out.clear()  # nobody is in reach yet
+    return chains
+
+
+def carry(chains: dict[str, Chain], up: set[tuple[str, str]]) -> None:
+    """Carry what is said over the cables that are up, until nobody says more."""
+    while any(chain.out for chain in chains.values()):
+        for ip, chain in chains.items():
+            out, chain.out = chain.out, []
+            for to, message in out:
+                if (ip, to) in up:
+                    chains[to].receive(1.0, ip, message)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_the_pass_goes_again_whichever_cable_comes_up_last(seed: int) -> None:
+    """No tick and no resend is needed once each machine reaches the next, and is reached by it."""
+    chains, up = started(), set()
+    order = [("b", "a"), ("c", "b"), ("a", "b"), ("b", "c")]  # up the line first: words back are not lost
+    Random(seed).shuffle(order)
+    order.sort(key=lambda pair: pair[0] < pair[1])
+    for here, there in order:
+        up.add((here, there))
+        chains[here].reached(there)
+        carry(chains, up)
+    assert all(chain.safe.config.version == 7 for chain in chains.values())
+
+
+def test_nothing_is_passed_again_by_who_does_not_pass() -> None:
+    chains = started()
+    chains["c"].reached("a")
+    spare = Chain("d", "disk", View(3, MEMBERS, MEMBERS), 9)
+    spare.reached("a")
+    chains["a"].receive(1.0, "b", ["prepare", 4, [1, "b"], b""])  # promised: it passes nothing in this epoch
+    chains["a"].out.clear()
+    chains["a"].reached("b")
+    assert not spare.out and not chains["c"].out and not chains["a"].out
+
+
+@pytest.mark.parametrize("hurried", [True, False])
+def test_who_has_called_is_called_back_at_once(monkeypatch: pytest.MonkeyPatch, hurried: bool) -> None:
+    dialled: list[float] = []
+
+    async def play() -> None:
+        twice = trio.Event()
+
+        async def nobody(*_: Any) -> None:
+            dialled.append(trio.current_time())
+            if len(dialled) == 2:
+                twice.set()
+
+        monkeypatch.setattr(cable, "connect", nobody)
+        async with trio.open_nursery() as nursery:
+            caller = cable.Caller(
+                ("10.1.0.1", 1), Clock(), nursery, Random(1), lambda _: None, lambda *_: None
+            )
+            nursery.start_soon(caller.run)
+            if hurried:
+                caller.hurry()
+            await twice.wait()
+            caller.close()
+
+    trio.run(play, clock=trio.testing.MockClock(autojump_threshold=0))
+    pause = dialled[1] - dialled[0]
+    assert pause == 0.0 if hurried else 1000.0 * pause >= cable.REDIAL_MS[0]
