Say once how the chain fills a copy, fetches a text, passes again and outbids

Cause: read again, the chain filled copies in five places, asked for a text in two, found the next member in three and told of a higher ballot in two; two resources read alike; a field of the core and a bound in views were dead. Change: Replica.fill, Chain._after, _fetch, _outbids, _Resource._read_all. Behaviour as before.

--- a/wickspring/lighthouse/chain.py
+++ b/wickspring/lighthouse/chain.py
@@ -160,13 +160,18 @@
         self._passed_at = now
         self._down(self.seq, self._passing)
 
+    @property
+    def _after(self) -> Member | None:
+        """Return the next member of the chain; None for the tail, and outside of the chain."""
+        at = self.view.chain.index(self.me) + 1 if self.member else len(self.view.chain)
+        return self.view.chain[at] if at < len(self.view.chain) else None
+
     def _down(self, seq: int, told: Replica) -> None:
         """Pass it to the next member, or back up from the tail."""
-        at = self.view.chain.index(self.me)
-        if at + 1 == len(self.view.chain):
+        after = self._after
+        if after is None:
             self._up(seq, told)
             return
-        after = self.view.chain[at + 1]
         self.seq, self._passing = seq, told
         packed = told.pack(self._holds.get(after, b""))
         self.out.append((after[0], ["pass", self.view.pack(), seq, packed]))
@@ -199,11 +204,9 @@
             return
         if self.me not in view.chain:
             return
-        config = told.config.filled(self.replica.config)
-        if not config.whole:
-            self.out.append((sender, ["fetch", view.epoch, self.replica.config.identity, self.me[1]]))
+        if not told.fill(self.replica):
+            self._fetch(sender, view.epoch)
             return
-        told = Replica(config, told.leaving)
         if view.epoch > self.view.epoch:
             self._install(now, view, told)
         if self.frozen:
@@ -221,23 +224,23 @@
         if self.head == self.ip:
             self._begin(now)
 
+    def _fetch(self, ip: str, epoch: int) -> None:
+        """Ask for the whole text of what came without."""
+        self.out.append((ip, ["fetch", epoch, self.replica.config.identity, self.me[1]]))
+
     def _take_fetch(self, sender: str, epoch: int, identity: bytes, disk: str) -> None:
         """Send the whole text to who lacks it."""
         self._holds[sender, disk] = identity
         if epoch != self.view.epoch:
             return
         self._tell_view(sender, identity)
-        at = self.view.chain.index(self.me) + 1 if self.member else 0
-        after = self.view.chain[at] if 0 < at < len(self.view.chain) else None
-        if after == (sender, disk) and self._passing is not None and not self.frozen:
-            self._down(self.seq, self._passing)
+        if self._after == (sender, disk):
+            self.reached(sender)
 
     def reached(self, ip: str) -> None:
-        """Pass again at once to the next member that has just come into reach: it may have missed it."""
-        if self._passing is None or self.frozen or not self.member:
-            return
-        at = self.view.chain.index(self.me) + 1
-        if at < len(self.view.chain) and self.view.chain[at][0] == ip:
+        """Pass again at once to the next member, which has just come into reach and may have missed it."""
+        after = self._after
+        if after is not None and after[0] == ip and self._passing is not None and not self.frozen:
             self._down(self.seq, self._passing)
 
     # Looking round.
@@ -286,10 +289,8 @@
 
     def _take_copy(self, told: Replica) -> None:
         """Take what another machine knows to be safe."""
-        config = told.config.filled(self.replica.config)
-        if not config.whole:
+        if not told.fill(self.replica):
             return  # it is told again, whole, once this machine has said what it holds
-        told = Replica(config, told.leaving)
         self.dirty |= self.replica.join(told)
         self._is_safe(told)
 
@@ -322,15 +323,20 @@
             self._frozen_at = now
         self.dirty = True
 
+    def _outbids(self, now: float, sender: str, slot: int, ballot: Ballot) -> bool:
+        """Tell a proposer where a higher ballot has been promised."""
+        higher = self.decree.outbid(slot, ballot)
+        if higher is not None:
+            self._say(now, sender, ["outbid", slot, list(higher)])
+        return higher is not None
+
     def _take_prepare(self, now: float, sender: str, slot: int, ballot: Ballot, known: bytes) -> None:
         if slot <= self.view.epoch:
             self._tell_view(sender, known)
             return
         if slot != self.view.epoch + 1 or not self.voter:
             return
-        higher = self.decree.outbid(slot, ballot)
-        if higher is not None:
-            self._say(now, sender, ["outbid", slot, list(higher)])
+        if self._outbids(now, sender, slot, ballot):
             return
         self._freeze(now)
         accepted = self.decree.promise(slot, ballot)
@@ -345,8 +351,7 @@
         if one is None:
             return
         brought = Replica.unpack(copy)
-        brought.config = brought.config.filled(self.replica.config)
-        if not brought.config.whole:
+        if not brought.fill(self.replica):
             return  # this machine's own copy has changed since it asked; it asks again
         accepted = None if told is None else unpack_value(told)
         if not self.decree.promised_by(one, self.view, member, brought, accepted):
@@ -368,12 +373,7 @@
     ) -> None:
         if slot != self.view.epoch + 1 or not self.voter:
             return
-        higher = self.decree.outbid(slot, ballot)
-        if higher is not None:
-            self._say(now, sender, ["outbid", slot, list(higher)])
-            return
-        state.config = state.config.filled(self.replica.config)
-        if not state.config.whole:
+        if self._outbids(now, sender, slot, ballot) or not state.fill(self.replica):
             return
         self._freeze(now)
         self.decree.accept(slot, ballot, (view, state))
@@ -391,19 +391,14 @@
         self._install(now, view, state)
 
     def _take_view(self, now: float, sender: str, view: View, state: Replica | None) -> None:
-        if state is not None:
-            state.config = state.config.filled(self.replica.config)
-        if view.epoch < self.view.epoch:
-            return
-        if state is None or not state.config.whole:
-            if self.me in view.chain:
-                if view.epoch > self.view.epoch:
-                    self.out.append((sender, ["fetch", view.epoch, self.replica.config.identity, self.me[1]]))
-                return
+        if state is not None and not state.fill(self.replica):
             state = None
-        if view.epoch > self.view.epoch:
+        newer = view.epoch > self.view.epoch
+        if newer and state is None and self.me in view.chain:
+            self._fetch(sender, view.epoch)
+        elif newer:
             self._install(now, view, state)
-        elif state is not None:
+        elif state is not None and view.epoch == self.view.epoch:
             self.dirty |= self.replica.join(state)
 
     def _install(self, now: float, view: View, state: Replica | None) -> None:
--- a/wickspring/lighthouse/core.py
+++ b/wickspring/lighthouse/core.py
@@ -77,7 +77,6 @@
         self.leaving = False
         self.seeds = Seeds(boot)
         self.saving_since = 0.0
-        self.frozen_seen = False
         self._tickets = 0
         self._waiting: dict[int, Callable[[Verdict], None]] = {}
         self._away: dict[int, Callable[[Verdict, Any], None]] = {}  # orders at the head, elsewhere
--- a/wickspring/lighthouse/replica.py
+++ b/wickspring/lighthouse/replica.py
@@ -173,6 +173,11 @@
         adopted = self.adopt(other.config)
         return self.leave(other.leaving) or adopted
 
+    def fill(self, own: Replica) -> bool:
+        """Take text and history from an own copy, where this came without; True where it is whole then."""
+        self.config = self.config.filled(own.config)
+        return self.config.whole
+
     def take(self, order: Order, epoch: int) -> bool:
         """Take an order as the head of an epoch; True where it changed this copy."""
         changed = order.version > self.config.version
--- a/wickspring/lighthouse/resources.py
+++ b/wickspring/lighthouse/resources.py
@@ -16,9 +16,10 @@
 from wickspring.lighthouse import snapshot
 from wickspring.lighthouse.calls import Call, Said, Serves, fault
 from wickspring.lighthouse.check import check
-from wickspring.lighthouse.replica import Order, Verdict
+from wickspring.lighthouse.replica import Order, Replica, Verdict
 
 _STATES = {"ready": READY, "draining": DRAINING}
+NOBODY = Fault(Kind.NOT_SAFE_YET, "no majority of the core answers")
 MOST_SLOTS = 100_000
 MOST_SEQ = 2**62  # what is larger cannot be told over a cable
 
@@ -62,6 +63,11 @@
     def __init__(self, light: Serves) -> None:
         self.light = light
 
+    async def _read_all(self) -> Replica | None:
+        """Return all that the chain keeps, as of now; None where that cannot be told."""
+        entered = await self.light.order(Order(), read=True)
+        return entered.replica if entered.verdict is Verdict.SAFE else None
+
 
 class Heartbeat(_Resource):
     """`POST /servers/ID/heartbeat`."""
@@ -85,7 +91,7 @@
         except (msgspec.MsgspecError, UnicodeDecodeError, FaultError) as error:
             return fault(Fault(Kind.BAD_REQUEST, f"heartbeat: {error}"))
         if self.light.cut_off:  # the others may take the server for lost while it calls here
-            return fault(Fault(Kind.NOT_SAFE_YET, "no majority of the core answers"))
+            return fault(NOBODY)
         self.light.beat(server)
         if server.state == DRAINING and not await self.light.leaves(server.id, DRAINING):
             return fault(Fault(Kind.NOT_SAFE_YET, "draining"))
@@ -141,12 +147,12 @@
 
     async def call(self, call: Call) -> Said:
         """Return the newest configuration, whole, as the chain has it."""
-        entered = await self.light.order(Order(), read=True)
-        if entered.verdict is not Verdict.SAFE or entered.replica is None:
-            return fault(Fault(Kind.NOT_SAFE_YET, "no majority of the core answers"))
-        if not entered.replica.config.document:
+        safe = await self._read_all()
+        if safe is None:
+            return fault(NOBODY)
+        if not safe.config.document:
             return fault(Fault(Kind.NO_CONFIG))
-        return Said(200, entered.replica.config.document)
+        return Said(200, safe.config.document)
 
 
 class TakeSnapshot(_Resource):
@@ -156,10 +162,8 @@
 
     async def call(self, call: Call) -> Said:
         """Return it, as the chain has it."""
-        entered = await self.light.order(Order(), read=True)
-        if entered.verdict is not Verdict.SAFE or entered.replica is None:
-            return fault(Fault(Kind.NOT_SAFE_YET, "no majority of the core answers"))
-        return Said(200, snapshot.pack(entered.replica, self.light.epoch))
+        safe = await self._read_all()
+        return fault(NOBODY) if safe is None else Said(200, snapshot.pack(safe, self.light.epoch))
 
 
 class BringSnapshot(_Resource):
--- a/wickspring/lighthouse/views.py
+++ b/wickspring/lighthouse/views.py
@@ -159,7 +159,6 @@
 def _voters(view: View, scene: Scene, tolerance: Tolerance) -> tuple[Member, ...]:
     chosen = [one for one in view.voters if scene.is_well(one)]
     spare = scene.outside(view)
-    zones = max(1, tolerance.zones)
 
     def crowded(one: Member) -> tuple[int, str]:
         return sum(scene.zone_of(other) == scene.zone_of(one) for other in chosen), one[0]
@@ -167,15 +166,15 @@
     while len(chosen) < tolerance.voters and spare:
         spare.sort(key=crowded)
         chosen.append(spare.pop(0))
-    while tolerance.zones and (over := _crowd(chosen, scene, zones)):
+    while tolerance.zones and (over := _crowd(chosen, scene, tolerance.zones)):
         spare.sort(key=crowded)
         gone = max((one for one in chosen if one not in view.chain[:1]), key=crowded, default=None)
         ways = [[*chosen, one] for one in spare[:1]]
         ways += [[one if other == gone else other for other in chosen] for one in spare[:1]]
         if len(chosen) > tolerance.voters:  # of four, two in one zone, no zone may go; of three it may
             ways.append([one for one in chosen if one != gone])
-        better = min(ways, key=lambda way: _crowd(way, scene, zones), default=chosen)
-        if _crowd(better, scene, zones) >= over:
+        better = min(ways, key=lambda way: _crowd(way, scene, tolerance.zones), default=chosen)
+        if _crowd(better, scene, tolerance.zones) >= over:
             break
         chosen, spare = better, [one for one in spare if one not in better]
     # An even number decides no better than one more; whoever is away may come back, and then counts.
