Have one clock of virtual time in the laboratory, and one scene of an old lighthouse

Cause: two classes of the same clock; two tests began with the same eight lines. Result: test_contact, test_flotilla, test_capacity and test_answers pass.

--- a/tests/control_side.py
+++ b/tests/control_side.py
@@ -16,7 +16,7 @@
 from wickspring.harbour import boot, cable
 from wickspring.harbour.cable import Cable
 from wickspring.harbour.servers import Server
-from wickspring.lab.flotilla import VirtualClock
+from wickspring.lab.clock import VirtualClock
 from wickspring.lighthouse import light as light_module
 from wickspring.lighthouse.calls import Call, Said
 from wickspring.lighthouse.light import Light
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -134,6 +134,18 @@
     site.cut(*PILOTS, spare=(victim,))
 
 
+async def leave_new_pilots_the_old(site: Site, restarted: bool) -> None:
+    """Have r1 taken everywhere and r2 without one lighthouse, the only one that new pilots reach."""
+    victim = LIGHTS[2]
+    assert (await replace(site.lights[victim], 1)).status == 200
+    await trio.sleep(1.0)
+    started_beside(site, victim)
+    if restarted:
+        site.kill(victim)
+        await site.start_light(victim)
+    assert (await site.until_safe(LIGHTS[0], 2)).status == 200
+
+
 @pytest.mark.parametrize("restarted", [False, True])
 def test_a_pilot_beside_one_cut_off_waits_for_one_in_contact(
     monkeypatch: pytest.MonkeyPatch, restarted: bool
@@ -141,14 +153,7 @@
     """With nobody in contact to hear of, it goes by the last known after a while, and never goes back."""
 
     async def cut_off(site: Site) -> None:
-        victim = LIGHTS[2]
-        assert (await replace(site.lights[victim], 1)).status == 200
-        await trio.sleep(1.0)
-        started_beside(site, victim)
-        if restarted:
-            site.kill(victim)
-            await site.start_light(victim)
-        assert (await site.until_safe(LIGHTS[0], 2)).status == 200
+        await leave_new_pilots_the_old(site, restarted)
         begun = trio.current_time()
         pilot = await site.start_pilot(PILOTS[0])
         took = await site.until(lambda: pilot.moorings.chart.version == 1, 6.0)
@@ -189,14 +194,7 @@
     taken: list[int] = []
 
     async def cut_off(site: Site) -> None:
-        victim = LIGHTS[2]
-        assert (await replace(site.lights[victim], 1)).status == 200
-        await trio.sleep(1.0)
-        started_beside(site, victim)
-        if restarted:
-            site.kill(victim)
-            await site.start_light(victim)
-        assert (await site.until_safe(LIGHTS[0], 2)).status == 200
+        await leave_new_pilots_the_old(site, restarted)
         await trio.sleep(2.0)
         pilot = await site.start_pilot(PILOTS[0])
         await trio.sleep(0.9)
--- a/wickspring/lab/answers.py
+++ b/wickspring/lab/answers.py
@@ -25,9 +25,9 @@
 from wickspring.harbour.cable import Caller
 from wickspring.harbour.chart import lay_out
 from wickspring.harbour.servers import Server
+from wickspring.lab.clock import VirtualClock
 from wickspring.lab.harbour import HOST, KEY, PREFIX, document
 from wickspring.net import host
-from wickspring.net.clock import Clock
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.link import Link
 from wickspring.pilot import pilot as programs
@@ -51,14 +51,6 @@
     """A rule of the users is broken."""
 
 
-class VirtualClock(Clock):
-    """A clock that goes as trio's."""
-
-    def now(self) -> float:
-        """Return virtual milliseconds."""
-        return 1e6 + 1000.0 * trio.current_time()
-
-
 class Silence:
     """Stands in for the datagrams of pilots among themselves."""
 
--- a/wickspring/lab/capacity_site.py
+++ b/wickspring/lab/capacity_site.py
@@ -35,7 +35,7 @@
 from wickspring.harbour.cable import Cable, Message
 from wickspring.harbour.process import GC_AFTER
 from wickspring.interface import Status
-from wickspring.lab.flotilla import VirtualClock
+from wickspring.lab.clock import VirtualClock
 from wickspring.lighthouse import light as lights
 from wickspring.net import host
 from wickspring.net.link import READ_SIZE
--- a/wickspring/lab/clock.py
+++ b/wickspring/lab/clock.py
@@ -4,6 +4,21 @@
 
 import time
 
+import trio
+
+from wickspring.net.clock import Clock
+
+
+class VirtualClock(Clock):
+    """A clock that goes as trio's, in the place of a program's own."""
+
+    def __init__(self) -> None:
+        pass
+
+    def now(self) -> float:
+        """Return ms of the run, from far after nought."""
+        return 1e9 + 1000.0 * trio.current_time()
+
 
 class RunClock:
     """Counts from the moment the first request is due."""
--- a/wickspring/lab/flotilla.py
+++ b/wickspring/lab/flotilla.py
@@ -17,8 +17,8 @@
 import trio.testing
 
 from wickspring.harbour.cable import Cable, Message
+from wickspring.lab.clock import VirtualClock
 from wickspring.lighthouse.replica import DIGEST_SIZE
-from wickspring.net.clock import Clock
 from wickspring.pilot.flotilla import Flotilla, State
 
 LOSS = 0.01  # of all datagrams
@@ -30,17 +30,6 @@
 DOCUMENT = 8192  # bytes of a configuration, packed
 
 
-class VirtualClock(Clock):
-    """The clock of the run."""
-
-    def __init__(self) -> None:
-        pass
-
-    def now(self) -> float:
-        """Return ms of the run, from far after nought."""
-        return 1e9 + 1000.0 * trio.current_time()
-
-
 class Net:
     """What carries datagrams: loses some, and all in the directions that are cut."""
 
