Give metrics of both programs as text, and log who counts from what

Cause: neither logs nor metrics could tell the incident's hypotheses apart: nothing said that a client had left, what was decided without the owner of a count, nor what a new owner knew.

--- a/wickspring/controlplane/api/calls.py
+++ b/wickspring/controlplane/api/calls.py
@@ -16,6 +16,7 @@
 
 from wickspring.common.endpoints import Endpoint
 from wickspring.common.errors import ERROR_RESPONSES, ErrorDetail, ErrorKind
+from wickspring.common.metrics import Sample
 from wickspring.controlplane.replication.replica import Replica, Update
 from wickspring.controlplane.replication.update_submission import UpdateResult
 from wickspring.controlplane.status import ControlPlaneStatus
@@ -100,6 +101,9 @@
     def status(self) -> ControlPlaneStatus:
         """Return the status of this node, as `GET /status` reports it."""
 
+    def metrics(self) -> list[Sample]:
+        """Return the metrics of this node, as `GET /metrics` reports them."""
+
 
 class ApiHandler(Protocol):
     """Answers one method of one resource."""
--- a/wickspring/controlplane/api/handlers.py
+++ b/wickspring/controlplane/api/handlers.py
@@ -6,6 +6,7 @@
 from wickspring.controlplane.api.config import ConfigRead, ConfigReplace
 from wickspring.controlplane.api.deregister import Deregister
 from wickspring.controlplane.api.heartbeat import Heartbeat
+from wickspring.controlplane.api.metrics import Metrics
 from wickspring.controlplane.api.snapshot import SnapshotDownload, SnapshotRestore
 from wickspring.controlplane.api.status import Status
 
@@ -17,6 +18,7 @@
     SnapshotDownload,
     SnapshotRestore,
     Status,
+    Metrics,
 )
 
 
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -11,6 +11,7 @@
 from wickspring.common.bootstrap import Bootstrap
 from wickspring.common.connection import accept_connections
 from wickspring.common.messages import NodeRequest
+from wickspring.common.metrics import Sample
 from wickspring.common.settings import NodeSettings
 from wickspring.controlplane.api.handlers import create_handlers
 from wickspring.controlplane.api.server import ApiServer, serve_http
@@ -22,6 +23,7 @@
 from wickspring.controlplane.endpoint_service import EndpointService
 from wickspring.controlplane.load_tracker import LoadTracker
 from wickspring.controlplane.maintenance import Maintenance
+from wickspring.controlplane.metrics import collect_samples
 from wickspring.controlplane.peer_messages import NodeMessageHandler
 from wickspring.controlplane.peer_server import PeerServer
 from wickspring.controlplane.quorum_contact import QuorumContactObserver
@@ -124,6 +126,10 @@
         """Return the state of this node, for operators."""
         return collect_status(self.components, self.data_planes)
 
+    def metrics(self) -> list[Sample]:
+        """Return the metrics of this node."""
+        return collect_samples(self.components, self.data_planes)
+
 
 async def drain(control_plane: ControlPlane) -> None:
     """Wait until nothing depends on this node alone, or the grace period is nearly over."""
--- a/wickspring/controlplane/quota_service.py
+++ b/wickspring/controlplane/quota_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wickspring.common import logs
 from wickspring.common.messages import (
     AddQuota,
     QuotaOwnerMoved,
@@ -23,6 +24,7 @@
         self._replication = components.replication
         self._config_distributor = components.config_distributor
         self._data_planes = data_planes
+        self._announced_epoch = 0  # of the view in which `counting_started` was logged last
 
     def acquire(self, session: PeerSession, request: AddQuota) -> None:
         """Count one unit for a data plane, and answer with the count and its limit.
@@ -34,6 +36,7 @@
         if tenant is None or not replication.may_use_lease or request.epoch != replication.lease.epoch:
             session.send(QuotaOwnerMoved(request.request_number))
             return
+        self._announce_counting(request.epoch)
         decision = self._counter.acquire(
             self._clock.now(), tenant.name, session.name, tenant.rate, tenant.burst, request.is_retry
         )
@@ -41,6 +44,18 @@
             QuotaTotal(request.request_number, decision.total, decision.limit, round(decision.wait_ms))
         )
 
+    def _announce_counting(self, epoch: int) -> None:
+        """Log once for each view, and each start of the process, that counts are kept here, and from what."""
+        if epoch == self._announced_epoch:
+            return
+        self._announced_epoch = epoch
+        logs.log_event(
+            "counting_started",
+            epoch=epoch,
+            data_planes=self._data_planes.live_count,
+            unresponsive=len(self._counter.unresponsive_for_ms(self._clock.now())),
+        )
+
     def record_spent(self, data_plane: str, tenant_name: str) -> None:
         """Count a unit that a data plane has sent on without an answer from here."""
         tenant = self._config_distributor.routing_table.tenants.get(tenant_name)
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -15,6 +15,7 @@
     GossipedDepartures,
     GossipedEndpoints,
 )
+from wickspring.common.metrics import Sample
 from wickspring.common.routing_table import RoutingTable
 from wickspring.common.settings import NodeSettings
 from wickspring.connections.model import PooledConnection
@@ -24,6 +25,7 @@
 from wickspring.dataplane.gossip import GossipNode
 from wickspring.dataplane.limits import INITIAL_LIMITS, connection_limits, front_limits
 from wickspring.dataplane.local_state import DataPlaneState
+from wickspring.dataplane.metrics import collect_samples
 from wickspring.dataplane.policy.endpoint_selection import EndpointSelector
 from wickspring.dataplane.policy.quota import QuotaPolicy
 from wickspring.dataplane.pool_directory import PoolDirectory
@@ -199,13 +201,19 @@
         """Forget departed endpoints and log metrics, then do so again every `STATISTICS_MS`."""
         self.call_later(STATISTICS_MS * self.random.uniform(0.9, 1.1), self.maintain)
         self.endpoints.forget(self.clock.now(), FORGET_ENDPOINT_MS)
-        logs.log_event(
-            "metrics",
-            requests_in_flight=len(self.request_context.requests),
-            connections=len(self.connections),
+        logs.log_event("metrics", **self._statistics())
+
+    def _statistics(self) -> dict[str, object]:
+        return {
+            "requests_in_flight": len(self.request_context.requests),
+            "connections": len(self.connections),
             **self.request_context.event_counts,
             **self.upstream.report(),
-        )
+        }
+
+    def metrics(self) -> list[Sample]:
+        """Return the metrics of this data plane."""
+        return collect_samples(self._statistics(), self.control_client, self.quota)
 
     @property
     def is_ready(self) -> bool:
--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -1,5 +1,7 @@
 """Readiness: when the start of this data plane is complete, and the probe by which the platform asks.
 
+The listener of the probe also gives the metrics of the process.
+
 `DataPlane.is_ready` in `dataplane.process` decides: the start is complete, and the process does not drain.
 """
 
@@ -10,6 +12,7 @@
 import trio
 
 from wickspring.common import logs
+from wickspring.common.metrics import METRICS_PATH, Sample, render_metrics
 from wickspring.dataplane.control_client.client import ControlClient
 from wickspring.dataplane.endpoint_table import EndpointTable
 from wickspring.net.calls import Client
@@ -54,18 +57,21 @@
         return has_config and bool(control_client.endpoint_sync.complete_from)
 
 
-class HasReadiness(Protocol):
-    """A process whose readiness is probed."""
+class ProbedProcess(Protocol):
+    """A process whose readiness is probed, and whose metrics are read."""
 
     @property
     def is_ready(self) -> bool:
         """Whether clients are to connect."""
 
+    def metrics(self) -> list[Sample]:
+        """Return the metrics of the process."""
+
 
 class ReadinessProbe(HttpServer):
     """Answers the platform on a listener of its own."""
 
-    def __init__(self, process: HasReadiness, nursery: trio.Nursery, memory_mb: float) -> None:
+    def __init__(self, process: ProbedProcess, nursery: trio.Nursery, memory_mb: float) -> None:
         super().__init__(nursery, memory_mb)
         self._process = process
 
@@ -80,7 +86,10 @@
         return 0
 
     def handle_request(self, client: Client, request: HttpRequest) -> None:
-        """Answer 200 while clients are to connect, else 503."""
+        """Give the metrics, or answer 200 while clients are to connect, else 503."""
+        if request.target == METRICS_PATH:
+            client.respond(200, "", render_metrics(self._process.metrics()))
+            return
         ready = self._process.is_ready and request.target.startswith(READINESS_PATH)
         client.respond(200 if ready else 503, "", b"")
 
--- a/wickspring/dataplane/request/quota_check.py
+++ b/wickspring/dataplane/request/quota_check.py
@@ -102,9 +102,11 @@
 
     def _decide_locally(self) -> QuotaDecision:
         context = self._context
-        context.event_counts["quota_decided_locally"] += 1
         data_planes = context.data_plane_count() or DEFAULT_DATA_PLANE_COUNT
-        return context.quota.decide_alone(context.clock.now(), self._tenant, data_planes)
+        decision = context.quota.decide_alone(context.clock.now(), self._tenant, data_planes)
+        outcome = "allowed" if decision.allowed else "refused"
+        context.event_counts[f"quota_decided_locally[{outcome}]"] += 1
+        return decision
 
 
 class _LateReply:
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -142,6 +142,7 @@
         if request is None:
             return
         request.client = None
+        self._context.event_counts["clients_left"] += 1
         if request.attempts.sent == 0 or request.streaming_attempt:
             self._finish(request)
 
