--- /dev/null
+++ b/tests/common/test_known_red.py
@@ -0,0 +1,34 @@
+"""The list of tests that are known to fail."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.support.known_red import MAX_ENTRIES, KnownRed, parse_known_red, read_known_red
+
+LINE = "tests/a.py::test_b | the cause | 7"
+
+
+def test_a_line_names_test_cause_and_issue() -> None:
+    assert parse_known_red(f"{LINE}\n\n") == [KnownRed("tests/a.py::test_b", "the cause", "7")]
+
+
+@pytest.mark.parametrize("text", ["tests/a.py::test_b | the cause", "a | b |  ", "\n".join([LINE] * 4)])
+def test_a_malformed_or_long_list_is_refused(text: str) -> None:
+    with pytest.raises(ValueError, match=r"known to fail|not `test"):
+        parse_known_red(text)
+
+
+def test_an_entry_names_a_test_with_any_parameters_and_no_other() -> None:
+    entry = parse_known_red(LINE)[0]
+    assert entry.names("tests/a.py::test_b") and entry.names("tests/a.py::test_b[1]")
+    assert not entry.names("tests/a.py::test_b_too") and not entry.names("tests/c.py::test_b")
+
+
+def test_only_a_fault_that_shows_at_times_may_pass() -> None:
+    assert parse_known_red(LINE)[0].always_fails
+    assert not parse_known_red("tests/a.py::test_b | at times: a race | 7")[0].always_fails
+
+
+def test_the_list_of_this_repository_can_be_read() -> None:
+    assert len(read_known_red()) <= MAX_ENTRIES
--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -6,7 +6,12 @@
 import trio
 
 from tests.dataplane.test_policy import EXCESS, SLACK, SPAN_S
-from tests.support.quota_simulation import QuotaSimulation, RestartSimulation, excess
+from tests.support.quota_simulation import (
+    CoreRestartSimulation,
+    QuotaSimulation,
+    RestartSimulation,
+    excess,
+)
 from tests.support.virtual_system import CONTROL_PLANES, DATA_PLANES, VirtualSystem, run_virtual_system
 from wickspring.controlplane.process import ControlPlane
 from wickspring.controlplane.quota_counter import QuotaCounter
@@ -35,6 +40,14 @@
     assert not {seed: units for seed, units in excesses.items() if units > 0.0}
 
 
+@pytest.mark.parametrize("first_seed", range(0, 4 * SEEDS_PER_TEST, SEEDS_PER_TEST))
+def test_ceiling_holds_with_all_control_planes_restarted(first_seed: int) -> None:
+    """Data planes are cut off meanwhile, so the new processes have never heard of them."""
+    seeds = range(first_seed, first_seed + SEEDS_PER_TEST)
+    excesses = {seed: excess(CoreRestartSimulation(seed)) for seed in seeds}
+    assert not {seed: units for seed, units in excesses.items() if units > 0.0}
+
+
 def unresponsive_data_planes(control_plane: ControlPlane) -> list[str]:
     """Return the data planes for which a control plane reserves units."""
     return list(control_plane.components.quota_counter.unresponsive_until)
--- a/tests/support/quota_simulation.py
+++ b/tests/support/quota_simulation.py
@@ -320,6 +320,53 @@
         self.takeover_at = now + VIEW_BEFORE_TAKEOVER_MS
 
 
+class CoreRestartSimulation(QuotaSimulation):
+    """All control planes are killed at once and come back, while data planes are cut off.
+
+    Nobody that has counted is left. The data planes in reach connect to the new processes, those cut off once
+    the partition heals. In every fourth simulation none is cut off.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.events = Random(f"core restarts {seed}")  # apart, as the draws of `QuotaSimulation` are kept
+        draw = self.events.uniform
+        rate = self.events.choice((12.0, 63.0, 109.0, 150.0))
+        self.tenant = Tenant(TENANT, 0, rate, rate * self.events.choice((0.5, 1.0)))
+        self.core_ends_at = self.high_load_at + draw(-1500.0, 3000.0)
+        self.core_returns_at = self.core_ends_at + draw(400.0, 1200.0)
+        self.cut_at = self.core_ends_at + draw(-1200.0, 600.0)
+        self.heal_at = self.cut_at + draw(1500.0, 7000.0)
+        if seed % 4 == 3:
+            self.cut_at = self.heal_at = NEVER_MS
+        self.owner_ends_at = self.owner_ends_again_at = NEVER_MS
+
+    def _run_due_events(self, now: float) -> None:
+        super()._run_due_events(now)
+        if now >= self.core_ends_at:
+            self.core_ends_at = NEVER_MS
+            self._kill_core()
+        if now >= self.core_returns_at:
+            self.core_returns_at = NEVER_MS
+            self._return_core(now)
+
+    def _kill_core(self) -> None:
+        for control_plane in self.control_planes:
+            control_plane.running = False
+        self.owner = None
+
+    def _return_core(self, now: float) -> None:
+        """Start all control planes with no counts, in the view that they had."""
+        for control_plane in self.control_planes:
+            control_plane.running = True
+            control_plane.restart(set(self.data_planes))
+        for name, data_plane in self.data_planes.items():
+            if data_plane.reachable:
+                self._connect_to_all(now, name)
+        self.next_owner = self.control_planes[0]
+        self.takeover_at = now + VIEW_BEFORE_TAKEOVER_MS
+
+
 def excess(simulation: QuotaSimulation) -> float:
     """Run a simulation; return by how many requests its fullest span passes the ceiling.
 
