Cancel what is in flight for a client that has left, and send nothing more for it

Change: a request knows its exchanges; UpstreamManager.cancel closes their connections. Attempts that are not idempotent and whole may end by themselves. A cancelled attempt says nothing of its endpoint.

--- a/tests/dataplane/test_client_disconnect.py
+++ b/tests/dataplane/test_client_disconnect.py
@@ -25,6 +25,9 @@
 class LateRefusals(FaultyServer):
     """Says that it has not executed a request, some time after it has come."""
 
+    async def _ends_early(self, end: PeerEnd, request: _Request) -> bool:
+        return False
+
     async def _reply(self, end: PeerEnd, request: _Request) -> bool:
         await trio.sleep(REFUSED_AFTER_S)
         end.send(self._compose(request, executed=False).data)
@@ -87,3 +90,10 @@
 def test_no_further_attempt_follows_once_the_client_has_left(kind: str) -> None:
     simulation = run_leaving_clients(PATHS[kind], "turned_away", refuses=True)
     assert all(len(endpoints) == 1 for endpoints in simulation.ledger.sent_to.values())
+
+
+def test_a_cancelled_attempt_says_nothing_of_its_endpoint() -> None:
+    simulation = run_leaving_clients(PURE_PREFIX, "silent")
+    endpoints = simulation.data_plane.endpoints.by_id.values()
+    assert not any(endpoint.in_flight or endpoint.failures for endpoint in endpoints)
+    assert simulation.data_plane.request_context.event_counts["attempts[cancelled]"] >= 3
--- a/wickspring/dataplane/policy/attempts.py
+++ b/wickspring/dataplane/policy/attempts.py
@@ -29,6 +29,7 @@
     UNSENT = "unsent"  # no byte of the request can have been read
     BROKEN = "broken"  # the request may have been executed
     TIMED_OUT = "silent"  # no response before the deadline
+    CANCELLED = "cancelled"  # ended by the data plane, since its client has left; it may have been executed
 
     @property
     def not_executed(self) -> bool:
@@ -50,12 +51,13 @@
     not_executed: bool = True  # no attempt can have been executed
     timed_out: bool = False
     body_streamed: bool = False  # the part of the body that is not buffered has begun to go out
+    client_left: bool = False  # nobody waits for the response
     ended: bool = False
 
     def may_send(self, now: float) -> bool:
         """Return whether a further attempt is allowed by everything but the retry budget."""
         exhausted = self.sent >= self.route.max_attempts or self.deadline - now < MIN_ATTEMPT_MS
-        if self.ended or self.body_streamed or exhausted:
+        if self.ended or self.client_left or self.body_streamed or exhausted:
             return False
         return self._is_safe_to_send
 
--- a/wickspring/dataplane/policy/endpoint_selection.py
+++ b/wickspring/dataplane/policy/endpoint_selection.py
@@ -41,6 +41,7 @@
     FAILURE = "failure"
     TIMEOUT = "timeout"
     REJECTED = "rejected"  # the endpoint answered without executing the request
+    CANCELLED = "cancelled"  # ended by the data plane; it says nothing of the endpoint
 
 
 class EndpointSelector:
@@ -140,6 +141,8 @@
         -1 where the endpoint failed.
         """
         started_at = candidate.in_flight.pop(number, now)
+        if result is AttemptResult.CANCELLED:
+            return 0.0
         if result is AttemptResult.REJECTED:
             candidate.last_response_at = now
             return 0.0
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -141,7 +141,7 @@
             self.startup_queue.enqueue(incoming)
 
     def client_disconnected(self, request_number: int) -> None:
-        """Note that a client has disconnected; an attempt that has been sent may still end."""
+        """Note that a client has disconnected."""
         self.startup_queue.on_client_disconnected(request_number)
         self.responder.on_client_disconnected(request_number)
 
--- a/wickspring/dataplane/request/forwarding.py
+++ b/wickspring/dataplane/request/forwarding.py
@@ -26,11 +26,13 @@
     Status.MOOT: AttemptOutcome.UNSENT,
     Status.TIMEOUT: AttemptOutcome.TIMED_OUT,
     Status.ERROR: AttemptOutcome.ANSWERED,
+    Status.CANCELLED: AttemptOutcome.CANCELLED,
 }
 _ENDPOINT_RESULTS = {
     Status.OK: AttemptResult.SUCCESS,
     Status.FULL: AttemptResult.REJECTED,
     Status.TIMEOUT: AttemptResult.TIMEOUT,
+    Status.CANCELLED: AttemptResult.CANCELLED,
 }
 
 
@@ -58,7 +60,10 @@
             self._responder.give_up(request)
             return
         attempts.start(candidate.endpoint.id)
-        self._context.upstream.start(self._exchange(request, candidate, now))
+        number = MAX_ATTEMPTS_PER_REQUEST * request.number + attempts.sent
+        exchange = self._exchange(request, candidate, number, now)
+        request.exchanges[number] = exchange  # before it starts, as it may end at once
+        self._context.upstream.start(exchange)
         if attempts.sent == 1:
             self._hedger.schedule(request)
 
@@ -69,12 +74,11 @@
             now, attempts.service, attempts.route.name, attempts.tried, advice
         )
 
-    def _exchange(self, request: Request, candidate: KnownEndpoint, now: float) -> Exchange:
+    def _exchange(self, request: Request, candidate: KnownEndpoint, number: int, now: float) -> Exchange:
         """Return the exchange of an attempt, and have it counted as in flight."""
         context = self._context
         attempts = request.attempts
         endpoint = candidate.endpoint
-        number = MAX_ATTEMPTS_PER_REQUEST * request.number + attempts.sent
         context.endpoint_selector.attempt_started(now, candidate, number)
         load_owner = context.load_client.request_started(attempts.service, endpoint.id)
         left_ms = max(1, int(attempts.deadline + FINAL_RESPONSE_MARGIN_MS - now))
@@ -118,6 +122,7 @@
         """Record how an attempt ended, and go on from there."""
         context = self._context
         attempts = request.attempts
+        request.exchanges.pop(number, None)
         outcome = _OUTCOMES.get(reply.status, AttemptOutcome.BROKEN)
         attempts.finish(outcome)
         result = _ENDPOINT_RESULTS.get(reply.status, AttemptResult.FAILURE)
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -17,7 +17,7 @@
 from wickspring.dataplane.policy.attempts import Attempts
 from wickspring.dataplane.policy.endpoint_selection import EndpointSelector
 from wickspring.dataplane.policy.quota import QuotaPolicy
-from wickspring.dataplane.upstream import BufferedResponse
+from wickspring.dataplane.upstream import BufferedResponse, Exchange
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import Client
 from wickspring.net.clock import Clock
@@ -64,6 +64,7 @@
         "cancel_deadline",
         "cancel_hedge",
         "client",
+        "exchanges",
         "fallback_response",
         "headers",
         "host",
@@ -86,6 +87,7 @@
         self.body = incoming.body
         self.body_stream = incoming.body_stream
         self.attempts = attempts
+        self.exchanges: dict[int, Exchange] = {}  # attempts in flight, by number
         self.wait_ms = 0.0  # that the client waits for a response
         self.headers: list[tuple[str, str]] = []
         self.host = ""
@@ -108,6 +110,17 @@
             return None
         return client
 
+    def must_complete(self) -> bool:
+        """Return whether an attempt is to end by itself, though nobody waits for its response.
+
+        One that is not idempotent must not be broken off halfway, as long as its endpoint has or can get the
+        whole of it and its response is buffered.
+        """
+        attempts = self.attempts
+        has_body = self.body_stream is None or self.body_stream.ended
+        is_buffered = not self.streaming_attempt
+        return not attempts.route.idempotent and attempts.in_flight > 0 and has_body and is_buffered
+
     def metered_tenant(self) -> Tenant | None:
         """Return the tenant whose quota the request counts against, if there is one."""
         tenant = self.tenant
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -137,14 +137,21 @@
     # Ends.
 
     def on_client_disconnected(self, number: int) -> None:
-        """Forget a client that has gone away; an attempt that has been sent may end."""
+        """Forget a client that has gone away: nothing more is sent for it, and its attempts are cancelled.
+
+        An attempt that is not idempotent may end by itself (`Request.must_complete`).
+        """
         request = self._context.requests.get(number)
         if request is None:
             return
         request.client = None
         self._context.event_counts["clients_left"] += 1
-        if request.attempts.sent == 0 or request.streaming_attempt:
-            self._finish(request)
+        request.attempts.client_left = True
+        if request.must_complete():
+            return
+        self._finish(request)
+        for exchange in list(request.exchanges.values()):
+            self._context.upstream.cancel(exchange)
 
     def _finish(self, request: Request) -> None:
         request.attempts.ended = True
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -180,6 +180,21 @@
         if server_connection is not None:
             server_connection.cancel(exchange)
 
+    def cancel(self, exchange: ServerExchange) -> None:
+        """End an exchange whose response nobody wants any more, and report it as cancelled.
+
+        A connection of HTTP/1.1 that carries it is closed: nothing else tells the server to stop. Unlike
+        `stop`, this is no sign of a connection that has died.
+        """
+        if exchange.ended:
+            return
+        server_connection = exchange.server_connection
+        if server_connection is None:
+            self.pools.request_cancelled(exchange)
+        exchange.finish(ExchangeResult(Status.CANCELLED))
+        if server_connection is not None:
+            server_connection.cancel(exchange)
+
     def finish(self, exchange: ServerExchange, result: ExchangeResult) -> None:
         """End an exchange on a connection that goes on: it was answered, or its request never written."""
         answered = result.status is not Status.CONNECT_FAILED
