Reserve quota for data planes that a new owner of counts has never heard from

The class: a right that outlives whoever granted it. Change: each node keeps the names of data planes on its disk and reserves for each until it connects, also at each new view; usage reports carry shares, which bound what the others can hold; the data plane's share is a lease that ends a span before the reservation; a node that joins receives counts of the whole span.

--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -13,8 +13,11 @@
     excess,
 )
 from tests.support.virtual_system import CONTROL_PLANES, DATA_PLANES, VirtualSystem, run_virtual_system
+from wickspring.common.quota_rule import ISOLATED_SHARE, quota_ceiling
+from wickspring.controlplane.known_data_planes import KnownDataPlanes
 from wickspring.controlplane.process import ControlPlane
 from wickspring.controlplane.quota_counter import QuotaCounter
+from wickspring.controlplane.quota_reservations import SHARE_MARGIN
 
 SEEDS_PER_TEST = 50
 
@@ -50,7 +53,7 @@
 
 def unresponsive_data_planes(control_plane: ControlPlane) -> list[str]:
     """Return the data planes for which a control plane reserves units."""
-    return list(control_plane.components.quota_counter.unresponsive_until)
+    return list(control_plane.components.quota_counter.unresponsive.until)
 
 
 def test_other_nodes_learn_of_a_data_plane_cut_off_and_its_share(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -99,6 +102,61 @@
     run_virtual_system(monkeypatch, cut_one_data_plane)
 
 
+def test_restarted_nodes_reserve_for_a_data_plane_that_they_have_never_heard_from(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def restart_all_nodes(system: VirtualSystem) -> None:
+        for ip in DATA_PLANES:
+            await system.start_data_plane(ip)
+        await system.wait_until(
+            lambda: all(set(store.data_planes) == set(DATA_PLANES) for store in system.disks_in_use())
+        )
+        system.cut(DATA_PLANES[1])
+        for ip in CONTROL_PLANES[:3]:
+            system.kill(ip)
+        for ip in CONTROL_PLANES[:3]:
+            await system.start_control_plane(ip)
+        await system.wait_until(
+            lambda: all(
+                unresponsive_data_planes(control_plane) == [DATA_PLANES[1]]
+                for control_plane in system.control_planes.values()
+            )
+        )
+        system.heal()
+        await system.wait_until(
+            lambda: not any(map(unresponsive_data_planes, system.control_planes.values()))
+        )
+
+    run_virtual_system(monkeypatch, restart_all_nodes)
+
+
+def test_what_others_report_bounds_the_reservation_for_those_never_heard_from() -> None:
+    rate, burst = 100.0, 100.0
+    counter = QuotaCounter(SPAN_S, EXCESS, SLACK)
+    ceiling = quota_ceiling(rate, burst, SPAN_S, EXCESS, SLACK)
+    for data_plane in ("a", "b", "c", "cut"):
+        counter.mark_unresponsive(0.0, data_plane)
+    for data_plane, share in (("a", 0.3), ("b", 0.1), ("c", 0.0)):
+        counter.mark_responsive(data_plane)
+        counter.receive_usage_report(0.0, "t", data_plane, [(0, 1)], share)
+    counter.acquire(0.0, "t", "a", rate, burst)
+    assert counter.usage["t"].reserved == pytest.approx(ISOLATED_SHARE * SHARE_MARGIN * 0.6 * ceiling)
+    counter.mark_responsive("cut")
+    counter.acquire(200.0, "t", "a", rate, burst)
+    assert counter.usage["t"].reserved == 0.0
+
+
+def test_a_node_remembers_data_planes_for_as_long_as_they_may_hold_shares() -> None:
+    known = KnownDataPlanes(remembered_ms=1000.0)
+    known.restore(0.0, ["a"])
+    assert known.unsaved(0.0) is None
+    known.heard_of(600.0, ["b"])
+    assert known.unsaved(600.0) == ["a", "b"]
+    known.saved(["a", "b"])
+    assert known.unsaved(900.0) is None and known.names(1100.0) == {"b"}
+    assert known.unsaved(1100.0) == ["b"]
+
+
 def test_a_share_of_an_unresponsive_data_plane_does_not_grow_as_its_units_age() -> None:
     counter, rate, burst = QuotaCounter(SPAN_S, EXCESS, SLACK), 20.0, 20.0
     for step in range(30):  # one unit of another each, ten of them with one of the data plane beside
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -44,6 +44,18 @@
     store.close()
 
 
+def test_stored_data_planes_outlive_saves_of_the_replica(tmp_path: Path) -> None:
+    store = ReplicaStore(str(tmp_path))
+    assert store.load_data_planes() == []
+    store.save_data_planes(["10.0.0.1", "10.0.0.2"])
+    store.save(DURABLE, replica(1))
+    store.save_endpoints([["s1", 1]])
+    store = reopened(store)
+    assert store.load() == (DURABLE, replica(1))
+    assert store.load_data_planes() == ["10.0.0.1", "10.0.0.2"]
+    store.close()
+
+
 def test_stored_endpoints_are_not_part_of_the_replica(tmp_path: Path) -> None:
     store = ReplicaStore(str(tmp_path))
     store.save_endpoints([["s1", 1]])
--- a/tests/dataplane/test_policy.py
+++ b/tests/dataplane/test_policy.py
@@ -8,7 +8,7 @@
 
 from wickspring.common.endpoints import DRAINING, READY, Endpoint
 from wickspring.common.errors import ErrorKind
-from wickspring.common.quota_rule import quota_ceiling
+from wickspring.common.quota_rule import isolation_ms, quota_ceiling, quota_margin, reservation_ms
 from wickspring.common.routing_table import Route, Tenant
 from wickspring.controlplane.quota_counter import QuotaCounter
 from wickspring.dataplane.endpoint_table import EndpointTable
@@ -48,12 +48,12 @@
         if owner is None and now >= away_until:
             owner, cut = QuotaCounter(SPAN_S, EXCESS, SLACK), set()
             for number, data_plane in enumerate(data_planes):
-                for name, reported in data_plane.reports(now):
-                    owner.receive_usage_report(now, name, f"p{number}", reported)
+                for name, reported, share in data_plane.reports(now):
+                    owner.receive_usage_report(now, name, f"p{number}", reported, share)
         if owner is not None and random.random() < 0.0004:
             for number in cut:
-                for name, reported in data_planes[number].reports(now):
-                    owner.receive_usage_report(now, name, f"p{number}", reported)
+                for name, reported, share in data_planes[number].reports(now):
+                    owner.receive_usage_report(now, name, f"p{number}", reported, share)
                 owner.mark_responsive(f"p{number}")
             cut = set(random.sample(range(8), random.choice((0, 1, 2))))
             for number in cut:
@@ -247,3 +247,19 @@
             data_plane.charge(14_999.0, "t")
             granted += data_plane.decide_alone(14_999.0, tenant, len(restarted)).allowed
     assert granted <= quota_ceiling(tenant.rate, tenant.burst, SPAN_S, EXCESS, SLACK)
+
+
+def test_a_share_ends_before_the_owner_stops_to_reserve_for_it() -> None:
+    tenant, data_plane = Tenant("t", 0, 95.0, 95.0), QuotaPolicy(SPAN_S, EXCESS, SLACK)
+    for total in range(1, 21):
+        data_plane.charge(0.0, "t")
+        assert data_plane.decide(0.0, "t", total, 100, 100.0).allowed
+    last_ms = isolation_ms(SPAN_S) - 1.0
+    assert last_ms + 1000.0 * SPAN_S < reservation_ms(SPAN_S)
+    margin = quota_margin(tenant.rate, tenant.burst, SPAN_S, EXCESS, SLACK) / 8
+    for now, is_large in ((last_ms, True), (last_ms + 30_000.0, False)):
+        allowed = 0
+        for _ in range(400):
+            data_plane.charge(now, "t")
+            allowed += data_plane.decide_alone(now, tenant, 8).allowed
+        assert (allowed > margin) == is_large
--- a/tests/support/quota_simulation.py
+++ b/tests/support/quota_simulation.py
@@ -7,7 +7,7 @@
 
 from tests.dataplane.test_policy import EXCESS, SLACK, SPAN_S, most_in_a_span
 from wickspring.common.connection import RECEIVE_TIMEOUT_MS
-from wickspring.common.quota_rule import quota_ceiling
+from wickspring.common.quota_rule import WINDOWS_PER_SPAN, quota_ceiling
 from wickspring.common.routing_table import Tenant
 from wickspring.controlplane.maintenance import INTERVAL_MS
 from wickspring.controlplane.quota_counter import QuotaCounter
@@ -58,11 +58,16 @@
 
     quota_counter: QuotaCounter = field(default_factory=lambda: QuotaCounter(SPAN_S, EXCESS, SLACK))
     unresponsive: set[str] = field(default_factory=set)  # data planes that it knows to have timed out
+    has_joined: bool = False  # started again, and the owner has not replicated counts since
 
-    def restart(self, data_planes: set[str]) -> None:
-        """Start again with no counts; none of the data planes is connected."""
+    def restart(self, now: float, data_planes: set[str], keeps_disk: bool = True) -> None:
+        """Start again with no counts; no data plane is connected, and the disk names all of them."""
         self.quota_counter = QuotaCounter(SPAN_S, EXCESS, SLACK)
         self.unresponsive = set(data_planes)
+        self.has_joined = True
+        if keeps_disk:
+            for name in data_planes:
+                self.quota_counter.mark_unresponsive(self.local_time(now), name)
 
 
 class QuotaSimulation:
@@ -147,7 +152,7 @@
         self.owner = None
         candidates = [control_plane for control_plane in self.control_planes if control_plane is not ended]
         self.next_owner = self.random.choice(candidates)
-        ended.restart(set(self.data_planes))
+        ended.restart(now, set(self.data_planes))
         for name, data_plane in self.data_planes.items():
             if data_plane.reachable:
                 self._connect(now, name, ended)
@@ -167,8 +172,8 @@
     def _report_usage(self, now: float, name: str, control_plane: SimulatedControlPlane) -> None:
         data_plane = self.data_planes[name]
         received_at = control_plane.local_time(now)
-        for tenant, units in data_plane.quota.reports(data_plane.local_time(now)):
-            control_plane.quota_counter.receive_usage_report(received_at, tenant, name, units)
+        for tenant, windows, share in data_plane.quota.reports(data_plane.local_time(now)):
+            control_plane.quota_counter.receive_usage_report(received_at, tenant, name, windows, share)
 
     def _start_view(self, now: float) -> None:
         """Name the next owner; the reachable data planes report their usage to all control planes."""
@@ -191,16 +196,22 @@
     def _replicate_counts(self, now: float, owner: SimulatedControlPlane) -> None:
         """Send the owner's count to the others, if little of it is left."""
         sent_at = owner.local_time(now)
-        counts = owner.quota_counter.low_tenants(sent_at, {TENANT: self.tenant.burst})
+        bursts = {TENANT: self.tenant.burst}
+        counts = owner.quota_counter.low_tenants(sent_at, bursts)
         if not counts:
+            for replica in self.control_planes:
+                replica.has_joined = replica.has_joined and not replica.running
             return
+        span = owner.quota_counter.low_tenants(sent_at, bursts, WINDOWS_PER_SPAN)
         unresponsive_for_ms = owner.quota_counter.unresponsive_for_ms(sent_at)
         shares = owner.quota_counter.shares(sent_at, counts)
         for replica in self.control_planes:
             if replica is owner or not replica.running:
                 continue
             received_at = replica.local_time(now)
-            replica.quota_counter.receive_replicated(received_at, TENANT, counts[TENANT])
+            units = span[TENANT] if replica.has_joined else counts[TENANT]
+            replica.has_joined = False
+            replica.quota_counter.receive_replicated(received_at, TENANT, units)
             replica.quota_counter.receive_shares(TENANT, shares[TENANT])
             for name in set(unresponsive_for_ms) & replica.unresponsive:
                 replica.quota_counter.mark_unresponsive(received_at, name, unresponsive_for_ms[name])
@@ -306,7 +317,7 @@
         if node is None:
             return
         node.running = True
-        node.restart(set(self.data_planes))
+        node.restart(now, set(self.data_planes), keeps_disk=False)
         for name, data_plane in self.data_planes.items():
             if data_plane.reachable:
                 self._connect(now, name, node)
@@ -359,7 +370,7 @@
         """Start all control planes with no counts, in the view that they had."""
         for control_plane in self.control_planes:
             control_plane.running = True
-            control_plane.restart(set(self.data_planes))
+            control_plane.restart(now, set(self.data_planes))
         for name, data_plane in self.data_planes.items():
             if data_plane.reachable:
                 self._connect_to_all(now, name)
--- a/tests/support/virtual_system.py
+++ b/tests/support/virtual_system.py
@@ -51,6 +51,7 @@
     def __init__(self) -> None:
         self.saved: tuple[dict[str, Any], Replica] | None = None
         self.servers: list[Any] = []
+        self.data_planes: list[str] = []
 
     def load(self) -> tuple[dict[str, Any], Replica] | None:
         return None if self.saved is None else (self.saved[0], self.saved[1].copy())
@@ -64,6 +65,12 @@
     def save_endpoints(self, servers: list[Any]) -> None:
         self.servers = servers
 
+    def load_data_planes(self) -> list[str]:
+        return self.data_planes
+
+    def save_data_planes(self, names: list[str]) -> None:
+        self.data_planes = names
+
 
 class MemoryDatagrams:
     """The datagram socket of one data plane."""
@@ -220,6 +227,10 @@
 
     # Waiting.
 
+    def disks_in_use(self) -> list[MemoryStore]:
+        """Return the disks of the control planes that run."""
+        return [self.stores[ip] for ip in self.control_planes]
+
     @property
     def chain(self) -> list[str]:
         """Return the chain of the newest view that any control plane knows."""
--- a/wickspring/common/messages/base.py
+++ b/wickspring/common/messages/base.py
@@ -17,6 +17,11 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+def encode_wire_message(wire_message: WireMessage) -> bytes:
+    """Return the bytes of a message that is not written as its class says."""
+    return _encoder.encode(wire_message)
+
+
 class Message(msgspec.Struct, array_like=True, frozen=True):
     """A message; a subclass names it on the wire by `tag`, and its fields follow in order."""
 
--- a/wickspring/common/messages/from_data_plane.py
+++ b/wickspring/common/messages/from_data_plane.py
@@ -6,7 +6,7 @@
 
 from msgspec import UNSET, UnsetType
 
-from wickspring.common.messages.base import Message, MessageDecoder
+from wickspring.common.messages.base import Message, MessageDecoder, encode_wire_message
 from wickspring.common.messages.hello import Hello
 
 
@@ -66,6 +66,13 @@
 
     tenant: str
     windows: list[tuple[int, int]]  # how many windows ago, units spent in that window
+    share: float = 0.0  # of all units of the tenant, that is the sender's; 0 where it is not known
+
+    def encode(self) -> bytes:
+        """Return the bytes for the wire; a share that is not known is left out, as earlier versions do."""
+        if self.share:
+            return super().encode()
+        return encode_wire_message((self.wire_name, self.tenant, self.windows))
 
 
 class DataPlaneHeartbeat(Message, tag="tick", frozen=True):
--- a/wickspring/common/quota_rule.py
+++ b/wickspring/common/quota_rule.py
@@ -7,9 +7,24 @@
 # Share of its part of the ceiling that a data plane spends in a span while no owner of the count answers it.
 ISOLATED_SHARE = 0.65
 
+MIN_RESERVATION_MS = 30_000.0  # for which units are reserved for an unresponsive data plane
+
 EXTRA_BURST_UNITS = 2.0  # given out above the burst: the rule's spans begin between windows too
 
 
+def reservation_ms(span_s: float) -> float:
+    """Return for how long the owner of a count reserves units for a data plane out of its reach."""
+    return max(MIN_RESERVATION_MS, 2000.0 * span_s)
+
+
+def isolation_ms(span_s: float) -> float:
+    """Return for how long after the owner's last answer a data plane may use its share in isolation.
+
+    What it has used by then counts for a span and a window more, so it ends as much before the reservation.
+    """
+    return reservation_ms(span_s) - 1000.0 * span_s * (1.0 + 1.0 / WINDOWS_PER_SPAN)
+
+
 def quota_ceiling(rate: float, burst: float, span_s: float, excess: float, slack: float) -> float:
     """Return how many requests of a tenant may be forwarded in any span.
 
--- /dev/null
+++ b/wickspring/controlplane/known_data_planes.py
@@ -0,0 +1,44 @@
+"""The data planes that may hold shares of quotas, as a node remembers them over its own restarts.
+
+They are those in reach, and those that were not long ago. The next process of the node reserves units for
+each of them that it does not reach (`wickspring.controlplane.quota_reservations`). No I/O; times are ms.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+class KnownDataPlanes:
+    """Which data planes have been heard of lately, and which of them are on disk."""
+
+    def __init__(self, remembered_ms: float) -> None:
+        self._remembered_ms = remembered_ms  # after a data plane was last heard of
+        self._last_heard_at: dict[str, float] = {}
+        self._saved: frozenset[str] = frozenset()
+
+    def restore(self, now: float, data_planes: Iterable[str]) -> None:
+        """Start with those on disk."""
+        self._saved = frozenset(data_planes)
+        self.heard_of(now, self._saved)
+
+    def heard_of(self, now: float, data_planes: Iterable[str]) -> None:
+        """Note data planes that are in reach, here or of another node."""
+        for data_plane in data_planes:
+            self._last_heard_at[data_plane] = now
+
+    def names(self, now: float) -> frozenset[str]:
+        """Return the data planes that are remembered, and forget the others."""
+        oldest = now - self._remembered_ms
+        for data_plane in [name for name, heard_at in self._last_heard_at.items() if heard_at < oldest]:
+            del self._last_heard_at[data_plane]
+        return frozenset(self._last_heard_at)
+
+    def unsaved(self, now: float) -> list[str] | None:
+        """Return what is to be saved in place of what is on disk; None where that is the same."""
+        names = self.names(now)
+        return None if names == self._saved else sorted(names)
+
+    def saved(self, data_planes: Iterable[str]) -> None:
+        """Note that these are on disk now."""
+        self._saved = frozenset(data_planes)
--- a/wickspring/controlplane/maintenance.py
+++ b/wickspring/controlplane/maintenance.py
@@ -66,6 +66,7 @@
         self._replicate_liveness(now)
         self._quota.replicate()
         self._close_timed_out_sessions()
+        await self._quota.save_data_planes()
         await self._save_endpoints(now)
         self._endpoints.expire(now, contact)
 
--- a/wickspring/controlplane/metrics.py
+++ b/wickspring/controlplane/metrics.py
@@ -15,7 +15,7 @@
         Sample("epoch", replication.chain.view.epoch),
         Sample("lease_held", replication.holds_lease),
         Sample("data_planes_connected", data_planes.live_count),
-        Sample("data_planes_unresponsive", len(counter.unresponsive_until)),
+        Sample("data_planes_unresponsive", len(counter.unresponsive.until)),
     ]
     for tenant, usage in counter.usage.items():
         labels = {"tenant": tenant}
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -100,11 +100,12 @@
         return self.components.replication
 
     def restore(self) -> None:
-        """Start with the endpoints on this node's disk.
+        """Start with the endpoints and the data planes on this node's disk.
 
         The stored configuration is not sent to data planes yet: it may be old or uncommitted.
         """
         self.endpoints.restore()
+        self.quota.restore()
 
     def on_committed(self, replica: Replica) -> None:
         """Send data planes what has been committed."""
--- a/wickspring/controlplane/quota_counter.py
+++ b/wickspring/controlplane/quota_counter.py
@@ -9,12 +9,10 @@
 first attempts go first: else the same few units are asked for again and again, and whoever was refused once
 is refused twice.
 
-A data plane that has timed out may be cut off, and then goes on in isolation within its share
-(`wickspring.dataplane.policy.quota`). So what it may use in a span is reserved for a while: units given out
-and units reserved stay together under the ceiling. A data plane whose connection was reset has ended, and
-uses nothing. A connection times out after `common.connection.RECEIVE_TIMEOUT_MS`; the time of the reservation
-(`UNRESPONSIVE_MS`) counts from then. The data plane itself sets its isolation no end: one that is cut off for
-longer may use what has been given out again.
+What a data plane out of reach may use in isolation is reserved for it (`quota_reservations`): units given out
+and units reserved stay together under the ceiling. The time of the reservation (`reservation_ms` of the rule)
+counts from when its connection has timed out, or from the start of this process. The data plane itself ends
+its isolation a span earlier, so nothing is given out twice.
 
 The nodes that do not own a count receive it while it runs low, so what data planes have used that ended
 together with the owner is not forgotten. They receive each data plane's share too: so the next owner reserves
@@ -28,18 +26,16 @@
 
 from wickspring.common.quota_rule import (
     EXTRA_BURST_UNITS,
-    ISOLATED_SHARE,
     WINDOWS_PER_SPAN,
     quota_ceiling,
+    reservation_ms,
 )
+from wickspring.controlplane.quota_reservations import UnresponsiveDataPlanes, reserved_units
 from wickspring.controlplane.tenant_usage import TenantUsage, WindowUnits
 
 REPLICATED_WINDOWS = 8
 LOW_TOKENS_SHARE = 0.5  # of the burst, below which a tenant's count is replicated
-SHARE_MARGIN = 1.3  # times the known share, for what an unresponsive data plane may take for its own
-UNKNOWN_SHARE_FACTOR = 2.0  # times an even share, for an unresponsive data plane without a known share
 SHARE_DIGITS = 3
-UNRESPONSIVE_MS = 30_000.0  # for which units are reserved for an unresponsive data plane
 FIRST_ATTEMPT_SHARE = 0.2  # of the burst, that is kept for first attempts
 MIN_FIRST_ATTEMPT_UNITS = 4.0
 MIN_REFILL_UNITS = 1e-9  # keeps the wait of a tenant without a rate finite
@@ -62,7 +58,7 @@
         self.slack = slack
         self.window_ms = 1000.0 * span_s / WINDOWS_PER_SPAN
         self.usage: dict[str, TenantUsage] = {}  # by tenant
-        self.unresponsive_until: dict[str, float] = {}  # by data plane: until when units are reserved for it
+        self.unresponsive = UnresponsiveDataPlanes()
 
     # Data planes.
 
@@ -100,20 +96,23 @@
         if usage is not None:
             usage.remove_unit(data_plane)
 
-    def receive_usage_report(self, now: float, tenant: str, data_plane: str, reported: WindowUnits) -> None:
-        """Replace what is known of a data plane's use by its own report."""
+    def receive_usage_report(
+        self, now: float, tenant: str, data_plane: str, reported: WindowUnits, share: float = 0.0
+    ) -> None:
+        """Replace what is known of a data plane's use by its own report; a share of 0 is not known."""
         usage = self.usage.setdefault(tenant, TenantUsage())
         usage.replace_reported(self._window(now), data_plane, reported)
+        if share > 0.0:
+            usage.reported_shares[data_plane] = min(1.0, share)
 
-    def mark_unresponsive(self, now: float, data_plane: str, lasts_ms: float = UNRESPONSIVE_MS) -> None:
+    def mark_unresponsive(self, now: float, data_plane: str, lasts_ms: float | None = None) -> None:
         """Reserve units for a data plane that has timed out: it may go on in isolation.
 
         Its shares are taken when that is noted first. Later the span holds less and less of its units, and of
         others' from the same time, so a share of them would grow towards the whole.
         """
-        is_noted = data_plane in self.unresponsive_until
-        self.unresponsive_until[data_plane] = now + min(lasts_ms, UNRESPONSIVE_MS)
-        if is_noted:
+        longest_ms = reservation_ms(self.span_s)
+        if not self.unresponsive.mark(now, data_plane, min(lasts_ms or longest_ms, longest_ms)):
             return
         window = self._window(now)
         for usage in self.usage.values():
@@ -123,14 +122,16 @@
 
     def mark_responsive(self, data_plane: str) -> None:
         """Reserve nothing any more for a data plane that is in reach again, or has ended for certain."""
-        self.unresponsive_until.pop(data_plane, None)
+        self.unresponsive.clear(data_plane)
 
     # Replication.
 
-    def low_tenants(self, now: float, bursts: Mapping[str, float]) -> dict[str, list[tuple[int, int]]]:
+    def low_tenants(
+        self, now: float, bursts: Mapping[str, float], window_count: int = REPLICATED_WINDOWS
+    ) -> dict[str, list[tuple[int, int]]]:
         """Return the last windows, by how long ago, of the tenants that have used up much of their bursts."""
         window = self._window(now)
-        oldest = window - REPLICATED_WINDOWS
+        oldest = window - window_count
         low: dict[str, list[tuple[int, int]]] = {}
         for tenant, usage in self.usage.items():
             if usage.tokens is None or usage.tokens >= LOW_TOKENS_SHARE * bursts.get(tenant, 0.0):
@@ -146,9 +147,7 @@
 
     def unresponsive_for_ms(self, now: float) -> dict[str, float]:
         """Return the unresponsive data planes, and for how many ms more units are reserved for them."""
-        return {
-            data_plane: self.unresponsive_until[data_plane] - now for data_plane in self._unresponsive(now)
-        }
+        return self.unresponsive.remaining_ms(now)
 
     def shares(self, now: float, tenants: Iterable[str]) -> dict[str, dict[str, float]]:
         """Return the data planes' shares of these tenants' counts, for the next owner."""
@@ -160,7 +159,7 @@
             data_plane: round(usage.share_of(window, data_plane), SHARE_DIGITS)
             for data_plane in usage.by_data_plane
         }
-        for data_plane in self.unresponsive_until:
+        for data_plane in self.unresponsive.until:
             if data_plane in usage.shares:
                 shares[data_plane] = usage.shares[data_plane]
         return {data_plane: share for data_plane, share in shares.items() if share > 0.0}
@@ -194,24 +193,7 @@
         """Return the units that are reserved in a window; they are computed once in each."""
         if usage.reserved_window != window:
             usage.reserved_window = window
-            usage.reserved = self._compute_reserved(now, window, usage, ceiling)
+            unresponsive = self.unresponsive.active(now)
+            never_connected = self.unresponsive.never_connected(unresponsive)
+            usage.reserved = reserved_units(usage, window, unresponsive, never_connected, ceiling)
         return usage.reserved
-
-    def _compute_reserved(self, now: float, window: int, usage: TenantUsage, ceiling: float) -> float:
-        """Return the units that unresponsive data planes may use in a span beside those that are known."""
-        unresponsive = self._unresponsive(now)
-        data_plane_count = len(usage.by_data_plane.keys() | set(unresponsive))
-        unknown_share = UNKNOWN_SHARE_FACTOR / max(1, data_plane_count)
-        reserved = 0.0
-        for data_plane in unresponsive:
-            share = usage.shares.get(data_plane, unknown_share)
-            isolated = ISOLATED_SHARE * SHARE_MARGIN * share * ceiling
-            reserved += max(0.0, isolated - usage.units_of(window, data_plane))
-        return reserved
-
-    def _unresponsive(self, now: float) -> list[str]:
-        """Return the data planes that units are reserved for, and forget those whose time is over."""
-        expired = [data_plane for data_plane, until in self.unresponsive_until.items() if now >= until]
-        for data_plane in expired:
-            del self.unresponsive_until[data_plane]
-        return list(self.unresponsive_until)
--- a/wickspring/controlplane/replication/node.py
+++ b/wickspring/controlplane/replication/node.py
@@ -223,6 +223,10 @@
         """Save the known endpoints, packed; where the disk refuses, the next change tries again."""
         await self._try_to_save(lambda: self.store.save_endpoints(endpoints))
 
+    async def save_data_planes(self, names: list[str]) -> bool:
+        """Save the known data planes; False where the disk refuses."""
+        return await self._try_to_save(lambda: self.store.save_data_planes(names))
+
     async def _try_to_save(self, save: Callable[[], None]) -> bool:
         try:
             async with self._disk:
--- a/wickspring/controlplane/storage.py
+++ b/wickspring/controlplane/storage.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgpack
 from zope.interface import Interface, implementer
@@ -21,7 +21,12 @@
 from wickspring.controlplane.replication.packing import PackedFields, PackedState
 from wickspring.controlplane.replication.replica import Replica
 from wickspring.controlplane.storage_file import FILE, StoreFile, is_refusal
-from wickspring.controlplane.storage_records import ENDPOINTS_PART, UNREADABLE_ERRORS, Records
+from wickspring.controlplane.storage_records import (
+    DATA_PLANES_PART,
+    ENDPOINTS_PART,
+    UNREADABLE_ERRORS,
+    Records,
+)
 
 ResultT = TypeVar("ResultT")
 
@@ -104,10 +109,18 @@
 
     def load_endpoints(self) -> PackedFields:
         """Return the endpoints that were saved last, packed; they may be gone by now."""
-        if ENDPOINTS_PART not in self._saved.parts:
+        return self._load_list(ENDPOINTS_PART)
+
+    def load_data_planes(self) -> list[str]:
+        """Return the names of the data planes that were saved last; they may be gone by now."""
+        return [name for name in self._load_list(DATA_PLANES_PART) if isinstance(name, str)]
+
+    def _load_list(self, part: str) -> list[Any]:
+        """Return a list that is saved by itself; an empty one where there is none, or it cannot be read."""
+        if part not in self._saved.parts:
             return []
         try:
-            return list(msgpack.unpackb(self._saved.parts[ENDPOINTS_PART]))
+            return list(msgpack.unpackb(self._saved.parts[part]))
         except (ValueError, TypeError, msgpack.UnpackException):
             return []
 
@@ -122,7 +135,14 @@
 
     def save_endpoints(self, endpoints: PackedFields) -> None:
         """Save the known endpoints, packed, so that all may start again without waiting for heartbeats."""
-        parts = {ENDPOINTS_PART: msgpack.packb(endpoints)}
+        self._save_list(ENDPOINTS_PART, endpoints)
+
+    def save_data_planes(self, names: list[str]) -> None:
+        """Save the names of the known data planes."""
+        self._save_list(DATA_PLANES_PART, names)
+
+    def _save_list(self, part: str, items: list[Any]) -> None:
+        parts = {part: msgpack.packb(items)}
         self._write(Records(parts, self._saved.history, self._saved.departures))
 
     def _write(self, records: Records) -> None:
--- a/wickspring/controlplane/storage_records.py
+++ b/wickspring/controlplane/storage_records.py
@@ -7,11 +7,12 @@
 * `config`: epoch, version and digest of the configuration, and row counts and checksums of the other tables;
 * `document`: the text of the configuration;
 * `seal`: the checksums of these four;
-* `servers`: the known endpoints.
+* `servers`: the known endpoints;
+* `data_planes`: the known data planes.
 
-Table `history` has the digest of each earlier version, table `leaving` a row for each departure. All parts
-but `servers` are checked together, so a file that mixes two saves is refused. The names of tables, columns
-and parts are fixed by stored files.
+Table `history` has the digest of each earlier version, table `leaving` a row for each departure. The
+parts up to `seal` are checked together, so a file that mixes two saves is refused. The names of tables,
+columns and parts are fixed by stored files.
 """
 
 from __future__ import annotations
@@ -34,6 +35,7 @@
 CHECKSUMMED_PARTS = ("chain", "accepted", "config", "document")
 CHECKSUMS_PART = "seal"  # the checksums of `CHECKSUMMED_PARTS`, in their order
 ENDPOINTS_PART = "servers"  # the known endpoints, packed
+DATA_PLANES_PART = "data_planes"  # the names of the known data planes, packed
 UNREADABLE_ERRORS = (
     sqlite3.DatabaseError,
     ValueError,
--- a/wickspring/controlplane/tenant_usage.py
+++ b/wickspring/controlplane/tenant_usage.py
@@ -31,6 +31,7 @@
     shares: dict[str, float] = field(
         default_factory=dict
     )  # by data plane: as replicated, or when it timed out
+    reported_shares: dict[str, float] = field(default_factory=dict)  # by data plane: as each says of itself
     reserved: float = 0.0  # units that unresponsive data planes may use in a span beside the known ones
     reserved_window: int = -1  # the window in which `reserved` was computed
     total: int = 0  # units in the span
--- a/wickspring/dataplane/control_client/listener.py
+++ b/wickspring/dataplane/control_client/listener.py
@@ -6,15 +6,13 @@
 
 from wickspring.common.messages import EndpointRecord
 from wickspring.common.routing_table import RoutingTable
-
-# For each tenant with recent usage: how many windows ago, and the units used in that window.
-UsageReports = list[tuple[str, list[tuple[int, int]]]]
+from wickspring.dataplane.policy.quota import TenantReport
 
 
 class ControlListener(Protocol):
     """The data plane, as the client of the control plane sees it."""
 
-    def usage_reports(self) -> UsageReports:
+    def usage_reports(self) -> list[TenantReport]:
         """Return the recent usage of all tenants at this data plane."""
 
     def on_routing_table(self, routing_table: RoutingTable) -> None:
--- a/wickspring/dataplane/control_client/quota_client.py
+++ b/wickspring/dataplane/control_client/quota_client.py
@@ -99,8 +99,8 @@
 
     def send_usage(self, connection: PeerConnection) -> None:
         """Report all recent usage to a node, which may own counts from now on."""
-        for tenant, windows in self._listener.usage_reports():
-            connection.send(UsageReport(tenant, windows))
+        for report in self._listener.usage_reports():
+            connection.send(UsageReport(report.tenant, report.windows, report.share))
 
     def send_usage_to_members(self) -> None:
         """Report all recent usage to all members of a new view."""
--- a/wickspring/dataplane/policy/quota.py
+++ b/wickspring/dataplane/policy/quota.py
@@ -2,20 +2,29 @@
 
 The owner of a tenant's count reports the total in the rule's span with each unit that is added; above the
 limit the data plane refuses. While the owner does not answer, the data plane goes on within its own share of
-the ceiling, less a margin, and reports its units to the next owner. One that does not know its share may have
-been started while the owner has given out all; it goes on within its even part of what the ceiling leaves
-beside that. No I/O; times are milliseconds.
+the ceiling, less a margin, and reports its units to the next owner. That right is a lease: each answer renews
+it, and it ends before the owner stops to reserve for it (`common.quota_rule.isolation_ms`). One that does not
+know its share may have been started while the owner has given out all; it goes on within its even part of
+what the ceiling leaves beside that. No I/O; times are milliseconds.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from dataclasses import dataclass, field
-
-from wickspring.common.quota_rule import ISOLATED_SHARE, WINDOWS_PER_SPAN, quota_ceiling, quota_margin
+from typing import NamedTuple
+
+from wickspring.common.quota_rule import (
+    ISOLATED_SHARE,
+    WINDOWS_PER_SPAN,
+    isolation_ms,
+    quota_ceiling,
+    quota_margin,
+)
 from wickspring.common.routing_table import Tenant
 
 SHARE_SMOOTHING = 12  # replies in the moving average of the share; of fewer it is the mean
+SHARE_DIGITS = 3
 MIN_TOTAL = 6  # units in a total, below which it says nothing of shares
 
 
@@ -27,6 +36,15 @@
     units: int = 0  # own, in all windows
     share: float = 0.0  # of the total that is its own; not known before the first reply
     replies: int = 0  # that the share has been averaged over
+    answered_at: float = 0.0  # when the owner has allowed a unit last; the share holds for a while from then
+
+
+class TenantReport(NamedTuple):
+    """What one data plane reports of a tenant to the owner of its count."""
+
+    tenant: str
+    windows: list[tuple[int, int]]  # how many windows ago, and the units spent in that window
+    share: float  # of all units, that is its own; 0 where it is not known
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,6 +97,9 @@
         if total > limit:
             self.refund(now, tenant)
             return QuotaDecision(False, retry_after_ms)
+        if not self._holds_share(now, usage):
+            usage.replies = 0
+        usage.answered_at = now
         if total >= MIN_TOTAL:
             usage.replies += 1
             weight = 1.0 / min(usage.replies, SHARE_SMOOTHING)
@@ -88,26 +109,31 @@
     def decide_alone(self, now: float, tenant: Tenant, data_plane_count: int) -> QuotaDecision:
         """Decide on a request that is charged already, and whose owner has not answered."""
         present, usage = self._usage(now, tenant.name)
-        if usage.units <= self._isolated_limit(tenant, usage, data_plane_count):
+        if usage.units <= self._isolated_limit(now, tenant, usage, data_plane_count):
             return QuotaDecision(True)
         self.refund(now, tenant.name)
         oldest = usage.windows[0][0] if usage.windows else present
         expires_at = (oldest + WINDOWS_PER_SPAN + 1) * self.window_ms
         return QuotaDecision(False, max(self.window_ms, expires_at - now))
 
-    def _isolated_limit(self, tenant: Tenant, usage: TenantUsage, data_plane_count: int) -> float:
+    def _holds_share(self, now: float, usage: TenantUsage) -> bool:
+        """Return whether a share is known, and the owner still reserves for it."""
+        return usage.replies > 0 and now - usage.answered_at < isolation_ms(self.span_s)
+
+    def _isolated_limit(self, now: float, tenant: Tenant, usage: TenantUsage, data_plane_count: int) -> float:
         """Return up to how many units in the span this data plane goes on without the owner's answer."""
         rule = (tenant.rate, tenant.burst, self.span_s, self.excess, self.slack)
-        if usage.replies:
+        if self._holds_share(now, usage):
             return ISOLATED_SHARE * usage.share * quota_ceiling(*rule)
         return quota_margin(*rule) / max(1, data_plane_count)
 
-    def reports(self, now: float) -> list[tuple[str, list[tuple[int, int]]]]:
-        """Return, for each tenant, how many windows ago units were spent, and how many."""
+    def reports(self, now: float) -> list[TenantReport]:
+        """Return what has been spent of each tenant's quota in the span."""
         reports = []
         for tenant in list(self.usages):
             present, usage = self._usage(now, tenant)
             if usage.units > 0:
                 windows = [(present - number, units) for number, units in usage.windows if units]
-                reports.append((tenant, windows))
+                share = round(usage.share, SHARE_DIGITS) if self._holds_share(now, usage) else 0.0
+                reports.append(TenantReport(tenant, windows, share))
         return reports
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -20,14 +20,13 @@
 from wickspring.common.settings import NodeSettings
 from wickspring.connections.model import PooledConnection
 from wickspring.dataplane.control_client.client import ControlClient
-from wickspring.dataplane.control_client.listener import UsageReports
 from wickspring.dataplane.endpoint_table import EndpointTable
 from wickspring.dataplane.gossip import GossipNode
 from wickspring.dataplane.limits import INITIAL_LIMITS, connection_limits, front_limits
 from wickspring.dataplane.local_state import DataPlaneState
 from wickspring.dataplane.metrics import collect_samples
 from wickspring.dataplane.policy.endpoint_selection import EndpointSelector
-from wickspring.dataplane.policy.quota import QuotaPolicy
+from wickspring.dataplane.policy.quota import QuotaPolicy, TenantReport
 from wickspring.dataplane.pool_directory import PoolDirectory
 from wickspring.dataplane.readiness import StartupCheck
 from wickspring.dataplane.request.admission import Admission
@@ -152,7 +151,7 @@
 
     # `ControlListener`: what the control plane reports.
 
-    def usage_reports(self) -> UsageReports:
+    def usage_reports(self) -> list[TenantReport]:
         """Return the recent usage of all tenants at this data plane."""
         return self.quota.reports(self.clock.now())
 
