Send no request any more that still waits for a connection when its client leaves

Cause: an attempt that is not idempotent was left to its end also while it waited for a connection, and then reached a server long after its client had left. Change: Request.must_complete asks whether an attempt is being written. Result: a test with slow connections fails without it; tests of the request path pass.

--- a/tests/dataplane/test_client_disconnect.py
+++ b/tests/dataplane/test_client_disconnect.py
@@ -39,6 +39,7 @@
 
     path = PURE_PREFIX
     refuses = False
+    connect_s = 0.0  # that a connection to a server takes
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -51,6 +52,7 @@
     async def _connect(self, conn: PooledConnection) -> Link | None:
         link = DataPlaneEnd(self.random, float("inf"))
         self.links.append(link)
+        await trio.sleep(self.connect_s)
         self.nursery.start_soon(self.faulty_servers[conn.server.decode()].serve, link.peer)
         return cast(Link, link)
 
@@ -65,8 +67,11 @@
         await trio.sleep(2.0 * REFUSED_AFTER_S)
 
 
-def run_leaving_clients(path: str, fault: str, seed: int = 1, refuses: bool = False) -> LeavingClients:
-    simulation_class = type("Leaving", (LeavingClients,), {"path": path, "refuses": refuses})
+def run_leaving_clients(
+    path: str, fault: str, seed: int = 1, refuses: bool = False, connect_s: float = 0.0
+) -> LeavingClients:
+    attributes = {"path": path, "refuses": refuses, "connect_s": connect_s}
+    simulation_class = type("Leaving", (LeavingClients,), attributes)
     simulation: LeavingClients = simulation_class(seed, fault_share=1.0, only_faults=(fault,))
     simulation.run()
     return simulation
@@ -92,6 +97,13 @@
     assert all(len(endpoints) == 1 for endpoints in simulation.ledger.sent_to.values())
 
 
+@pytest.mark.parametrize("kind", list(PATHS))
+def test_what_still_waits_for_a_connection_is_not_sent_once_the_client_has_left(kind: str) -> None:
+    simulation = run_leaving_clients(PATHS[kind], "silent", connect_s=2.0 * LEAVES_AFTER_S)
+    assert len(simulation.links) >= simulation.client_count
+    assert not any(simulation.ledger.sent_to.values())
+
+
 def test_a_cancelled_attempt_says_nothing_of_its_endpoint() -> None:
     simulation = run_leaving_clients(PURE_PREFIX, "silent")
     endpoints = simulation.data_plane.endpoints.by_id.values()
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -113,13 +113,13 @@
     def must_complete(self) -> bool:
         """Return whether an attempt is to end by itself, though nobody waits for its response.
 
-        One that is not idempotent must not be broken off halfway, as long as its endpoint has or can get the
-        whole of it and its response is buffered.
+        One that is not idempotent must not be broken off halfway, once it is being written, as long as its
+        endpoint can get the whole of it and its response is buffered.
         """
-        attempts = self.attempts
-        has_body = self.body_stream is None or self.body_stream.ended
-        is_buffered = not self.streaming_attempt
-        return not attempts.route.idempotent and attempts.in_flight > 0 and has_body and is_buffered
+        if self.attempts.route.idempotent or self.streaming_attempt:
+            return False
+        is_written = any(exchange.server_connection is not None for exchange in self.exchanges.values())
+        return is_written and (self.body_stream is None or self.body_stream.ended)
 
     def metered_tenant(self) -> Tenant | None:
         """Return the tenant whose quota the request counts against, if there is one."""
