Have the lab's clients wait as long as they say, and its servers see answers given

Change: a client's wait counts from its sending; a server's earlier attempt overlaps only while it has no answer.

--- a/wickspring/lab/emulation/ticket_servers.py
+++ b/wickspring/lab/emulation/ticket_servers.py
@@ -22,7 +22,7 @@
 from wickspring.lab.emulation.sockets import peek
 from wickspring.lab.emulation.ticket_connections import ReceivedRequest, ServerConnection, reset
 from wickspring.lab.experiments.scenario import Scenario
-from wickspring.lab.reports.record import Arrival, ColdLoad, Record, ServerEvent
+from wickspring.lab.reports.record import Arrival, ColdLoad, InFlightAttempt, Record, ServerEvent
 from wickspring.lab.simulation.clock import RunClock
 from wickspring.lab.traffic.schedule import ScheduledRequest
 
@@ -208,12 +208,13 @@
             cell=self.cell,
         )
         in_flight = self.record.in_flight.setdefault(call_id, [])
-        arrival.overlaps = any(sock.fileno() >= 0 and peek(sock) is None for sock in in_flight)
-        in_flight.append(connection.sock)
+        arrival.overlaps = any(_is_open(earlier) for earlier in in_flight)
+        attempt = InFlightAttempt(arrival, connection.sock)
+        in_flight.append(attempt)
         try:
             return await self._handle(connection, arrival, open_cost_ms)
         finally:
-            in_flight.remove(connection.sock)
+            in_flight.remove(attempt)
             if not in_flight:
                 self.record.in_flight.pop(call_id, None)
 
@@ -274,3 +275,12 @@
         if self._cold_work.add(now, work_ms, capacity) and not self.down:
             self.record.overloaded.append(self.name)
             self.kill()
+
+
+def _is_open(attempt: InFlightAttempt) -> bool:
+    """Tell whether an attempt has no answer yet, on a connection that its ingress has not closed.
+
+    Both are seen though the task that serves it has not run since, as on a busy machine.
+    """
+    sock = attempt.sock
+    return not attempt.arrival.answered and sock.fileno() >= 0 and peek(sock) is None
--- a/wickspring/lab/reports/record.py
+++ b/wickspring/lab/reports/record.py
@@ -55,6 +55,13 @@
     overlaps: bool = False  # an earlier attempt was still in flight, on an open connection
 
 
+class InFlightAttempt(NamedTuple):
+    """An attempt that a ticket server has received, and its connection."""
+
+    arrival: Arrival
+    sock: trio.socket.SocketType
+
+
 @dataclass(slots=True)
 class ClientRequest:
     """A request as its client observed it."""
@@ -119,7 +126,7 @@
     dead_writes: list[ServerEvent] = field(default_factory=list)  # requests written to a closing connection
     counters: Counter[str] = field(default_factory=Counter)
     overloaded: list[str] = field(default_factory=list)  # cold servers that went down under their load
-    in_flight: dict[str, list[trio.socket.SocketType]] = field(default_factory=dict)  # attempts, by call id
+    in_flight: dict[str, list[InFlightAttempt]] = field(default_factory=dict)  # by call id
     outages: list[Outage] = field(default_factory=list)
 
     def was_interrupted(self, ingress: int, sent_at: float, ended_at: float) -> bool:
--- a/wickspring/lab/traffic/client.py
+++ b/wickspring/lab/traffic/client.py
@@ -152,14 +152,18 @@
         """Send a request, twice if its connection ended without an answer; then retry as clients do."""
         scheduled = request.scheduled
         request.ingress = self._choose_ingress(scheduled)
-        left_ms = scheduled.at_ms + scheduled.budget_ms + LATE_MS - self.clock.now()
-        with trio.move_on_after(max(left_ms, 1.0) / 1000.0):
-            if not await self._exchange(request, fresh=False):
+        with trio.move_on_after(self._patience_s(scheduled)) as patience:
+            if not await self._exchange(request, patience, fresh=False):
                 request.broken_at = -1.0
-                await self._exchange(request, fresh=True)
+                await self._exchange(request, patience, fresh=True)
         self.ended += 1
         self._retry(request, nursery)
 
+    def _patience_s(self, scheduled: ScheduledRequest) -> float:
+        """Return how many seconds a client waits: its budget, counted from the schedule, and `LATE_MS`."""
+        left_ms = scheduled.at_ms + scheduled.budget_ms + LATE_MS - self.clock.now()
+        return max(left_ms, 1.0) / 1000.0
+
     def _choose_ingress(self, scheduled: ScheduledRequest) -> int:
         """Return the scheduled ingress, or another where the front knows that one to be down."""
         if scheduled.ingress not in self.closed:
@@ -167,8 +171,12 @@
         others = [number for number in range(len(self.addresses)) if number not in self.closed]
         return others[scheduled.number % len(others)] if others else scheduled.ingress
 
-    async def _exchange(self, request: ClientRequest, *, fresh: bool) -> bool:
-        """Send a request on one connection; tell whether an answer came."""
+    async def _exchange(self, request: ClientRequest, patience: trio.CancelScope, *, fresh: bool) -> bool:
+        """Send a request on one connection; tell whether an answer came.
+
+        The request states its whole budget. Where it goes out behind the schedule, since this process is
+        busy, `patience` is prolonged: a client waits for as long as it says.
+        """
         connection = None if fresh else await self._take_idle(request.ingress)
         if connection is None:
             host, _, port = self.addresses[request.ingress].rpartition(":")
@@ -182,6 +190,8 @@
 
             def on_sent() -> None:
                 request.sent_at = self.clock.now()
+                wait_s = (request.scheduled.budget_ms + LATE_MS) / 1000.0
+                patience.deadline = max(patience.deadline, trio.current_time() + wait_s)
 
             response = await connection.exchange(data, on_sent)
             if response is None:
