Soak a gateway of processes under series of overlapping faults and changes

Cause: own tests and drills do one thing at a time; neither clients that leave nor a core that ends while data planes are out of reach came together in them. Stand-in servers drop what they execute once its connection closes. A SIGHUP while a process loads no longer ends it: it is ignored until it is handled.

--- a/tests/system/test_gateway_processes.py
+++ b/tests/system/test_gateway_processes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import shutil
+import signal
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -14,6 +16,7 @@
 from wickspring.lab.emulation.stand_in_server import CONTROL_PORT, ResponseFault
 
 STEP_S = 0.02
+PEER_PORT = 7340  # the first of `port_range` of a local gateway's processes
 
 
 @asynccontextmanager
@@ -54,6 +57,39 @@
     return failed
 
 
+def test_a_reload_signal_during_the_start_ends_no_process(tmp_path: Path, loopback_net: int) -> None:
+    async def scenario() -> None:
+        local_gateway = LocalGateway(tmp_path, control_plane_count=1, data_plane_count=1, net=loopback_net)
+        addresses = [*local_gateway.control_planes, *local_gateway.data_planes]
+        try:
+            for ip in addresses:
+                local_gateway.start(ip)
+            async with trio.open_nursery() as nursery:
+                for ip in addresses:
+                    nursery.start_soon(signal_while_starting, local_gateway, ip)
+            assert all(local_gateway.processes[ip].poll() is None for ip in addresses)
+        finally:
+            local_gateway.stop()
+
+    trio.run(scenario)
+
+
+def listens(ip: str) -> bool:
+    """Return whether a process accepts connections of its peers, which it does first."""
+    with socket.socket() as probe:
+        return probe.connect_ex((ip, PEER_PORT)) == 0
+
+
+async def signal_while_starting(local_gateway: LocalGateway, ip: str) -> None:
+    """Send SIGHUP again and again from when a process listens for its peers until it has started."""
+    while not listens(ip):
+        await trio.sleep(STEP_S)
+    log = local_gateway.folder / ip / "log"
+    while b"event=started" not in log.read_bytes() and local_gateway.processes[ip].poll() is None:
+        local_gateway.signal(ip, signal.SIGHUP)
+        await trio.sleep(STEP_S)
+
+
 def test_what_is_acknowledged_outlives_the_head_a_wiped_disk_and_all_processes(
     tmp_path: Path, loopback_net: int
 ) -> None:
--- a/wickspring/common/bootstrap.py
+++ b/wickspring/common/bootstrap.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import sys
 
@@ -47,7 +48,12 @@
 
 
 def bootstrap() -> Bootstrap:
-    """Read the settings and listen; on an error, print it and exit."""
+    """Read the settings and listen; on an error, print it and exit.
+
+    A SIGHUP that comes before `lifecycle.main` handles it is ignored: the settings have just been read, and
+    by default it would end the process.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         return Bootstrap(read_settings_file())
     except (GatewayError, OSError) as error:
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -34,6 +34,7 @@
 CONTROL_TIMEOUT_S = 1.0
 CONTROL_RETRY_S = 0.1
 REQUEST_TIMEOUT_S = 3.0
+END_POLL_S = 0.02
 TOY_RATE_PER_S = 20.0
 TOY_MAX_PAUSE_S = 0.2
 
@@ -140,6 +141,20 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
 
+    def signal(self, ip: str, number: signal.Signals) -> None:
+        """Send a signal to the process of one machine, where it runs."""
+        process = self.processes.get(ip)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    async def wait_ended(self, ip: str, timeout_s: float) -> bool:
+        """Wait until a process that was told to end has ended; False where it has not in time."""
+        process = self.processes[ip]
+        with trio.move_on_after(timeout_s):
+            while process.poll() is None:
+                await trio.sleep(END_POLL_S)
+        return process.poll() is not None
+
     def stop(self) -> None:
         """End all processes."""
         for ip in list(self.processes):
--- a/wickspring/lab/emulation/stand_in_server.py
+++ b/wickspring/lab/emulation/stand_in_server.py
@@ -18,6 +18,7 @@
 import trio
 
 from wickspring.lab.emulation.http_call import HttpRequest, call
+from wickspring.lab.emulation.sockets import peek
 
 SERVER_PORT = 8080
 CONTROL_PORT = 8783
@@ -62,6 +63,15 @@
         return head + body + (http.send(h11.EndOfMessage()) or b"")
 
 
+@dataclass(slots=True)
+class Execution:
+    """One run of a request, in seconds of trio's clock; `ends_at` is None while it goes on."""
+
+    request_id: str
+    begins_at: float
+    ends_at: float | None = None
+
+
 @dataclass
 class StandInServer:
     """One stand-in server; tests set `state`, `capacity`, `service_time_s` and `fault_share` as it runs."""
@@ -77,6 +87,7 @@
     in_flight: int = 0
     executions: Counter[str] = field(default_factory=Counter)  # by attempt id
     executions_by_tenant: Counter[str] = field(default_factory=Counter)
+    execution_log: list[Execution] = field(default_factory=list)
     drain_acknowledged: bool = False
     drain_acknowledged_at: float = float("inf")
     late_requests: int = 0  # later than DRAIN_S after the acknowledgement
@@ -153,7 +164,8 @@
         elif self.in_flight >= self.capacity:
             response = ServerResponse(503, [attempt_header, ("X-Not-Executed", "1")])
         else:
-            await self._execute(attempt_id, headers.get("x-tenant", ""))
+            if not await self._execute(attempt_id, headers.get("x-tenant", ""), stream):
+                return False
             seal = ("X-Server-Seal", f"seal.{attempt_id}")
             response = ServerResponse(200, [attempt_header, seal], f"{attempt_id} by {self.id}\n".encode())
             if self.random.random() < self.fault_share:
@@ -177,12 +189,20 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
-    async def _execute(self, attempt_id: str, tenant: str) -> None:
+    async def _execute(self, attempt_id: str, tenant: str, stream: trio.SocketStream) -> bool:
+        """Execute a request; False where it was dropped, since its connection has been closed."""
         self.in_flight += 1
         self.executions[attempt_id] += 1
         self.executions_by_tenant[tenant] += 1
-        await trio.sleep(self.service_time_s)
-        self.in_flight -= 1
+        execution = Execution(attempt_id, trio.current_time())
+        self.execution_log.append(execution)
+        try:
+            with trio.move_on_after(self.service_time_s) as work:
+                await _wait_until_closed(stream)
+        finally:
+            self.in_flight -= 1
+            execution.ends_at = trio.current_time()
+        return work.cancelled_caught
 
     async def _send_faulty(
         self,
@@ -208,6 +228,13 @@
         return http.our_state is h11.DONE
 
 
+async def _wait_until_closed(stream: trio.SocketStream) -> None:
+    """Wait until the other side has closed a connection on which it owes nothing."""
+    await trio.lowlevel.wait_readable(stream.socket)
+    if peek(stream.socket) != b"":
+        await trio.sleep_forever()
+
+
 def _spoil(response: ServerResponse, fault: ResponseFault) -> ServerResponse:
     """Return a response with the fault in its status or headers, if the fault is of that kind."""
     attempt_header, *other_headers = response.headers
--- /dev/null
+++ b/wickspring/lab/experiments/soak/__main__.py
@@ -0,0 +1,43 @@
+"""`python -m wickspring.lab.experiments.soak --seeds FIRST-LAST`: runs soaks one after another."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+import msgspec
+
+from wickspring.lab.experiments.soak.run import SoakOptions, run_soak
+
+
+def _parse_arguments() -> argparse.Namespace:
+    defaults = SoakOptions()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-1", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=defaults.seconds)
+    parser.add_argument("--control-planes", type=int, default=defaults.control_planes)
+    parser.add_argument("--data-planes", type=int, default=defaults.data_planes)
+    parser.add_argument("--net", type=int, default=defaults.net, help="N of the addresses 127.N.0.0/16")
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run all seeds; return how many broke a rule."""
+    arguments = _parse_arguments()
+    first, _, last = arguments.seeds.partition("-")
+    options = SoakOptions(
+        seconds=arguments.seconds,
+        control_planes=arguments.control_planes,
+        data_planes=arguments.data_planes,
+        net=arguments.net,
+    )
+    broken = 0
+    for seed in range(int(first), int(last or first) + 1):
+        result = run_soak(seed, options)
+        broken += result.violations.total > 0
+        sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
+        sys.stdout.flush()
+    return broken
+
+
+sys.exit(min(1, main()))
--- /dev/null
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -0,0 +1,128 @@
+"""The clients of a soak: each uses one connection for request after request, until the other side ends it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import h11
+import trio
+
+from wickspring.lab.emulation.local_gateway import (
+    API_KEY,
+    EFFECTFUL_PREFIX,
+    FRONT_PORT,
+    HOST,
+    PURE_PREFIX,
+)
+from wickspring.lab.experiments.soak.observations import SoakRequest
+
+DEADLINE_S = 3.0
+ANSWER_TIMEOUT_S = DEADLINE_S + 1.0
+EFFECTFUL_SHARE = 0.3
+LEAVE_SHARE = 0.25  # of the requests, whose client does not wait for the answer
+LEAVE_AFTER_S = (0.02, 0.2)
+THINK_S = (0.0, 0.25)
+RECONNECT_S = 0.1
+READ_SIZE = 65536
+BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
+
+
+@dataclass(slots=True)
+class ClientSettings:
+    """What all clients of a run share."""
+
+    data_planes: list[str]
+    is_over: Callable[[], bool]
+    pressure: Callable[[], float]  # how much harder than usual clients press
+
+
+class SoakClient:
+    """One client."""
+
+    def __init__(self, number: int, seed: int, settings: ClientSettings, log: list[SoakRequest]) -> None:
+        self._name = f"s{seed}.{number}"
+        self._random = Random(f"client {seed} {number}")
+        self._settings = settings
+        self._log = log
+        self._sent = 0
+
+    async def run(self) -> None:
+        """Send requests until the run is over."""
+        while not self._settings.is_over():
+            data_plane = self._random.choice(self._settings.data_planes)
+            try:
+                stream = await trio.open_tcp_stream(data_plane, FRONT_PORT)
+            except OSError:
+                await trio.sleep(RECONNECT_S)
+                continue
+            async with stream:
+                await self._use(stream, data_plane)
+
+    async def _use(self, stream: trio.SocketStream, data_plane: str) -> None:
+        """Use a connection for as long as it lasts."""
+        http = h11.Connection(h11.CLIENT)
+        settings = self._settings
+        while not settings.is_over():
+            request = self._next_request(data_plane)
+            try:
+                if not await self._exchange(http, stream, request):
+                    return
+                http.start_next_cycle()
+            except BROKEN:
+                return
+            finally:
+                request.ended_at = trio.current_time()
+            await trio.sleep(self._random.uniform(*THINK_S) / settings.pressure())
+
+    def _next_request(self, data_plane: str) -> SoakRequest:
+        self._sent += 1
+        effectful = self._random.random() < EFFECTFUL_SHARE
+        request = SoakRequest(f"{self._name}.{self._sent}", effectful, data_plane, trio.current_time())
+        self._log.append(request)
+        return request
+
+    async def _exchange(self, http: h11.Connection, stream: trio.SocketStream, request: SoakRequest) -> bool:
+        """Send a request and read its answer; False where the connection is not to be used again."""
+        leaves = self._random.random() < LEAVE_SHARE
+        wait_s = self._random.uniform(*LEAVE_AFTER_S) if leaves else ANSWER_TIMEOUT_S
+        with trio.move_on_after(wait_s) as patience:
+            await stream.send_all(_encode(http, request))
+            await _read_answer(http, stream, request)
+        if patience.cancelled_caught:
+            await trio.aclose_forcefully(stream)
+            request.left_at = trio.current_time()
+            return False
+        return http.our_state is h11.DONE and http.their_state is h11.DONE
+
+
+def _encode(http: h11.Connection, request: SoakRequest) -> bytes:
+    method, path = ("POST", EFFECTFUL_PREFIX) if request.effectful else ("GET", PURE_PREFIX)
+    headers = [
+        ("Host", HOST),
+        ("X-Key", API_KEY),
+        ("X-Attempt-Id", request.id),
+        ("X-Deadline-Ms", str(int(1000.0 * DEADLINE_S))),
+        ("Content-Length", "0"),
+    ]
+    head = http.send(h11.Request(method=method, target=f"{path}1", headers=headers)) or b""
+    return head + (http.send(h11.EndOfMessage()) or b"")
+
+
+async def _read_answer(http: h11.Connection, stream: trio.SocketStream, request: SoakRequest) -> None:
+    """Read one answer; only a complete one counts."""
+    status, body = 0, b""
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await stream.receive_some(READ_SIZE))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            request.status, request.body = status, body
+            return
+        elif isinstance(event, h11.ConnectionClosed):
+            return
--- /dev/null
+++ b/wickspring/lab/experiments/soak/run.py
@@ -0,0 +1,259 @@
+"""Plays the plan of a soak on a gateway of processes."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import msgspec
+import trio
+
+from wickspring.lab.emulation.http_call import HttpRequest, call
+from wickspring.lab.emulation.local_gateway import (
+    READY_PORT,
+    LocalGateway,
+    gateway_config,
+)
+from wickspring.lab.emulation.stand_in_server import DRAIN_S
+from wickspring.lab.experiments.soak.checks import SoakViolations, check_soak
+from wickspring.lab.experiments.soak.clients import ClientSettings, SoakClient
+from wickspring.lab.experiments.soak.observations import Observations, Trouble
+from wickspring.lab.experiments.soak.plan import Step, StepKind, draw_plan
+
+GRACE_S = 6.0  # between SIGTERM and SIGKILL, as the default settings have it
+READY_TIMEOUT_S = 30.0  # for all data planes, at the start and at the end
+RECOVERY_S = 1.5  # after a process is back, in which its trouble may still show
+ENDED_IN_ORDER = (0, -signal.SIGTERM)  # the latter where it was told to end before it had started
+BURST_PRESSURE = 6.0
+CLIENTS_PER_DATA_PLANE = 8
+MAX_CLIENTS = 60
+SERVICE_TIMES_S = (0.01, 0.05, 0.9)  # of the stand-in servers of a service
+CAPACITY = 24  # of a stand-in server
+
+
+@dataclass(slots=True, frozen=True)
+class SoakOptions:
+    """The size of a run."""
+
+    seconds: float = 15.0
+    control_planes: int = 3
+    data_planes: int = 3
+    rate: float = 100.0  # of the tenant, requests a second
+    net: int = 18  # second number of all addresses
+
+
+class SoakResult(msgspec.Struct, kw_only=True):
+    """What a run has shown."""
+
+    seed: int
+    processes: int
+    steps: int
+    requests: int
+    served: int
+    refused: int
+    left: int  # requests whose clients did not wait
+    violations: SoakViolations
+    own_ends: list[str]  # processes that ended by themselves, with their exit status
+
+
+@dataclass
+class Soak:
+    """One run."""
+
+    seed: int
+    options: SoakOptions
+    folder: Path
+    seen: Observations = field(default_factory=Observations)
+    version: int = 1
+    pressure: float = 1.0
+    is_over: bool = False
+
+    def __post_init__(self) -> None:
+        """Create the gateway, whose processes do not run yet, and draw the plan."""
+        options = self.options
+        self.gateway = LocalGateway(self.folder, options.control_planes, options.data_planes, options.net)
+        self.random = Random(f"run {self.seed}")
+        self.plan = draw_plan(
+            self.seed, options.seconds, self.gateway.control_planes, self.gateway.data_planes
+        )
+        self.locks = {ip: trio.Lock() for ip in (*self.gateway.control_planes, *self.gateway.data_planes)}
+        self.core = trio.Lock()  # one trouble of the control plane at a time, as it tolerates
+
+    async def run(self) -> SoakResult:
+        """Start everything, play the plan under load, and judge what was seen."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._launch(nursery)
+                async with trio.open_nursery() as load:
+                    self._start_clients(load)
+                    await self._play()
+                    self.is_over = True
+                await self._observe_end()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.gateway.stop()
+        for server in self.gateway.servers:
+            self.seen.executions += server.execution_log
+        return self._result()
+
+    async def _launch(self, nursery: trio.Nursery) -> None:
+        gateway = self.gateway
+        for ip in (*gateway.control_planes, *gateway.data_planes):
+            gateway.start(ip)
+        for number, server in enumerate(gateway.create_servers(len(SERVICE_TIMES_S))):
+            server.service_time_s = SERVICE_TIMES_S[number % len(SERVICE_TIMES_S)]
+            server.capacity = CAPACITY
+            nursery.start_soon(server.run)
+        await self._replace_config()
+        await gateway.wait_until_ready(READY_TIMEOUT_S)
+
+    def _start_clients(self, nursery: trio.Nursery) -> None:
+        data_planes = self.gateway.data_planes
+        settings = ClientSettings(data_planes, lambda: self.is_over, lambda: self.pressure)
+        for number in range(min(MAX_CLIENTS, CLIENTS_PER_DATA_PLANE * len(data_planes))):
+            nursery.start_soon(SoakClient(number, self.seed, settings, self.seen.requests).run)
+
+    async def _play(self) -> None:
+        """Begin each step at its time, whatever goes on; wait for all of them and the quiet end."""
+        started_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for step in self.plan:
+                await trio.sleep_until(started_at + step.at_s)
+                nursery.start_soon(self._take, step)
+            await trio.sleep_until(started_at + self.options.seconds)
+
+    async def _take(self, step: Step) -> None:
+        match step.kind:
+            case StepKind.KILL_CORE:
+                async with self.core:
+                    await self._restart(self.gateway.control_planes, step)
+            case StepKind.CONFIG:
+                await self._replace_config()
+            case StepKind.DRAIN_SERVER:
+                await self._drain_server()
+            case StepKind.BURST:
+                await self._press_harder(step.for_s)
+            case StepKind.RELOAD:
+                self.gateway.signal(step.target, signal.SIGHUP)
+            case _ if step.target in self.gateway.control_planes:
+                async with self.core:
+                    await self._disturb(step)
+            case _:
+                await self._disturb(step)
+
+    # Processes.
+
+    async def _disturb(self, step: Step) -> None:
+        """Do to one process what a step says, once earlier steps are done with it."""
+        async with self.locks[step.target]:
+            if step.kind is StepKind.TERMINATE:
+                await self._terminate(step.target)
+            elif step.kind is StepKind.PAUSE:
+                await self._pause(step.target, step.for_s)
+            else:
+                await self._restart([step.target], step)
+
+    async def _terminate(self, ip: str) -> None:
+        self.gateway.signal(ip, signal.SIGTERM)
+        if not await self.gateway.wait_ended(ip, GRACE_S):
+            self.gateway.kill(ip)
+            self._note_trouble(ip, trio.current_time())
+        elif self.gateway.processes[ip].returncode not in ENDED_IN_ORDER:
+            self.seen.own_ends.append(f"{ip}: {self.gateway.processes[ip].returncode}")
+        self._start(ip)
+
+    async def _pause(self, ip: str, for_s: float) -> None:
+        begins_at = trio.current_time()
+        self.gateway.signal(ip, signal.SIGSTOP)
+        await trio.sleep(for_s)
+        self.gateway.signal(ip, signal.SIGCONT)
+        self._note_trouble(ip, begins_at)
+
+    async def _restart(self, ips: list[str], step: Step) -> None:
+        begins_at = trio.current_time()
+        for ip in ips:
+            self._note_own_end(ip)
+            self.gateway.kill(ip)
+        await trio.sleep(step.for_s)
+        for ip in ips:
+            self._start(ip)
+            self._note_trouble(ip, begins_at)
+
+    def _start(self, ip: str) -> None:
+        self.gateway.start(ip, first=False)
+
+    def _note_trouble(self, ip: str, begins_at: float) -> None:
+        self.seen.troubles.append(Trouble(ip, begins_at, trio.current_time() + RECOVERY_S))
+
+    def _note_own_end(self, ip: str) -> None:
+        status = self.gateway.processes[ip].poll()
+        if status is not None:
+            self.seen.own_ends.append(f"{ip}: {status}")
+
+    # Changes.
+
+    async def _replace_config(self) -> None:
+        self.version += 1
+        version = self.version
+        if await self.gateway.replace_config(gateway_config(version, self.options.rate)) == 200:
+            self.seen.acknowledged_version = max(self.seen.acknowledged_version, version)
+
+    async def _drain_server(self) -> None:
+        """Have a server leave in order, and come back as another."""
+        ready = [server for server in self.gateway.servers if server.state == "ready"]
+        server = self.random.choice(ready) if len(ready) > len(self.gateway.servers) // 2 else None
+        if server is None:
+            return
+        server.state = "draining"
+        await trio.sleep(DRAIN_S + 1.0)
+        server.drain_acknowledged_at = float("inf")
+        server.drain_acknowledged = False
+        server.id = f"{server.id.split('+')[0]}+{self.random.getrandbits(32):x}"
+        server.state = "ready"
+
+    async def _press_harder(self, for_s: float) -> None:
+        self.pressure = BURST_PRESSURE
+        await trio.sleep(for_s)
+        self.pressure = 1.0
+
+    # The end.
+
+    async def _observe_end(self) -> None:
+        self.seen.read_back_version = await self.gateway.read_config_version()
+        for ip in self.gateway.processes:
+            self._note_own_end(ip)
+        deadline = trio.current_time() + READY_TIMEOUT_S
+        for ip in self.gateway.data_planes:
+            if not await self._becomes_ready(ip, deadline):
+                self.seen.not_ready.append(ip)
+
+    async def _becomes_ready(self, ip: str, deadline: float) -> bool:
+        request = HttpRequest("GET", "/readiness")
+        while trio.current_time() < deadline:
+            if (await call(ip, READY_PORT, request, timeout_s=1.0))[0] == 200:
+                return True
+            await trio.sleep(0.05)
+        return False
+
+    def _result(self) -> SoakResult:
+        requests = self.seen.requests
+        return SoakResult(
+            seed=self.seed,
+            processes=len(self.locks),
+            steps=len(self.plan),
+            requests=len(requests),
+            served=sum(request.status == 200 for request in requests),
+            refused=sum(request.status in (429, 503) for request in requests),
+            left=sum(request.left_at is not None for request in requests),
+            violations=check_soak(self.seen, self.options.rate),
+            own_ends=self.seen.own_ends,
+        )
+
+
+def run_soak(seed: int, options: SoakOptions) -> SoakResult:
+    """Run one soak; raises trio.TooSlowError where the gateway does not become ready."""
+    with tempfile.TemporaryDirectory(prefix="wickspring-soak-") as folder:
+        return trio.run(Soak(seed, options, Path(folder)).run)
