--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import pairwise
 
 import msgspec
 import pytest
@@ -112,5 +113,6 @@
     plans = [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert plans == [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert {step.kind for plan in plans for step in plan} == set(StepKind)
-    overlapping = [plan for plan in plans if any(b.at_s - a.at_s < a.for_s for a, b in zip(plan, plan[1:]))]
+    pairs = [list(pairwise(plan)) for plan in plans]
+    overlapping = [steps for steps in pairs if any(b.at_s - a.at_s < a.for_s for a, b in steps)]
     assert len(overlapping) > 20
