Divide limits among all data planes that are known, not only those in reach

Change: control planes report how many data planes they remember, over restarts too (KnownDataPlanes, now a component); counted when the list is pruned, not at each heartbeat.

--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -122,6 +122,8 @@
                 for control_plane in system.control_planes.values()
             )
         )
+        told = system.data_planes[DATA_PLANES[0]].control_client
+        assert told.data_plane_count == len(DATA_PLANES)  # also of those that nobody reaches
         system.heal()
         await system.wait_until(
             lambda: not any(map(unresponsive_data_planes, system.control_planes.values()))
@@ -154,7 +156,7 @@
     assert known.unsaved(600.0) == ["a", "b"]
     known.saved(["a", "b"])
     assert known.unsaved(900.0) is None and known.names(1100.0) == {"b"}
-    assert known.unsaved(1100.0) == ["b"]
+    assert known.unsaved(1100.0) == ["b"] and known.count == 1
 
 
 def test_a_share_of_an_unresponsive_data_plane_does_not_grow_as_its_units_age() -> None:
--- a/wickspring/controlplane/components.py
+++ b/wickspring/controlplane/components.py
@@ -8,6 +8,7 @@
 from wickspring.common.settings import NodeSettings
 from wickspring.controlplane.config_distribution import ConfigDistributor
 from wickspring.controlplane.endpoint_registry import EndpointRegistry
+from wickspring.controlplane.known_data_planes import KnownDataPlanes
 from wickspring.controlplane.load_tracker import LoadTracker
 from wickspring.controlplane.quorum_contact import QuorumContactObserver
 from wickspring.controlplane.quota_counter import QuotaCounter
@@ -28,3 +29,4 @@
     load_tracker: LoadTracker
     quota_counter: QuotaCounter
     config_distributor: ConfigDistributor
+    known_data_planes: KnownDataPlanes
--- a/wickspring/controlplane/data_plane_messages.py
+++ b/wickspring/controlplane/data_plane_messages.py
@@ -130,7 +130,7 @@
         reply = ControlPlaneHeartbeatReply(
             epoch=parts.replication.chain.view.epoch,
             config_version=committed.version,
-            data_plane_count=self._data_planes.live_count,
+            data_plane_count=parts.known_data_planes.count,
             endpoints_digest=self._endpoints.digest(),
             config_digest=b"" if is_announced else committed.digest,
             contact=parts.contact.observe(),
--- a/wickspring/controlplane/known_data_planes.py
+++ b/wickspring/controlplane/known_data_planes.py
@@ -1,7 +1,8 @@
 """The data planes that may hold shares of quotas, as a node remembers them over its own restarts.
 
 They are those in reach, and those that were not long ago. The next process of the node reserves units for
-each of them that it does not reach (`wickspring.controlplane.quota_reservations`). No I/O; times are ms.
+each of them that it does not reach (`wickspring.controlplane.quota_reservations`), and limits that data
+planes divide evenly among themselves are divided among all of them. No I/O; times are ms.
 """
 
 from __future__ import annotations
@@ -34,6 +35,11 @@
             del self._last_heard_at[data_plane]
         return frozenset(self._last_heard_at)
 
+    @property
+    def count(self) -> int:
+        """How many data planes are remembered, as of the last call of `names`: limits are divided by it."""
+        return len(self._last_heard_at)
+
     def unsaved(self, now: float) -> list[str] | None:
         """Return what is to be saved in place of what is on disk; None where that is the same."""
         names = self.names(now)
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -12,6 +12,7 @@
 from wickspring.common.connection import accept_connections
 from wickspring.common.messages import NodeRequest
 from wickspring.common.metrics import Sample
+from wickspring.common.quota_rule import reservation_ms
 from wickspring.common.settings import NodeSettings
 from wickspring.controlplane.api.handlers import create_handlers
 from wickspring.controlplane.api.server import ApiServer, serve_http
@@ -21,6 +22,7 @@
 from wickspring.controlplane.data_plane_sessions import DataPlaneSessions
 from wickspring.controlplane.endpoint_registry import EndpointRegistry
 from wickspring.controlplane.endpoint_service import EndpointService
+from wickspring.controlplane.known_data_planes import KnownDataPlanes
 from wickspring.controlplane.load_tracker import LoadTracker
 from wickspring.controlplane.maintenance import Maintenance
 from wickspring.controlplane.metrics import collect_samples
@@ -87,6 +89,7 @@
                 guarantees.quota_window_s, guarantees.quota_excess, guarantees.quota_slack
             ),
             config_distributor=ConfigDistributor(),
+            known_data_planes=KnownDataPlanes(reservation_ms(guarantees.quota_window_s)),
         )
 
     @property
--- a/wickspring/controlplane/quota_service.py
+++ b/wickspring/controlplane/quota_service.py
@@ -11,10 +11,9 @@
     ReplicatedCounts,
     UsageReport,
 )
-from wickspring.common.quota_rule import WINDOWS_PER_SPAN, reservation_ms
+from wickspring.common.quota_rule import WINDOWS_PER_SPAN
 from wickspring.controlplane.components import Components
 from wickspring.controlplane.data_plane_sessions import DataPlaneSessions, PeerSession
-from wickspring.controlplane.known_data_planes import KnownDataPlanes
 
 
 class QuotaService:
@@ -25,8 +24,8 @@
         self._counter = components.quota_counter
         self._replication = components.replication
         self._config_distributor = components.config_distributor
+        self._known_data_planes = components.known_data_planes
         self._data_planes = data_planes
-        self._known_data_planes = KnownDataPlanes(reservation_ms(self._counter.span_s))
         self._reachable_nodes: set[str] = set()  # when counts were replicated last
         self._announced_epoch = 0  # of the view in which `counting_started` was logged last
 
@@ -77,6 +76,7 @@
 
     def data_plane_connected(self, data_plane: str) -> None:
         """Record that a data plane is in reach again."""
+        self._known_data_planes.heard_of(self._clock.now(), [data_plane])
         self._counter.mark_responsive(data_plane)
 
     def data_plane_timed_out(self, data_plane: str) -> None:
--- a/wickspring/controlplane/view_announcements.py
+++ b/wickspring/controlplane/view_announcements.py
@@ -8,12 +8,13 @@
 
 
 class ViewAnnouncer:
-    """Sends the present view, the reachable nodes and the number of data planes."""
+    """Sends the present view, the reachable nodes and the number of known data planes."""
 
     def __init__(self, components: Components, data_planes: DataPlaneSessions) -> None:
         self._own_ip = components.settings.ip
         self._replication = components.replication
         self._data_planes = data_planes
+        self._known_data_planes = components.known_data_planes
 
     def reachable_nodes(self) -> list[str]:
         """Return this node and the other ones that it reaches."""
@@ -23,7 +24,8 @@
     def _message(self) -> ClusterView:
         view = self._replication.chain.view
         members = [ip for ip, _ in view.chain]
-        return ClusterView(view.epoch, members, self.reachable_nodes(), self._data_planes.live_count)
+        data_plane_count = self._known_data_planes.count
+        return ClusterView(view.epoch, members, self.reachable_nodes(), data_plane_count)
 
     def send(self, session: PeerSession) -> None:
         """Announce the view to one data plane."""
