--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -6,12 +6,8 @@
 import trio
 
 from tests.dataplane.test_policy import EXCESS, SLACK, SPAN_S
-from tests.support.quota_simulation import (
-    CoreRestartSimulation,
-    QuotaSimulation,
-    RestartSimulation,
-    excess,
-)
+from tests.support.quota_restarts import CoreRestartSimulation, RestartSimulation
+from tests.support.quota_simulation import QuotaSimulation, excess
 from tests.support.virtual_system import CONTROL_PLANES, DATA_PLANES, VirtualSystem, run_virtual_system
 from wickspring.common.quota_rule import ISOLATED_SHARE, quota_ceiling
 from wickspring.controlplane.known_data_planes import KnownDataPlanes
--- a/tests/dataplane/test_client_disconnect.py
+++ b/tests/dataplane/test_client_disconnect.py
@@ -10,7 +10,7 @@
 from tests.dataplane.test_request_path import head
 from wickspring.connections.model import PooledConnection
 from wickspring.lab.emulation.local_gateway import PURE_PREFIX
-from wickspring.lab.simulation.request_path.faulty_server import FaultyServer, _Request
+from wickspring.lab.simulation.request_path.faulty_server import FaultyServer, ReceivedRequest
 from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX
 from wickspring.lab.simulation.request_path.memory_connection import DataPlaneEnd, PeerEnd
 from wickspring.lab.simulation.request_path.simulation import Simulation
@@ -25,10 +25,10 @@
 class LateRefusals(FaultyServer):
     """Says that it has not executed a request, some time after it has come."""
 
-    async def _ends_early(self, end: PeerEnd, request: _Request) -> bool:
+    async def _ends_early(self, end: PeerEnd, request: ReceivedRequest) -> bool:
         return False
 
-    async def _reply(self, end: PeerEnd, request: _Request) -> bool:
+    async def _reply(self, end: PeerEnd, request: ReceivedRequest) -> bool:
         await trio.sleep(REFUSED_AFTER_S)
         end.send(self._compose(request, executed=False).data)
         return True
--- a/wickspring/lab/experiments/soak/__main__.py
+++ b/wickspring/lab/experiments/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 import sys
 
 import msgspec
@@ -22,7 +23,11 @@
 
 
 def main() -> int:
-    """Run all seeds; return how many broke a rule."""
+    """Run all seeds; return how many broke a rule.
+
+    SIGTERM ends it as Ctrl-C does, so that no process of a gateway is left behind.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     arguments = _parse_arguments()
     first, _, last = arguments.seeds.partition("-")
     options = SoakOptions(
--- a/wickspring/lab/simulation/request_path/faulty_server.py
+++ b/wickspring/lab/simulation/request_path/faulty_server.py
@@ -53,7 +53,7 @@
 
 
 @dataclass(slots=True)
-class _Request:
+class ReceivedRequest:
     """A request as this server has read it."""
 
     id: str
@@ -91,7 +91,7 @@
 
     # Composing responses.
 
-    def _compose(self, request: _Request, executed: bool) -> _Response:
+    def _compose(self, request: ReceivedRequest, executed: bool) -> _Response:
         """Compose a response, and enter it into the ledger if a client may be given it."""
         random = self.ledger.random
         fault = request.fault
@@ -110,7 +110,7 @@
             sent.append((status, seal, body))
         return _Response(head + framed, len(head))
 
-    def _body(self, request: _Request, executed: bool) -> bytes:
+    def _body(self, request: ReceivedRequest, executed: bool) -> bytes:
         random = self.ledger.random
         body = f"{request.id} by {self.name}\n".encode() * random.choice((0, 1, 3))
         if executed and (request.fault == "drips" or random.random() < LONG_RESPONSE_SHARE):
@@ -126,7 +126,7 @@
         statuses = FAULTY_STATUSES.get(fault, (200,))
         return random.choice(statuses) if len(statuses) > 1 else statuses[0]
 
-    def _header_lines(self, request: _Request, seal: str) -> list[str]:
+    def _header_lines(self, request: ReceivedRequest, seal: str) -> list[str]:
         """Return the lines that are to show whose response it is."""
         random = self.ledger.random
         fault = request.fault
@@ -212,7 +212,7 @@
         end.close(random.choice(ENDINGS))
         return False
 
-    def _read_head(self, head: bytes) -> _Request:
+    def _read_head(self, head: bytes) -> ReceivedRequest:
         """Return the request, and enter into the ledger that it came here."""
         ledger = self.ledger
         lines = head.decode().lower().split("\r\n")[1:]
@@ -226,9 +226,9 @@
             ledger.sent_to[request_id].append(self.name)
         if headers.get("x-target-instance") != self.name:
             ledger.fail("sent to another than named", request_id, self.name)
-        return _Request(request_id, fault, headers, is_own, fault not in NOT_EXECUTING_FAULTS)
+        return ReceivedRequest(request_id, fault, headers, is_own, fault not in NOT_EXECUTING_FAULTS)
 
-    async def _ends_early(self, end: PeerEnd, request: _Request) -> bool:
+    async def _ends_early(self, end: PeerEnd, request: ReceivedRequest) -> bool:
         """End the connection before the body is read, for faults that do so."""
         random = self.ledger.random
         fault = request.fault
@@ -245,12 +245,12 @@
             return True
         return False
 
-    def _check_body(self, request: _Request, body: bytes) -> None:
+    def _check_body(self, request: ReceivedRequest, body: bytes) -> None:
         expected = self.ledger.requests.get(request.id)
         if expected is None or body != request_body(request.id, expected[1]):
             self.ledger.fail("a body that its client did not send", request.id, len(body), expected)
 
-    async def _reply(self, end: PeerEnd, request: _Request) -> bool:
+    async def _reply(self, end: PeerEnd, request: ReceivedRequest) -> bool:
         """Answer a request that has been read; return False where the connection ends."""
         random = self.ledger.random
         fault = request.fault
