Let a soak's paused data planes learn late that a client has left

Change: the check counts from the end of a trouble of the data plane; times of trouble are stored as they were.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -65,10 +65,16 @@
         execution.ends_at = request.left_at + GONE_AFTER_S + 0.1
 
 
+def work_on_at_a_paused_data_plane(seen: Observations) -> None:
+    work_on_for_clients_that_have_left(seen)
+    paused_until = seen.requests[2 * MAX_GONE + 3].sent_at
+    seen.troubles.append(Trouble("d1", 0.0, paused_until))
+
+
 def lose_an_answer(seen: Observations) -> None:
     seen.requests[50].status = 0
     seen.requests[70].status = 0  # its data plane was killed
-    seen.troubles.append(Trouble("d1", 7.03, 8.0))
+    seen.troubles.append(Trouble("d1", 7.03, 7.5))
 
 
 def lose_the_configuration(seen: Observations) -> None:
@@ -109,6 +115,12 @@
     assert {name for name, count in counts.items() if count} == {rule}
 
 
+def test_a_paused_data_plane_may_learn_late_that_a_client_has_left() -> None:
+    seen = observe_served_requests()
+    work_on_at_a_paused_data_plane(seen)
+    assert check_soak(seen, RATE).went_on == 0
+
+
 def test_a_plan_is_the_same_for_a_seed_and_has_every_kind_of_step() -> None:
     plans = [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert plans == [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -10,11 +10,12 @@
 from wickspring.common.quota_rule import quota_ceiling
 from wickspring.lab.emulation.stand_in_server import Execution
 from wickspring.lab.experiments.drill import QUOTA_EXCESS, QUOTA_SLACK, QUOTA_SPAN_S, REFUSAL_STATUSES
-from wickspring.lab.experiments.soak.observations import NO_ANSWER, Observations, SoakRequest
+from wickspring.lab.experiments.soak.observations import NO_ANSWER, Observations, SoakRequest, Trouble
 
 GONE_AFTER_S = 0.5  # after a client has left, by which work for it has ended
 MAX_GONE = 3  # runs that may go on; a pause of the lab's own is no fault of the gateway
 TROUBLE_BEFORE_S = 0.5  # that a request may have been sent before a trouble that ends its connection
+TROUBLE_AFTER_S = 1.5  # after a process is back, in which its trouble may still end connections
 
 
 class SoakViolations(msgspec.Struct, kw_only=True):
@@ -42,7 +43,7 @@
     for execution in seen.executions:
         executions[execution.request_id].append(execution)
     requests = seen.requests
-    gone = sum(_went_on(request, executions[request.id]) for request in requests)
+    gone = sum(_went_on(request, executions[request.id], seen.troubles) for request in requests)
     return SoakViolations(
         executed_twice=sum(request.effectful and len(executions[request.id]) > 1 for request in requests),
         executed_after_refusal=sum(
@@ -77,11 +78,18 @@
     return max(0, int(most - quota_ceiling(rate, rate, QUOTA_SPAN_S, QUOTA_EXCESS, QUOTA_SLACK)))
 
 
-def _went_on(request: SoakRequest, executions: list[Execution]) -> bool:
-    """Tell whether a repeatable request was still being run some time after its client had left."""
+def _went_on(request: SoakRequest, executions: list[Execution], troubles: list[Trouble]) -> bool:
+    """Tell whether a repeatable request was still being run some time after its client had left.
+
+    A data plane that is paused learns of it once it goes on.
+    """
     if request.left_at is None or request.effectful:
         return False
-    latest = request.left_at + GONE_AFTER_S
+    noticed_at = request.left_at
+    for trouble in troubles:
+        if trouble.process == request.data_plane and trouble.begins_at <= noticed_at + GONE_AFTER_S:
+            noticed_at = max(noticed_at, trouble.ends_at)
+    latest = noticed_at + GONE_AFTER_S
     return any(execution.ends_at is None or execution.ends_at > latest for execution in executions)
 
 
@@ -92,6 +100,6 @@
     return not any(
         trouble.process == request.data_plane
         and trouble.begins_at <= request.ended_at + TROUBLE_BEFORE_S
-        and trouble.ends_at >= request.sent_at - TROUBLE_BEFORE_S
+        and trouble.ends_at >= request.sent_at - TROUBLE_AFTER_S
         for trouble in seen.troubles
     )
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -25,7 +25,6 @@
 
 GRACE_S = 6.0  # between SIGTERM and SIGKILL, as the default settings have it
 READY_TIMEOUT_S = 30.0  # for all data planes, at the start and at the end
-RECOVERY_S = 1.5  # after a process is back, in which its trouble may still show
 ENDED_IN_ORDER = (0, -signal.SIGTERM)  # the latter where it was told to end before it had started
 BURST_PRESSURE = 6.0
 CLIENTS_PER_DATA_PLANE = 8
@@ -186,7 +185,7 @@
         self.gateway.start(ip, first=False)
 
     def _note_trouble(self, ip: str, begins_at: float) -> None:
-        self.seen.troubles.append(Trouble(ip, begins_at, trio.current_time() + RECOVERY_S))
+        self.seen.troubles.append(Trouble(ip, begins_at, trio.current_time()))
 
     def _note_own_end(self, ip: str) -> None:
         status = self.gateway.processes[ip].poll()
