--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -13,6 +13,7 @@
 
 from wickspring.lab.emulation.http_call import HttpRequest, call
 from wickspring.lab.emulation.local_gateway import (
+    PURE_SERVICE,
     READY_PORT,
     LocalGateway,
     gateway_config,
@@ -27,9 +28,11 @@
 READY_TIMEOUT_S = 30.0  # for all data planes, at the start and at the end
 ENDED_IN_ORDER = (0, -signal.SIGTERM)  # the latter where it was told to end before it had started
 BURST_PRESSURE = 6.0
-CLIENTS_PER_DATA_PLANE = 8
+CLIENTS_PER_DATA_PLANE = 20
 MAX_CLIENTS = 60
-SERVICE_TIMES_S = (0.01, 0.05, 0.9)  # of the stand-in servers of a service
+SERVERS_PER_SERVICE = 3
+PURE_SERVICE_TIME_S = 0.8  # so that work for a client that has left can be seen to go on
+EFFECTFUL_SERVICE_TIME_S = 0.01
 CAPACITY = 24  # of a stand-in server
 
 
@@ -40,7 +43,7 @@
     seconds: float = 15.0
     control_planes: int = 3
     data_planes: int = 3
-    rate: float = 100.0  # of the tenant, requests a second
+    rate: float = 40.0  # of the tenant, requests a second
     net: int = 18  # second number of all addresses
 
 
@@ -102,8 +105,9 @@
         gateway = self.gateway
         for ip in (*gateway.control_planes, *gateway.data_planes):
             gateway.start(ip)
-        for number, server in enumerate(gateway.create_servers(len(SERVICE_TIMES_S))):
-            server.service_time_s = SERVICE_TIMES_S[number % len(SERVICE_TIMES_S)]
+        for server in gateway.create_servers(SERVERS_PER_SERVICE):
+            is_pure = server.service == PURE_SERVICE
+            server.service_time_s = PURE_SERVICE_TIME_S if is_pure else EFFECTFUL_SERVICE_TIME_S
             server.capacity = CAPACITY
             nursery.start_soon(server.run)
         await self._replace_config()
