Count a request that is never answered as lost in a soak

Cause: a client that waited until its deadline was over was recorded as one that had left, so the check passed over requests without any answer; found by reading the change again. Change: such a request is marked as timed out, and is lost unless its data plane was in trouble.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -121,6 +121,13 @@
     assert check_soak(seen, RATE).went_on == 0
 
 
+def test_a_request_that_is_never_answered_is_lost_whether_it_was_executed_or_not() -> None:
+    seen = observe_served_requests()
+    seen.requests.append(SoakRequest("hung", False, "d1", 2.0, ended_at=6.0, timed_out=True))
+    seen.requests.append(SoakRequest("closed", False, "d1", 2.0, ended_at=2.1))  # may be sent again
+    assert check_soak(seen, RATE).lost == 1
+
+
 def test_a_plan_is_the_same_for_a_seed_and_has_every_kind_of_step() -> None:
     plans = [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert plans == [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -26,7 +26,7 @@
     foreign_answers: int = 0  # successes with a body that no server sent for the request
     over_quota: int = 0  # requests above the tenant's ceiling in the worst span
     went_on: int = 0  # runs of repeatable requests that went on after their clients had left
-    lost: int = 0  # executed, and without an answer though their data plane was in no trouble
+    lost: int = 0  # executed or waited for in vain, though their data plane was in no trouble
     config_lost: int = 0  # the configuration read back is older than what was acknowledged
     own_ends: int = 0  # processes that ended by themselves
     not_ready: int = 0  # data planes that did not come back
@@ -94,8 +94,14 @@
 
 
 def _is_lost(request: SoakRequest, executions: list[Execution], seen: Observations) -> bool:
-    """Tell whether a request was executed and has no answer, though nothing was wrong with its data plane."""
-    if request.status != NO_ANSWER or request.left_at is not None or not executions:
+    """Tell whether a request has no answer, though nothing was wrong with its data plane.
+
+    One that was not executed counts only where its client has waited in vain: a connection that ends without
+    an answer promises nothing, and such a request may be sent again.
+    """
+    if request.status != NO_ANSWER or request.left_at is not None:
+        return False
+    if not (executions or request.timed_out):
         return False
     return not any(
         trouble.process == request.data_plane
--- a/wickspring/lab/experiments/soak/clients.py
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -92,7 +92,10 @@
             await _read_answer(http, stream, request)
         if patience.cancelled_caught:
             await trio.aclose_forcefully(stream)
-            request.left_at = trio.current_time()
+            if leaves:
+                request.left_at = trio.current_time()
+            else:
+                request.timed_out = True
             return False
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
--- a/wickspring/lab/experiments/soak/observations.py
+++ b/wickspring/lab/experiments/soak/observations.py
@@ -20,7 +20,8 @@
     status: int = NO_ANSWER
     body: bytes = b""
     ended_at: float = 0.0
-    left_at: float | None = None  # when its client closed the connection without waiting any longer
+    left_at: float | None = None  # when its client closed the connection, well before its deadline
+    timed_out: bool = False  # its client has waited past the deadline
 
 
 @dataclass(slots=True, frozen=True)
