--- a/wickspring/lab/simulation/request_path/memory_connection.py
+++ b/wickspring/lab/simulation/request_path/memory_connection.py
@@ -30,6 +30,7 @@
         self.broken = False
         self.bytes_queued = 0  # bytes to send
         self.bytes_sent = 0  # of which the kernel has taken
+        self.bytes_read = 0  # of the peer's, by the data plane
         self.peer = PeerEnd(self)
         self._closing = False
         self._shut = False
@@ -104,6 +105,7 @@
                 size = self.random.choice((1, 7, 65536, 65536, 65536))
                 data = bytes(self._unread[:size])
                 del self._unread[:size]
+                self.bytes_read += len(data)
                 return data
             if self._end == "reset":
                 self.broken = True
@@ -147,6 +149,7 @@
         self.ended = False  # by the data plane
         self.reset = False  # by the data plane
         self.gone = False  # closed by the peer itself
+        self.bytes_sent = 0  # to the data plane
         self._moved = trio.Event()
         self._known = 0  # bytes received when the peer last looked
 
@@ -196,6 +199,7 @@
     def send(self, data: bytes) -> None:
         """Send bytes."""
         if not self.gone and data:
+            self.bytes_sent += len(data)
             self.data_plane_end.arrive_later(data)
 
     def close(self, how: str = "end") -> None:
