Count and log each request whose connection ends without an answer, with its reason

Change: EndReason and UnansweredRequests (net/unanswered.py), used by both fronts; the time of SIGTERM is kept; data planes add id, route and attempts; modules shared with the ingress log as events in the gateway.

--- a/tests/net/test_parsers.py
+++ b/tests/net/test_parsers.py
@@ -24,6 +24,7 @@
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
+from wickspring.net.unanswered import UnansweredRequest
 from wickspring.net.upstream.response_reader import ResponseReader
 from wickspring.net.upstream.responses import read_result
 
@@ -192,7 +193,7 @@
         self.asked: list[tuple[str, str, str, bytes]] = []
         self.sent, self.ended = b"", False
         self.clock, self.draining, self.near_connection_limit, self.flushed = Clock(), False, False, True
-        self.bytes_sent, self.broken = 0, False
+        self.bytes_queued, self.bytes_sent, self.broken, self.closed = 0, 0, False, False
 
     def handle_request(self, client: Client, request: HttpRequest) -> None:
         assert request.body_stream is None
@@ -209,6 +210,9 @@
     def client_disconnected(self, request_number: int) -> None:
         raise AssertionError("nothing was owed")
 
+    def record_unanswered(self, request: UnansweredRequest) -> None:
+        raise AssertionError("nothing was owed")
+
     def send(self, data: bytes) -> None:
         self.sent += data
 
--- a/wickspring/common/logs.py
+++ b/wickspring/common/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 from collections.abc import Mapping
 
@@ -24,11 +25,25 @@
     sys.stderr.write(format_pairs(pairs) + "\n")
 
 
+class _EventHandler(logging.Handler):
+    """Writes what modules shared with the ingress log by `logging`, as events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record as one event."""
+        pairs = dict(getattr(record, "kv", {}))
+        if record.exc_info:
+            pairs["error"] = repr(record.exc_info[1])
+        log_event(record.getMessage(), **pairs)
+
+
 def setup_logging(node_name: str) -> None:
     """Write events to standard error from now on, with the name of this node."""
     global _node_name
     _node_name = node_name
     eliot.add_destinations(_write)
+    logger = logging.getLogger("wickspring")
+    logger.addHandler(_EventHandler())
+    logger.setLevel(logging.INFO)
 
 
 def log_event(name: str, **pairs: object) -> None:
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -11,7 +11,7 @@
 from wickspring.common.bootstrap import Bootstrap
 from wickspring.common.connection import accept_connections
 from wickspring.common.messages import NodeRequest
-from wickspring.common.metrics import Sample
+from wickspring.common.metrics import Sample, event_samples
 from wickspring.common.quota_rule import reservation_ms
 from wickspring.common.settings import NodeSettings
 from wickspring.controlplane.api.handlers import create_handlers
@@ -132,12 +132,13 @@
 
     def metrics(self) -> list[Sample]:
         """Return the metrics of this node."""
-        return collect_samples(self.components, self.data_planes)
+        samples = collect_samples(self.components, self.data_planes)
+        return [*samples, *event_samples(self.api_server.unanswered.figures())]
 
 
 async def drain(control_plane: ControlPlane) -> None:
     """Wait until nothing depends on this node alone, or the grace period is nearly over."""
-    control_plane.api_server.draining = True
+    control_plane.api_server.begin_drain()
     control_plane.replication.stopping = True
     with trio.move_on_after(DRAIN_SHARE * control_plane.settings.guarantees.grace_s):
         while not control_plane.replication.may_stop:
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Mapping
 from random import Random
 
 import trio
@@ -40,6 +41,7 @@
 from wickspring.net.datagrams import Udp
 from wickspring.net.http1_front import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
+from wickspring.net.unanswered import EndReason
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
@@ -144,6 +146,19 @@
         self.startup_queue.on_client_disconnected(request_number)
         self.responder.on_client_disconnected(request_number)
 
+    def describe_request(self, number: int) -> Mapping[str, object]:
+        """Return the id, the route and the attempts of a request in progress, for the log."""
+        request = self.request_context.requests.get(number)
+        if request is None:
+            return {"request": number}
+        attempts = request.attempts
+        return {
+            "request": request.id,
+            "route": attempts.route.name,
+            "attempts": attempts.sent,
+            "attempts_in_flight": attempts.in_flight,
+        }
+
     def data_plane_count(self) -> int:
         """Return how many data planes there are, by the highest count; 0 where it is not known."""
         members = self.gossip.size
@@ -207,6 +222,8 @@
             "requests_in_flight": len(self.request_context.requests),
             "connections": len(self.connections),
             **self.request_context.event_counts,
+            **{f"connections_closed[{reason}]": count for reason, count in self.closed_counts.items()},
+            **self.unanswered.figures(),
             **self.upstream.report(),
         }
 
@@ -224,4 +241,4 @@
         while self.request_context.requests or any(not one.is_idle() for one in self.connections):
             await trio.sleep(DRAIN_POLL_S)
         for connection in list(self.connections):
-            connection.close_if_unread()
+            connection.close_if_unread(EndReason.DRAINED)
--- a/wickspring/dataplane/server.py
+++ b/wickspring/dataplane/server.py
@@ -51,7 +51,7 @@
 async def _shut_down(data_plane: DataPlane, front: socket.socket) -> None:
     """Take the last connections that are on their way, and let requests in progress end."""
     requests = data_plane.request_context.requests
-    data_plane.draining = True
+    data_plane.begin_drain()
     logs.log_event("draining", requests_in_flight=len(requests))
     with trio.move_on_after(DRAIN_SHARE * data_plane.settings.guarantees.grace_s):
         await trio.sleep(DRAIN_ACCEPT_S)
--- a/wickspring/lab/simulation/request_path/memory_connection.py
+++ b/wickspring/lab/simulation/request_path/memory_connection.py
@@ -63,6 +63,11 @@
         """True once the kernel has taken every byte."""
         return self.bytes_sent == self.bytes_queued
 
+    @property
+    def closed(self) -> bool:
+        """Whether this side has closed the connection."""
+        return self._closing
+
     def send(self, data: bytes) -> None:
         """Write what the kernel takes."""
         self.bytes_queued += len(data)
--- a/wickspring/lab/simulation/request_path/planned_end.py
+++ b/wickspring/lab/simulation/request_path/planned_end.py
@@ -1,7 +1,7 @@
 """A data plane that is told to end while its clients go on using their connections until it is gone.
 
-Every request is judged as a user would: once the process has read the whole of it, its connection must not end
-without a complete response, unless an endpoint is at work on it for longer than the process may go on.
+Every request is judged as a user would: once the process has read the whole of it, its connection must not
+end without a complete response, unless an endpoint is at work on it for longer than the process may go on.
 """
 
 from __future__ import annotations
@@ -105,6 +105,7 @@
         self.drains = True
         self.sent: list[SentRequest] = []
         self.process_ended_at = math.inf
+        self.connection_scopes: list[trio.CancelScope] = []  # of the process's clients
         self.servers = {name: SteadyServer(name, self.ledger, 0.0) for name in self.faulty_servers}
         self.faulty_servers = dict(self.servers)
 
@@ -114,8 +115,8 @@
         with socket.socket() as listener:
             await server._shut_down(self.data_plane, listener)
         self.process_ended_at = trio.current_time()
-        for connection in list(self.data_plane.connections):
-            cast(Http1Connection, connection).link.close()
+        for scope in self.connection_scopes:
+            scope.cancel()
 
     # Clients.
 
@@ -144,9 +145,14 @@
         near = DataPlaneEnd(self.random, kernel_bytes)
         link = cast(Link, near)
         front = Http1Connection(link, self.data_plane, limits=self.data_plane.front_limits)
-        self.nursery.start_soon(self.data_plane.serve, front, link)
+        self.nursery.start_soon(self._serve, front, link)
         return near.peer
 
+    async def _serve(self, front: Http1Connection, link: Link) -> None:
+        with trio.CancelScope() as scope:
+            self.connection_scopes.append(scope)
+            await self.data_plane.serve(front, link)
+
     async def _rest(self) -> None:
         """Rest until a random time after SIGTERM."""
         await trio.sleep_until(SIGTERM_AT_S + self.random.uniform(*self.rests_until_s))
@@ -213,7 +219,10 @@
         return (was_passed_on or ended_late) and not self._outlasts_the_process(request)
 
     def _outlasts_the_process(self, request: SentRequest) -> bool:
-        """Return whether an endpoint works in the second half of the grace period on what was sent in the first."""
+        """Return whether an endpoint is at work in the second half of the grace period.
+
+        It counts only for a request that was sent in the first half.
+        """
         half = SIGTERM_AT_S + GRACE_S / 2.0
         latest = [one.work[request.id] for one in self.servers.values() if request.id in one.work]
         return request.sent_at <= half and any(work.ends_at > half for work in latest)
--- a/wickspring/lab/simulation/request_path/simulation.py
+++ b/wickspring/lab/simulation/request_path/simulation.py
@@ -156,7 +156,7 @@
         """Do as `server.run` does when it is told to end."""
         data_plane = self.data_plane
         await trio.sleep(self.random.uniform(0.0, 1.5))
-        data_plane.draining = True
+        data_plane.begin_drain()
         await trio.sleep(server.DRAIN_ACCEPT_S)
         self.requests_per_client = 0
         await data_plane.drain()
--- a/wickspring/net/graceful_shutdown.py
+++ b/wickspring/net/graceful_shutdown.py
@@ -21,7 +21,7 @@
 
 async def drain(runtime: Runtime, listeners: list[FrontListener]) -> None:
     """Accept what still comes, finish all that has been accepted, and return."""
-    runtime.draining = True
+    runtime.begin_drain()
     if runtime.peers is not None:
         runtime.nursery.start_soon(runtime.peers.leave, runtime.handing_over)
     log.info("draining", extra=kv(owed=runtime.pending_responses, handing=runtime.handing_over))
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -25,6 +25,7 @@
 )
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
+from wickspring.net.unanswered import EndReason, UnansweredRequest
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_READ_AHEAD = (
@@ -98,6 +99,10 @@
         self.body_started_at = 0.0  # put off by the time in which the client was not read
         self.body_size = 0
         self.request_number: int | None = None  # of the request that waits for its response
+        self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
+        self.end_reason: EndReason | None = None  # why this connection ends, once that is known
+        self._discards_requests = False  # what still comes is no rest of a request that has been answered
+        self._has_discarded = False
         self.last_received_at = server.clock.now()
         self.started_at = self.last_received_at  # of the connection, or of the present request
         self.has_received_request = read_ahead is not None
@@ -111,6 +116,16 @@
 
     async def run(self) -> None:
         """Read until the client leaves or this side has written its last response."""
+        try:
+            await self._read()
+        except trio.Cancelled:
+            self._note_end(EndReason.PROCESS_ENDED)
+            raise
+        except Exception:
+            self._note_end(EndReason.INTERNAL_ERROR)
+            raise
+
+    async def _read(self) -> None:
         self._begin_reading()
         discarded = 0
         while discarded < MAX_DISCARDED and not self.link.broken:
@@ -119,11 +134,14 @@
                 continue
             data = await self.link.receive()
             if not data:
+                self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
                 break
             if self.closing:
                 discarded += len(data)  # read, so that closing does not reset the response
+                self._has_discarded = self._has_discarded or self._discards_requests
                 continue
             if not self._receive(data):
+                self._note_end(EndReason.CLIENT_ERROR)
                 break
         self.closing = True
 
@@ -232,6 +250,7 @@
         """Pass a request on with what is buffered of its body; a stream brings the rest."""
         method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
         self.has_received_request = True
+        self.request_read_at = self.server.clock.now()
         self.server.handle_request(
             self, HttpRequest(method, target, self.headers, bytes(self.body), body_stream)
         )
@@ -272,6 +291,28 @@
         self.closing = True
         return sock, read_ahead
 
+    def _note_end(self, reason: EndReason) -> None:
+        """Note why this connection ends, unless that is known already."""
+        if self.end_reason is not None:
+            return
+        closed_by_link = reason is EndReason.CLIENT_RESET and self.link.closed
+        self.end_reason = EndReason.CLIENT_NOT_READING if closed_by_link else reason
+
+    def _close(self, reason: EndReason) -> None:
+        """Close it at once."""
+        self._note_end(reason)
+        self.link.close()
+
+    def unanswered(self) -> list[UnansweredRequest]:
+        """Return the request that waits for its response, or whose response has not left whole."""
+        reason = self.end_reason or EndReason.CLIENT_RESET
+        unsent = self.link.bytes_queued - self.link.bytes_sent
+        if self.request_number is not None or unsent or reason is EndReason.TRUNCATED:
+            return [UnansweredRequest(reason, self.request_read_at, self.request_number, unsent)]
+        if self._has_discarded:
+            return [UnansweredRequest(EndReason.DISCARDED, self.server.clock.now())]
+        return []
+
     def cancel_requests(self) -> None:
         """Withdraw the request that waits for its response, if any: the client has left."""
         number, self.request_number = self.request_number, None
@@ -286,10 +327,10 @@
         """Return when bytes were last received (ms); None while a response is owed."""
         return self.last_received_at if self.request_number is None else None
 
-    def close_if_unread(self) -> None:
+    def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
         if self.link.peek() is None:
-            self.link.close()
+            self._close(reason)
 
     def expire(self, now: float) -> None:
         """Close the connection where it has been silent, or a request has been arriving, for too long."""
@@ -303,8 +344,12 @@
         reason = "half_sent" if not idle else "idle" if self.has_received_request else "silent"
         self.server.closed_counts[reason] += 1
         if idle:
-            self.link.close()
+            self._close(EndReason.IDLE)
         elif self.request_number is not None and self.server.executes_partial_requests:
+            self._note_end(EndReason.UPLOAD_STALLED)
+            self.server.record_unanswered(
+                UnansweredRequest(EndReason.UPLOAD_STALLED, self.request_read_at, self.request_number)
+            )
             self.cancel_requests()
             self.end_response(False)
         else:
@@ -329,6 +374,7 @@
         """Close the connection after what has been written."""
         self.closing = True
         self.body = bytearray()
+        self._discards_requests = self.http.their_state is not h11.SEND_BODY
         self.server.record_buffered(self, 0)
         self.link.finish()
         self._linger(self.link.bytes_sent, self.server.clock.now())
@@ -342,7 +388,7 @@
         if self.link.bytes_sent > taken:
             taken, moved_at = self.link.bytes_sent, now
         if now - moved_at > READ_TIMEOUT_MS:
-            self.link.close()
+            self._close(EndReason.CLIENT_NOT_READING)
         else:
             self.server.call_later(LINGER_MS, lambda: self._linger(taken, moved_at))
 
@@ -416,6 +462,7 @@
     def end_response(self, complete: bool) -> None:
         """End a response; an incomplete one ends with a reset, so that it cannot pass for complete."""
         if not complete or self.http.our_state is not h11.SEND_BODY:
+            self._note_end(EndReason.TRUNCATED)
             self.request_number, self.closing = None, True
             if self._resumed is not None:
                 self._resumed.set()
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -26,6 +26,7 @@
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
 from wickspring.net.runtime import Runtime
+from wickspring.net.unanswered import EndReason, UnansweredRequest
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +44,7 @@
         self.body = bytearray()
         self.started_at = owner.server.clock.now()
         self.request_complete = False  # its last byte has arrived
+        self.read_at = 0.0  # when that was
         self.request_number: int | None = None  # while a response is owed
         self.budget_ms = 0.0  # that the client waits
         self.outgoing: bytearray | None = None  # what is left of the answer
@@ -104,9 +106,20 @@
         self.going_away = False  # no new streams: the last GOAWAY has been sent
         self.last_received_at = server.clock.now()
         self.closing = False
+        self.end_reason: EndReason | None = None  # why this connection ends, once that is known
 
     async def run(self) -> None:
         """Read until the client leaves or this side has written its last response."""
+        try:
+            await self._read()
+        except trio.Cancelled:
+            self._note_end(EndReason.PROCESS_ENDED)
+            raise
+        except Exception:
+            self._note_end(EndReason.INTERNAL_ERROR)
+            raise
+
+    async def _read(self) -> None:
         if self.link.peek() is None:  # handed over without a word: it has been silent since it connected
             self.last_received_at -= 1000.0 * DEFER_S
         streams = self.server.instance.settings.streams_per_connection
@@ -117,6 +130,7 @@
         while True:
             data = await self.link.receive()
             if not data:
+                self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
                 break
             if not self.closing:
                 self.last_received_at = self.server.clock.now()
@@ -133,14 +147,14 @@
                     self._on_event(event)
         except (H2Error, UnicodeDecodeError, ValueError) as error:
             log.info("client_broke_http2", extra=kv(reason=error))
-            self.cancel_requests()
+            self._give_all_up(EndReason.CLIENT_ERROR)
             self.flush()
             self._close_after_flush()
             return
         if not self.server.record_buffered(self, sum(len(stream.body) for stream in self.streams.values())):
             log.warning("client_holds_too_much", extra=kv(streams=len(self.streams)))
             self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
-            self.cancel_requests()
+            self._give_all_up(EndReason.CLIENT_ERROR)
             self.flush()
             self._close_after_flush()
             return
@@ -148,6 +162,32 @@
         if self.going_away and not self.streams:
             self._close_after_flush()
 
+    def _note_end(self, reason: EndReason) -> None:
+        """Note why this connection ends, unless that is known already."""
+        if self.end_reason is None:
+            closed_by_link = reason is EndReason.CLIENT_RESET and self.link.closed
+            self.end_reason = EndReason.CLIENT_NOT_READING if closed_by_link else reason
+
+    def unanswered(self) -> list[UnansweredRequest]:
+        """Return the requests that wait for a response, or whose response has not left whole."""
+        reason = self.end_reason or EndReason.CLIENT_RESET
+        streams = [stream for stream in self.streams.values() if stream.request_complete]
+        requests = [self._unanswered_stream(stream, reason) for stream in streams]
+        unsent = self.link.bytes_queued - self.link.bytes_sent
+        if not requests and unsent and self.last_stream_id:
+            requests.append(UnansweredRequest(reason, self.last_received_at, unsent_bytes=unsent))
+        return requests
+
+    def _unanswered_stream(self, stream: Stream, reason: EndReason) -> UnansweredRequest:
+        return UnansweredRequest(reason, stream.read_at, stream.request_number, len(stream.outgoing or b""))
+
+    def _give_all_up(self, reason: EndReason) -> None:
+        """Withdraw all requests, for a fault of the client's."""
+        self._note_end(reason)
+        for request in self.unanswered():
+            self.server.record_unanswered(request)
+        self.cancel_requests()
+
     def cancel_requests(self) -> None:
         """Withdraw all requests that have no response yet."""
         self.closing = True
@@ -175,9 +215,10 @@
         owed = any(stream.request_number is not None or stream.outgoing is not None for stream in streams)
         return None if owed else self.last_received_at
 
-    def close_if_unread(self) -> None:
+    def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
         if self.link.peek() is None:
+            self._note_end(reason)
             self.link.close()
 
     def expire(self, now: float) -> None:
@@ -262,6 +303,7 @@
 
     def _handle(self, stream: Stream) -> None:
         headers, stream.request_complete = stream.headers, True
+        stream.read_at = self.server.clock.now()
         method, target = headers.get(":method", ""), headers.get(":path", "")
         self.server.handle_request(stream, HttpRequest(method, target, headers, bytes(stream.body)))
 
@@ -273,13 +315,15 @@
         stream = self.streams.pop(stream_id, None)
         if stream is None:
             return
+        if stream.request_complete:
+            self.server.record_unanswered(self._unanswered_stream(stream, EndReason.CLIENT_RESET))
         self._withdraw(stream)
         stream.wake_writer()
         self.reset_count += 1
         if self.reset_count > MAX_RESETS:
             log.warning("client_resets_too_much", extra=kv(resets=self.reset_count))
             self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
-            self.cancel_requests()
+            self._give_all_up(EndReason.CLIENT_ERROR)
             self.flush()
             self._close_after_flush()
 
@@ -338,6 +382,7 @@
         if complete:
             self._pump(stream)
         else:
+            self.server.record_unanswered(self._unanswered_stream(stream, EndReason.TRUNCATED))
             self._reset_stream(stream.id, ErrorCodes.INTERNAL_ERROR)
         self.flush()
         if self.server.near_connection_limit:
@@ -360,6 +405,7 @@
 
     def _give_up(self, stream: Stream) -> None:
         if not self.closing and self.streams.pop(stream.id, None) is not None:
+            self.server.record_unanswered(self._unanswered_stream(stream, EndReason.CLIENT_NOT_READING))
             self._reset_stream(stream.id, ErrorCodes.CANCEL)
             self.flush()
             if self.going_away and not self.streams:
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -6,7 +6,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -18,6 +18,7 @@
 from wickspring.net.clock import Clock
 from wickspring.net.link import Link
 from wickspring.net.timers import Timers
+from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
 
 log = logging.getLogger(__name__)
 
@@ -49,6 +50,9 @@
     async def run(self) -> None:
         """Read until either side ends it."""
 
+    def unanswered(self) -> Iterable[UnansweredRequest]:
+        """Return the requests that end with it, now, without a complete response."""
+
     def cancel_requests(self) -> None:
         """Withdraw all requests on it that have no response yet."""
 
@@ -61,7 +65,7 @@
     def expire(self, now: float) -> None:
         """Close it where the client has been silent, or has held a request half-sent, for too long."""
 
-    def close_if_unread(self) -> None:
+    def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
 
     def detach(self) -> tuple[socket.socket, bytes] | None:
@@ -86,9 +90,10 @@
         self.clock = Clock()
         self.timers = Timers(self.clock)
         self.connections: set[Connection] = set()
-        self.draining = False
         self.handing_over = False  # another process takes over the clients' connections
+        self.drain_began_at: float | None = None  # ms, once this process has been told to end
         self.closed_counts: Counter[str] = Counter()  # client connections closed by this side, by reason
+        self.unanswered = UnansweredRequests(self.clock)
         self._buffered_bytes: dict[Connection, int] = {}  # of incomplete requests
         self._total_buffered_bytes = 0
 
@@ -102,6 +107,15 @@
     def active_streams(self) -> int:
         """How many requests with a streamed body or a streamed response are in progress."""
 
+    @property
+    def draining(self) -> bool:
+        """Whether this process has been told to end."""
+        return self.drain_began_at is not None
+
+    def begin_drain(self) -> None:
+        """Note that this process has been told to end."""
+        self.drain_began_at = self.clock.now()
+
     @abstractmethod
     def handle_request(self, client: Client, request: HttpRequest) -> None:
         """Handle one request, of either front; its response may be given before this returns."""
@@ -122,11 +136,22 @@
         except Exception as error:
             log.exception("client_connection_failed", extra=kv(reason=error))
         finally:
+            for request in connection.unanswered():
+                self.record_unanswered(request)
             connection.cancel_requests()
             self.record_buffered(connection, 0)
             link.close()
             self.connections.discard(connection)
 
+    def record_unanswered(self, request: UnansweredRequest) -> None:
+        """Count and log a request whose connection ends without a complete response."""
+        about = self.describe_request(request.number) if request.number is not None else {}
+        self.unanswered.record(request, self.drain_began_at, about)
+
+    def describe_request(self, number: int) -> Mapping[str, object]:
+        """Return what is known of a request in progress, for the log; subclasses may know more."""
+        return {"request": number}
+
     @property
     def can_stream(self) -> bool:
         """Whether one more streamed body fits into the memory that transfers may have together."""
@@ -156,7 +181,7 @@
         for since, connection in sorted(idle, key=lambda pair: pair[0])[:CLOSE_AT_ONCE]:
             if since < latest:
                 self.closed_counts["for_room"] += 1
-                connection.close_if_unread()
+                connection.close_if_unread(EndReason.FOR_ROOM)
 
     def record_buffered(self, connection: Connection, size: int) -> bool:
         """Record the bytes of incomplete requests that a connection holds; False where it must be closed.
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -75,6 +75,11 @@
             self._unsent += data[taken:]
             self._nursery.start_soon(self._flush)
 
+    @property
+    def closed(self) -> bool:
+        """Whether this side has closed the connection."""
+        return self._closing
+
     async def wait_writable(self) -> bool:
         """Wait until the kernel has taken all that was sent; False where that will not be any more."""
         while self._unsent and not self.broken:
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -265,6 +265,7 @@
             "cpu_s": time.process_time(),
             **self.reducer.counters,
             **{f"let_go[{reason}]": times for reason, times in self.closed_counts.items()},
+            **self.unanswered.figures(),
             **{f"broken[{name.replace(' ', '_')}]": times for name, times in broken.items()},
         }
 
