--- a/wickspring/lab/simulation/request_path/planned_end.py
+++ b/wickspring/lab/simulation/request_path/planned_end.py
@@ -127,7 +127,9 @@
         await trio.sleep(self.random.uniform(0.0, 1.3 * SIGTERM_AT_S))
         if self.process_ended_at < math.inf:
             return
-        end = self._open(kernel_bytes)
+        near = DataPlaneEnd(self.random, kernel_bytes)
+        self.serve_connection(near)
+        end = near.peer
         if behaviour is ClientBehaviour.SILENT:
             await self._rest()
         sequence = 0
@@ -141,12 +143,11 @@
                 await trio.sleep(self.random.choice((0.0, 0.01, 0.3)))
         end.close()
 
-    def _open(self, kernel_bytes: float) -> PeerEnd:
-        near = DataPlaneEnd(self.random, kernel_bytes)
+    def serve_connection(self, near: DataPlaneEnd) -> None:
+        """Have the data plane serve a client's connection."""
         link = cast(Link, near)
         front = Http1Connection(link, self.data_plane, limits=self.data_plane.front_limits)
         self.nursery.start_soon(self._serve, front, link)
-        return near.peer
 
     async def _serve(self, front: Http1Connection, link: Link) -> None:
         with trio.CancelScope() as scope:
@@ -164,7 +165,7 @@
         path = EFFECTFUL_PREFIX if self.random.random() < self.effectful_share else PURE_PREFIX
         self.ledger.requests[request_id] = path, 0
         request = SentRequest(request_id, end)
-        await self._send(request, _encode(path, request_id), behaviour)
+        await self._send(request, encode_request(path, request_id), behaviour)
         self.sent.append(request)
         goes_on = await self._read(request, behaviour)
         request.ended_at = trio.current_time()
@@ -228,7 +229,8 @@
         return request.sent_at <= half and any(work.ends_at > half for work in latest)
 
 
-def _encode(path: str, request_id: str) -> bytes:
+def encode_request(path: str, request_id: str) -> bytes:
+    """Return the bytes of a request without a body."""
     lines = [
         f"POST {path}x HTTP/1.1",
         f"Host: {HOST}",
