End each connection for itself at a planned end, and take nothing that cannot be answered

Class: work is taken without the time to end it, and its end depends on what others do. Change: each connection closes once nothing is owed on it; requests are taken for 0.4 of the grace period, later ones get 503; deadlines end with the process; new clients are accepted until the platform has been told twice; a response that has not left is owed. The same in both fronts, the control plane's API, the ingress and its hand-over.

--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from functools import partial
 from random import Random
 
@@ -39,9 +40,12 @@
 from wickspring.controlplane.update_service import UpdateService
 from wickspring.controlplane.view_announcements import ViewAnnouncer
 from wickspring.net.clock import Clock
-from wickspring.net.listening import accept
+from wickspring.net.connection_drain import DrainTimes, close_connections
+from wickspring.net.listening import accept, close_listener, take_rest
 
-DRAIN_SHARE = 0.85  # of the grace period: the longest wait for other nodes to take over
+DRAIN_SHARE = 0.85  # of the grace period: the longest wait for other nodes to take over; calls are taken
+CLOSE_SHARE = 0.97  # of the grace period: the longest wait for calls in progress
+LAST_CALLS_S = 1.0  # for calls in progress, once other nodes have taken over
 DRAIN_POLL_S = 0.05
 
 
@@ -138,13 +142,26 @@
 
 async def drain(control_plane: ControlPlane) -> None:
     """Wait until nothing depends on this node alone, or the grace period is nearly over."""
-    control_plane.api_server.begin_drain()
+    grace_s = control_plane.settings.guarantees.grace_s
+    close_ms = 1000.0 * CLOSE_SHARE * grace_s
+    times = DrainTimes(take_ms=1000.0 * DRAIN_SHARE * grace_s, answer_ms=close_ms, close_ms=close_ms)
+    control_plane.api_server.begin_drain(times)
     control_plane.replication.stopping = True
-    with trio.move_on_after(DRAIN_SHARE * control_plane.settings.guarantees.grace_s):
+    with trio.move_on_after(DRAIN_SHARE * grace_s):
         while not control_plane.replication.may_stop:
             await trio.sleep(DRAIN_POLL_S)
 
 
+async def finish_calls(control_plane: ControlPlane, listener: socket.socket | None) -> None:
+    """Take no more connections, and answer the calls in progress."""
+    api_server = control_plane.api_server
+    if listener is not None:
+        take_rest(listener, api_server, serve_http)
+        close_listener(listener)
+    with trio.move_on_after(LAST_CALLS_S):
+        await close_connections(api_server)
+
+
 async def run(started: Bootstrap, seed: int, ended: trio.Event) -> None:
     """Run a control-plane node until `ended` is set, and drain it then."""
     async with trio.open_nursery() as nursery:
@@ -159,6 +176,7 @@
         )
         await ended.wait()
         await drain(control_plane)
+        await finish_calls(control_plane, started.api_listener)
         logs.log_event("stopped", epoch=replication.chain.view.epoch)
         nursery.cancel_scope.cancel()
 
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -38,16 +38,15 @@
 from wickspring.dataplane.state_exchange import StateExchange
 from wickspring.dataplane.upstream import ConnectionDefaults, UpstreamConnection
 from wickspring.net.calls import Client
+from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.datagrams import Udp
 from wickspring.net.http1_front import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
-from wickspring.net.unanswered import EndReason
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
 FORGET_ENDPOINT_MS = 20_000.0
 STATISTICS_MS = 10_000.0
-DRAIN_POLL_S = 0.02
 
 
 class DataPlane(HttpServer):
@@ -236,9 +235,13 @@
         """Whether this process is ready for client connections (readiness probe)."""
         return not self.draining and self._startup.is_complete()
 
-    async def drain(self) -> None:
-        """Wait until all requests in progress have ended, then close the connections of clients."""
-        while self.request_context.requests or any(not one.is_idle() for one in self.connections):
-            await trio.sleep(DRAIN_POLL_S)
-        for connection in list(self.connections):
-            connection.close_if_unread(EndReason.DRAINED)
+    def begin_drain(self, times: DrainTimes) -> None:
+        """Note that this process has been told to end: no request is promised a later response."""
+        super().begin_drain(times)
+        self.request_context.answers_until = self.clock.now() + times.answer_ms
+        self.responder.limit_deadlines()
+
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Whether requests are in progress, also such as may run only once and whose clients have left."""
+        return bool(self.request_context.requests)
--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -24,6 +24,9 @@
 READY_BY_ONE_MS = 2500.0  # since the start, after which one control plane's endpoints suffice to be ready
 READINESS_PATH = "/readiness"
 PROBE_FDS = 64
+MISSES_UNTIL_OUT = (
+    2  # probes in a row that are not answered 200, after which the platform sends no more clients
+)
 PROBE_IDLE_MS = 15_000.0
 
 
@@ -74,6 +77,12 @@
     def __init__(self, process: ProbedProcess, nursery: trio.Nursery, memory_mb: float) -> None:
         super().__init__(nursery, memory_mb)
         self._process = process
+        self._misses = 0  # probes in a row that were answered by something else than 200
+
+    @property
+    def platform_knows(self) -> bool:
+        """Whether the platform has been told often enough that no more clients are to connect."""
+        return self._misses >= MISSES_UNTIL_OUT
 
     @property
     def max_descriptors(self) -> int:
@@ -91,6 +100,7 @@
             client.respond(200, "", render_metrics(self._process.metrics()))
             return
         ready = self._process.is_ready and request.target.startswith(READINESS_PATH)
+        self._misses = 0 if ready else self._misses + 1
         client.respond(200 if ready else 503, "", b"")
 
     def client_disconnected(self, request_number: int) -> None:
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -148,6 +149,7 @@
     requests: dict[int, Request] = field(default_factory=dict)
     non_idempotent_ids: set[str] = field(default_factory=set)  # of requests in progress
     event_counts: Counter[str] = field(default_factory=Counter)
+    answers_until: float = math.inf  # ms; once the process has been told to end, no response is given later
     _last_number: int = 0
 
     def next_number(self) -> int:
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from wickspring.common.errors import ERROR_RESPONSES, ErrorKind
 from wickspring.core.invariants import check_invariant
+from wickspring.dataplane.policy.attempts import FINAL_RESPONSE_MARGIN_MS
 from wickspring.dataplane.request.model import Request, RequestContext
 from wickspring.dataplane.upstream import SIGNATURE_HEADER, BufferedResponse, ResponseHead, end_to_end_headers
 from wickspring.net.calls import Client, retry_after
@@ -109,6 +112,17 @@
         if tenant is not None and context.quota.refund(context.clock.now(), tenant.name):
             context.quota_client.refund(tenant.name)
 
+    def limit_deadlines(self) -> None:
+        """Have all requests in progress end by the time that no later response is given."""
+        context = self._context
+        latest = context.answers_until - FINAL_RESPONSE_MARGIN_MS
+        for request in context.requests.values():
+            if request.attempts.deadline > latest:
+                request.attempts.deadline = latest
+                request.cancel_deadline()
+                timer = context.timers.at(latest, partial(self.on_deadline, request))
+                request.cancel_deadline = timer.cancel
+
     def on_deadline(self, request: Request) -> None:
         """End a request whose time is over, unless its response is being streamed."""
         attempts = request.attempts
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -84,7 +84,8 @@
 
     def _attempts(self, route: Route, wait_ms: float) -> Attempts:
         now = self._context.clock.now()
-        return Attempts(route, self._choose_service(route), now, now + wait_ms - FINAL_RESPONSE_MARGIN_MS)
+        waits_until = min(now + wait_ms, self._context.answers_until)
+        return Attempts(route, self._choose_service(route), now, waits_until - FINAL_RESPONSE_MARGIN_MS)
 
     def _choose_service(self, route: Route) -> str:
         services = route.services
--- a/wickspring/dataplane/server.py
+++ b/wickspring/dataplane/server.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-
 import trio
 
 from wickspring.common import logs
@@ -11,13 +9,10 @@
 from wickspring.common.errors import ErrorDetail, ErrorKind, GatewayError
 from wickspring.dataplane.process import DataPlane
 from wickspring.dataplane.readiness import ReadinessProbe, serve_readiness
+from wickspring.dataplane.shutdown import GracefulShutdown
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.link import Link
-from wickspring.net.listening import accept, close_listener, take_rest
-
-DRAIN_ACCEPT_S = 0.4  # after SIGTERM, in which connections that are on their way are still accepted
-DRAIN_SHARE = 0.93  # of the time between SIGTERM and SIGKILL that requests in progress have
-CLOSE_S = 0.1  # for the last bytes to go out
+from wickspring.net.listening import accept
 
 
 async def serve(link: Link, data_plane: DataPlane) -> None:
@@ -44,19 +39,5 @@
         nursery.start_soon(accept, front, data_plane, serve)
         logs.log_event("started", ip=settings.ip, zone=settings.zone)
         await ended.wait()
-        await _shut_down(data_plane, front)
+        await GracefulShutdown(data_plane, front, serve, lambda: probe.platform_knows).run()
         nursery.cancel_scope.cancel()
-
-
-async def _shut_down(data_plane: DataPlane, front: socket.socket) -> None:
-    """Take the last connections that are on their way, and let requests in progress end."""
-    requests = data_plane.request_context.requests
-    data_plane.begin_drain()
-    logs.log_event("draining", requests_in_flight=len(requests))
-    with trio.move_on_after(DRAIN_SHARE * data_plane.settings.guarantees.grace_s):
-        await trio.sleep(DRAIN_ACCEPT_S)
-        take_rest(front, data_plane, serve)
-        close_listener(front)
-        await data_plane.drain()
-        await trio.sleep(CLOSE_S)
-    logs.log_event("stopped", requests_in_flight=len(requests))
--- /dev/null
+++ b/wickspring/dataplane/shutdown.py
@@ -0,0 +1,74 @@
+"""The orderly end of a data plane, from SIGTERM on.
+
+Until the platform has learnt that this process takes no more clients, it is as if nothing had happened, but
+for `Connection: close` in each response. Then the listener closes, and each connection as soon as it is idle;
+nothing is taken any more that could not be answered in the time that is left. Deadlines of requests end with
+that time, so each gets a response before the process is killed. The rule stands in
+`docs/design/graceful-shutdown.md`.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from wickspring.common import logs
+from wickspring.dataplane.process import DataPlane
+from wickspring.net.connection_drain import DrainTimes, close_connections
+from wickspring.net.listening import Serve, close_listener, take_rest
+
+# Shares of the grace period, between SIGTERM and SIGKILL.
+ACCEPT_SHARE = 0.33  # new connections are accepted until then at the latest
+TAKE_SHARE = 0.4  # requests are taken until then; the longest usual ones take about as long as what is left
+ANSWER_SHARE = 0.93  # requests in progress are answered until then
+CLOSE_SHARE = 0.97  # and the last bytes leave until then
+
+MIN_ACCEPT_S = 0.4  # in which connections that are on their way are still accepted
+FIRST_REQUEST_S = 0.1  # for the first request on a connection that was accepted last
+POLL_S = 0.02
+
+
+def drain_times(grace_s: float) -> DrainTimes:
+    """Return the times of a drain for a grace period in seconds."""
+    grace_ms = 1000.0 * grace_s
+    return DrainTimes(TAKE_SHARE * grace_ms, ANSWER_SHARE * grace_ms, CLOSE_SHARE * grace_ms)
+
+
+class GracefulShutdown:
+    """Ends one data plane."""
+
+    def __init__(
+        self,
+        data_plane: DataPlane,
+        listener: socket.socket,
+        serve: Serve[DataPlane],
+        platform_knows: Callable[[], bool],
+    ) -> None:
+        """`platform_knows` tells whether the platform has been told to send no more clients."""
+        self._data_plane = data_plane
+        self._listener = listener
+        self._serve = serve
+        self._platform_knows = platform_knows
+
+    async def run(self) -> None:
+        """Return once all is answered and closed, or the time is over."""
+        data_plane = self._data_plane
+        requests = data_plane.request_context.requests
+        grace_s = data_plane.settings.guarantees.grace_s
+        data_plane.begin_drain(drain_times(grace_s))
+        logs.log_event("draining", requests_in_flight=len(requests), connections=len(data_plane.connections))
+        await self._accept_last(ACCEPT_SHARE * grace_s)
+        await trio.sleep(FIRST_REQUEST_S)
+        await close_connections(data_plane)
+        logs.log_event("stopped", requests_in_flight=len(requests), connections=len(data_plane.connections))
+
+    async def _accept_last(self, at_most_s: float) -> None:
+        """Accept clients until the platform sends no more, and stop listening."""
+        with trio.move_on_after(at_most_s):
+            await trio.sleep(MIN_ACCEPT_S)
+            while not self._platform_knows():
+                await trio.sleep(POLL_S)
+        take_rest(self._listener, self._data_plane, self._serve)
+        close_listener(self._listener)
--- a/wickspring/lab/simulation/request_path/planned_end.py
+++ b/wickspring/lab/simulation/request_path/planned_end.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-import socket
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import cast
@@ -15,7 +14,6 @@
 import h11
 import trio
 
-from wickspring.dataplane import server
 from wickspring.lab.emulation.local_gateway import API_KEY, HOST, PURE_PREFIX
 from wickspring.lab.simulation.request_path.faulty_server import FaultyServer, ReceivedRequest
 from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX
@@ -112,8 +110,7 @@
     async def _drain(self) -> None:
         """Shut down as the process does on SIGTERM, then end all that is left of it."""
         await trio.sleep(SIGTERM_AT_S)
-        with socket.socket() as listener:
-            await server._shut_down(self.data_plane, listener)
+        await self.shut_down()
         self.process_ended_at = trio.current_time()
         for scope in self.connection_scopes:
             scope.cancel()
--- /dev/null
+++ b/wickspring/net/connection_drain.py
@@ -0,0 +1,40 @@
+"""The end of all client connections once a process has been told to end (SIGTERM).
+
+Each connection ends for itself, as soon as nothing is owed on it, whatever goes on on others; and nothing is
+taken so late that it could not be answered. The rule stands in `docs/design/graceful-shutdown.md`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from wickspring.net.unanswered import EndReason
+
+if TYPE_CHECKING:
+    from wickspring.net.http_server import HttpServer
+
+POLL_S = 0.02  # between two looks at all connections
+
+
+@dataclass(slots=True, frozen=True)
+class DrainTimes:
+    """How far the steps of a drain may reach, in milliseconds since it began."""
+
+    take_ms: float  # requests are taken; later ones are refused
+    answer_ms: float  # requests in progress may be answered
+    close_ms: float  # responses may leave; then the process ends
+
+
+async def close_connections(server: HttpServer) -> bool:
+    """Close each client connection once it is idle; return False where some are left when time is over."""
+    left_ms = server.drain_ends_at - server.clock.now()
+    with trio.move_on_after(max(0.0, left_ms) / 1000.0):
+        while server.connections or server.has_unfinished_work:
+            for connection in list(server.connections):
+                if not (server.handing_over and connection.can_be_handed_over):
+                    connection.close_if_idle(EndReason.DRAINED)
+            await trio.sleep(POLL_S)
+    return not server.connections
--- a/wickspring/net/graceful_shutdown.py
+++ b/wickspring/net/graceful_shutdown.py
@@ -7,6 +7,8 @@
 import trio
 
 from wickspring.logs import kv
+from wickspring.net.calls import BODY_MS, HEAD_MS
+from wickspring.net.connection_drain import DrainTimes, close_connections
 from wickspring.net.front_listener import FrontListener
 from wickspring.net.listening import close_listener, take_rest
 from wickspring.net.runtime import Runtime
@@ -14,24 +16,31 @@
 log = logging.getLogger(__name__)
 
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
-STREAMS_S = 60.0  # for streamed bodies and responses to end; who cannot wait sends SIGKILL
-LAST_BYTES_S = 0.05  # for the last responses to leave
+REQUEST_MS = HEAD_MS + BODY_MS  # for a request that has begun to arrive; long bodies are streamed
+STREAMS_MS = 60_000.0  # for streamed bodies and responses to end; who cannot wait sends SIGKILL
 POLL_S = 0.01
 
 
 async def drain(runtime: Runtime, listeners: list[FrontListener]) -> None:
     """Accept what still comes, finish all that has been accepted, and return."""
-    runtime.begin_drain()
+    runtime.begin_drain(_drain_times(runtime))
     if runtime.peers is not None:
         runtime.nursery.start_soon(runtime.peers.leave, runtime.handing_over)
     log.info("draining", extra=kv(owed=runtime.pending_responses, handing=runtime.handing_over))
     for connection in list(runtime.connections):
         connection.drain()
     await _stop_accepting(runtime, listeners)
-    await _finish_requests(runtime)
-    await _finish_streams(runtime)
-    await trio.sleep(LAST_BYTES_S)
-    log.info("stopped", extra=kv(**runtime.report()))
+    await _hand_connections_over(runtime)
+    await close_connections(runtime)
+    log.info("stopped", extra=kv(connections_cut=len(runtime.connections), **runtime.report()))
+
+
+def _drain_times(runtime: Runtime) -> DrainTimes:
+    """Return the times of the drain: requests that are taken last have their whole deadline."""
+    longest_deadline_ms = max((kind.deadline for kind in runtime.instance.settings.classes), default=0.0)
+    take_ms = 1000.0 * ACCEPT_ON_S + REQUEST_MS
+    answer_ms = take_ms + longest_deadline_ms
+    return DrainTimes(take_ms, answer_ms, answer_ms + STREAMS_MS)
 
 
 async def _stop_accepting(runtime: Runtime, listeners: list[FrontListener]) -> None:
@@ -46,22 +55,8 @@
         close_listener(front.listener)
 
 
-async def _finish_requests(runtime: Runtime) -> None:
-    """Wait for responses and for connections that go to another process, within the longest deadline."""
-    longest_ms = max((kind.deadline for kind in runtime.instance.settings.classes), default=0.0)
-    with trio.move_on_after(longest_ms / 1000.0):
-        with trio.move_on_after(ACCEPT_ON_S):
-            while runtime.handing_over and runtime.connections:
-                await trio.sleep(POLL_S)
-        for connection in list(runtime.connections):
-            if connection.is_idle():
-                connection.finish()
-        while runtime.pending_responses or (runtime.handing_over and runtime.connections):
-            await trio.sleep(POLL_S)
-
-
-async def _finish_streams(runtime: Runtime) -> None:
-    """Wait for streamed bodies and responses: one that has begun is not cut off."""
-    with trio.move_on_after(STREAMS_S):
-        while runtime.active_streams:
+async def _hand_connections_over(runtime: Runtime) -> None:
+    """Give idle connections the time to go to the other process, where there is one."""
+    with trio.move_on_after(ACCEPT_ON_S):
+        while runtime.handing_over and runtime.connections:
             await trio.sleep(POLL_S)
--- a/wickspring/net/handover.py
+++ b/wickspring/net/handover.py
@@ -210,8 +210,8 @@
         finally:
             channel.close()
             self.channel = None
-            if self.succeeded and not self.ingress.releases_clients():
-                log.warning("successor_left", extra=kv(then="this process accepts again"))
+            if self.succeeded:
+                log.warning("successor_left", extra=kv(then="this process keeps its clients"))
                 self.succeeded = False
                 self.ingress.pause(False)
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -23,6 +23,7 @@
     CallError,
     read_head,
 )
+from wickspring.net.delivery import DeliveryWatch, close_after_delivery
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 from wickspring.net.unanswered import EndReason, UnansweredRequest
@@ -31,8 +32,7 @@
 MAX_READ_AHEAD = (
     MAX_HEAD_BYTES + MAX_BUFFERED_BODY
 )  # bytes of further requests, read while a response is owed
-LINGER_MS = 1000.0  # for the client to close once the last response has left (RFC 9112, section 9.6)
-READ_TIMEOUT_MS = 15_000.0  # for a client that reads nothing of its last response
+DISCARD_MS = 100.0  # for a client that sends further requests on a connection that is being closed
 MAX_DISCARDED = 32 << 20  # bytes read and dropped after an early response; who has more to send is cut off
 STREAM_RETRY_S = 1.0  # after which a long request that found no room may come again
 MAX_PIPELINED_AT_ONCE = 8  # requests handled of one connection before others have their turn
@@ -82,6 +82,8 @@
 class Http1Connection:
     """One client connection, and the place where the response to its present request goes."""
 
+    can_be_handed_over = True
+
     def __init__(
         self,
         link: Link,
@@ -107,6 +109,7 @@
         self.started_at = self.last_received_at  # of the connection, or of the present request
         self.has_received_request = read_ahead is not None
         self.closing = False
+        self._delivery = DeliveryWatch(link, server.clock)
         self._advancing = False
         self._handled_at_once = 0  # requests, by the present call of `advance`
         self._closes_after_stream = False  # the connection, with the streamed response that has begun
@@ -134,17 +137,29 @@
                 continue
             data = await self.link.receive()
             if not data:
+                if data is not None and self.request_number is None:
+                    await self.link.wait_writable()  # it may have closed its own direction alone
                 self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
                 break
             if self.closing:
                 discarded += len(data)  # read, so that closing does not reset the response
-                self._has_discarded = self._has_discarded or self._discards_requests
+                self._on_discarded()
                 continue
             if not self._receive(data):
                 self._note_end(EndReason.CLIENT_ERROR)
                 break
         self.closing = True
 
+    def _on_discarded(self) -> None:
+        """Close soon where a further request comes on a connection that is being closed.
+
+        Its client must learn at once that nobody will answer it; yet a reset before it has read its last
+        response could destroy that.
+        """
+        if self._discards_requests and not self._has_discarded:
+            self._has_discarded = True
+            self.server.call_later(DISCARD_MS, self.link.close)
+
     def _begin_reading(self) -> None:
         if self.read_ahead:
             self._receive(self.read_ahead)
@@ -251,7 +266,7 @@
         method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
         self.has_received_request = True
         self.request_read_at = self.server.clock.now()
-        self.server.handle_request(
+        self.server.take_request(
             self, HttpRequest(method, target, self.headers, bytes(self.body), body_stream)
         )
 
@@ -320,25 +335,34 @@
             self.server.client_disconnected(number)
 
     def is_idle(self) -> bool:
-        """Tell whether no request is in progress."""
-        return self.request_number is None and self.request is None and not self.http.trailing_data[0]
+        """Tell whether no request has come or is coming, and all responses have left."""
+        awaits_request = self.request_number is None and self.request is None
+        return awaits_request and not self.http.trailing_data[0] and self.link.flushed
 
     def idle_since(self) -> float | None:
-        """Return when bytes were last received (ms); None while a response is owed."""
-        return self.last_received_at if self.request_number is None else None
+        """Return when bytes were last received (ms); None while a response is owed or has not left."""
+        return self.last_received_at if self.request_number is None and self.link.flushed else None
 
     def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
         if self.link.peek() is None:
             self._close(reason)
 
+    def close_if_idle(self, reason: EndReason) -> None:
+        """Close it where nothing is owed on it."""
+        if not self.closing and self.is_idle():
+            self.close_if_unread(reason)
+
     def expire(self, now: float) -> None:
         """Close the connection where it has been silent, or a request has been arriving, for too long."""
+        if self.request_number is None and self._delivery.has_stalled():
+            self._close(EndReason.CLIENT_NOT_READING)
+            return
         body_stream = self.body_stream
         waits_for_server = self.request_number is not None and (body_stream is None or body_stream.is_full)
         if self.closing or waits_for_server or now < self._expires_at():
             return
-        if self.link.peek() is not None:
+        if self.link.peek() is not None or self._is_delivering():
             return  # what has arrived and is not read yet may be a whole request
         idle = self.is_idle()
         reason = "half_sent" if not idle else "idle" if self.has_received_request else "silent"
@@ -356,6 +380,10 @@
             self.cancel_requests()  # of a long body: what began is given up
             self.respond(408, "", b"the request did not come whole in time\n")
 
+    def _is_delivering(self) -> bool:
+        """Tell whether a response is still on its way to a client that has sent nothing since."""
+        return self.request_number is None and self.request is None and not self.link.flushed
+
     def _expires_at(self) -> float:
         """Return until when the client may take for what it is about."""
         limits = self.limits
@@ -377,20 +405,7 @@
         self._discards_requests = self.http.their_state is not h11.SEND_BODY
         self.server.record_buffered(self, 0)
         self.link.finish()
-        self._linger(self.link.bytes_sent, self.server.clock.now())
-
-    def _linger(self, taken: int, moved_at: float) -> None:
-        """Close a while after all has left; a client that reads slowly gets its response whole."""
-        if self.link.flushed or self.link.broken:
-            self.server.call_later(LINGER_MS, self.link.close)
-            return
-        now = self.server.clock.now()
-        if self.link.bytes_sent > taken:
-            taken, moved_at = self.link.bytes_sent, now
-        if now - moved_at > READ_TIMEOUT_MS:
-            self._close(EndReason.CLIENT_NOT_READING)
-        else:
-            self.server.call_later(LINGER_MS, lambda: self._linger(taken, moved_at))
+        close_after_delivery(self.link, self.server)
 
     # The response.
 
@@ -421,9 +436,13 @@
         return bool(self.http.trailing_data[0]) and 400 <= status < 500 and status != TOO_MANY_REQUESTS
 
     def _closes_connection(self) -> bool:
-        """Tell whether the connection is to end with the present response."""
+        """Tell whether the connection is to end with the present response.
+
+        Requests that have been read ahead are answered before.
+        """
         server = self.server
-        return server.near_connection_limit or (server.draining and not server.handing_over)
+        ends = server.near_connection_limit or (server.draining and not server.handing_over)
+        return ends and not self.http.trailing_data[0]
 
     def _response_ended(self, closes: bool) -> None:
         """Go on to the next request, or close the connection."""
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -22,6 +22,7 @@
     CallError,
     read_head,
 )
+from wickspring.net.delivery import LINGER_MS, DeliveryWatch, close_after_delivery
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
@@ -30,7 +31,6 @@
 
 log = logging.getLogger(__name__)
 
-LINGER_MS = 1000.0  # for the client to close once the last response has left
 MAX_RESETS = 200  # more than are answered; past it a client that only opens and resets is shut out
 WINDOW_BYTES = 1 << 20  # of request bodies that a connection may have in flight (RFC 9113, section 6.9)
 
@@ -95,6 +95,8 @@
 class Http2Connection:
     """One client connection with many streams."""
 
+    can_be_handed_over = False  # the state of the header compression cannot be
+
     def __init__(self, link: Link, server: Runtime) -> None:
         self.link, self.server = link, server
         config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
@@ -107,6 +109,7 @@
         self.last_received_at = server.clock.now()
         self.closing = False
         self.end_reason: EndReason | None = None  # why this connection ends, once that is known
+        self._delivery = DeliveryWatch(link, server.clock)
 
     async def run(self) -> None:
         """Read until the client leaves or this side has written its last response."""
@@ -130,6 +133,8 @@
         while True:
             data = await self.link.receive()
             if not data:
+                if data is not None and not self.streams:
+                    await self.link.wait_writable()  # it may have closed its own direction alone
                 self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
                 break
             if not self.closing:
@@ -205,15 +210,11 @@
         """Write what h2 has ready."""
         self.link.send(self.http.data_to_send())
 
-    def is_idle(self) -> bool:
-        """Tell that this connection takes a `finish` at any time: it ends when its streams have."""
-        return True
-
     def idle_since(self) -> float | None:
-        """Return when bytes were last received (ms); None while a response is owed."""
+        """Return when bytes were last received (ms); None while a response is owed or has not left."""
         streams = self.streams.values()
         owed = any(stream.request_number is not None or stream.outgoing is not None for stream in streams)
-        return None if owed else self.last_received_at
+        return self.last_received_at if not owed and self.link.flushed else None
 
     def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
@@ -221,8 +222,23 @@
             self._note_end(reason)
             self.link.close()
 
+    def close_if_idle(self, reason: EndReason) -> None:
+        """Refuse new streams unless some have arrived unread, and close once those there are have ended.
+
+        The client knows by GOAWAY which streams nobody will answer (RFC 9113, section 6.8).
+        """
+        if self.closing or self.link.peek() is not None:
+            return
+        if not self.streams:
+            self._note_end(reason)
+        self.finish()
+
     def expire(self, now: float) -> None:
         """Close the connection where it has been silent, or a request has been arriving, for too long."""
+        if self._delivery.has_stalled():
+            self._note_end(EndReason.CLIENT_NOT_READING)
+            self.link.close()
+            return
         late = [s for s in self.streams.values() if not s.request_complete and now - s.started_at > HEAD_MS]
         max_idle_ms = IDLE_MS if self.last_stream_id else FIRST_BYTE_MS
         idle = not self.streams and now - self.last_received_at > max_idle_ms
@@ -245,7 +261,7 @@
             self._close_after_flush()
 
     def detach(self) -> tuple[socket.socket, bytes] | None:
-        """Return None: the state of the header compression cannot be handed over."""
+        """Return None: it cannot be handed over."""
         return None
 
     def drain(self) -> None:
@@ -256,7 +272,7 @@
         """Close the connection after what has been written."""
         self.closing = True
         self.link.finish()
-        self.server.call_later(LINGER_MS, self.link.close)
+        close_after_delivery(self.link, self.server)
 
     # Events of the connection.
 
@@ -305,7 +321,7 @@
         headers, stream.request_complete = stream.headers, True
         stream.read_at = self.server.clock.now()
         method, target = headers.get(":method", ""), headers.get(":path", "")
-        self.server.handle_request(stream, HttpRequest(method, target, headers, bytes(stream.body)))
+        self.server.take_request(stream, HttpRequest(method, target, headers, bytes(stream.body)))
 
     def _on_reset(self, stream_id: int) -> None:
         """Cancel a stream that the client wants no answer on; the other streams are not touched.
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 from abc import ABC, abstractmethod
 from collections import Counter
@@ -14,14 +15,16 @@
 
 from wickspring.logs import kv
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import MIN_IDLE_MS, Client
+from wickspring.net.calls import MIN_IDLE_MS, Client, retry_after
 from wickspring.net.clock import Clock
+from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.link import Link
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
 
 log = logging.getLogger(__name__)
 
+SERVICE_UNAVAILABLE = 503  # RFC 9110, section 15.6.4
 EXPIRE_EVERY_MS = 200.0  # between two checks of all connections for clients that take too long
 TRANSFER_SHARE = 0.15  # of the memory, for streamed bodies and responses together
 TRANSFER_BYTES = 256 * 1024  # that one holds at most: what is kept for a further attempt, and a piece on its
@@ -31,6 +34,7 @@
 SMALL_REQUEST_BYTES = 4096  # usual requests are smaller
 CLIENT_DESCRIPTOR_SHARE = 0.7  # of the descriptors; the rest is for servers and for other processes of ours
 NEAR_LIMIT_SHARE = 0.75  # of those, from which a connection is closed with its response instead of being kept
+DRAINING_RETRY_MS = 50.0  # after which a request refused by a process that ends may come again, to another
 CLOSE_AT_ONCE = 8  # idle connections closed at a time, so that a new client is accepted at once
 
 
@@ -47,6 +51,8 @@
 class Connection(Protocol):
     """A client connection, of either front."""
 
+    can_be_handed_over: bool  # to another process, while it is idle
+
     async def run(self) -> None:
         """Read until either side ends it."""
 
@@ -56,11 +62,8 @@
     def cancel_requests(self) -> None:
         """Withdraw all requests on it that have no response yet."""
 
-    def is_idle(self) -> bool:
-        """Tell whether no request is in progress."""
-
     def idle_since(self) -> float | None:
-        """Return when bytes were last received (ms); None while a response is owed on it."""
+        """Return when bytes were last received (ms); None while a response is owed or has not left."""
 
     def expire(self, now: float) -> None:
         """Close it where the client has been silent, or has held a request half-sent, for too long."""
@@ -68,15 +71,18 @@
     def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
 
+    def close_if_idle(self, reason: EndReason) -> None:
+        """Close it where nothing is owed on it: no request has come or is coming, all responses have left.
+
+        To be called again until it has ended: what is in progress goes on.
+        """
+
     def detach(self) -> tuple[socket.socket, bytes] | None:
         """Hand it to another process, with the bytes read ahead; None while that cannot be."""
 
     def drain(self) -> None:
         """Tell the client, where the protocol can, that this process is about to end."""
 
-    def finish(self) -> None:
-        """Close it after what has been written."""
-
 
 class HttpServer(ABC):
     """Owns the connections of clients; subclasses say what becomes of their requests."""
@@ -92,6 +98,8 @@
         self.connections: set[Connection] = set()
         self.handing_over = False  # another process takes over the clients' connections
         self.drain_began_at: float | None = None  # ms, once this process has been told to end
+        self.takes_until = math.inf  # ms; requests that are read later are refused
+        self.drain_ends_at = math.inf  # ms
         self.closed_counts: Counter[str] = Counter()  # client connections closed by this side, by reason
         self.unanswered = UnansweredRequests(self.clock)
         self._buffered_bytes: dict[Connection, int] = {}  # of incomplete requests
@@ -112,9 +120,25 @@
         """Whether this process has been told to end."""
         return self.drain_began_at is not None
 
-    def begin_drain(self) -> None:
+    def begin_drain(self, times: DrainTimes) -> None:
         """Note that this process has been told to end."""
-        self.drain_began_at = self.clock.now()
+        now = self.clock.now()
+        self.drain_began_at = now
+        self.takes_until = now + times.take_ms
+        self.drain_ends_at = now + times.close_ms
+
+    @property
+    def has_unfinished_work(self) -> bool:
+        """Whether something goes on for which no client waits any more; subclasses may have such work."""
+        return False
+
+    def take_request(self, client: Client, request: HttpRequest) -> None:
+        """Have a request handled that a front has read; refuse it where this process ends too soon."""
+        if self.clock.now() <= self.takes_until:
+            self.handle_request(client, request)
+            return
+        self.closed_counts["refused_while_draining"] += 1
+        client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
 
     @abstractmethod
     def handle_request(self, client: Client, request: HttpRequest) -> None:
