Let HTTP/2 connections that still deliver a response not count as idle

Cause: a connection whose streams had all been written counted as idle, though the client had not read them yet; it was finished and counted as such. Change: what has not left is owed there too.

--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -241,7 +241,8 @@
             return
         late = [s for s in self.streams.values() if not s.request_complete and now - s.started_at > HEAD_MS]
         max_idle_ms = IDLE_MS if self.last_stream_id else FIRST_BYTE_MS
-        idle = not self.streams and now - self.last_received_at > max_idle_ms
+        nothing_owed = not self.streams and self.link.flushed
+        idle = nothing_owed and now - self.last_received_at > max_idle_ms
         if self.closing or not (late or idle) or self.link.peek() is not None:
             return  # what has come and is not read yet may be what was waited for
         self.server.closed_counts["half_sent" if late else "idle" if self.last_stream_id else "silent"] += 1
