Have a soak's clients rest, send and read slowly, and its servers take seconds now and then

Cause: no client of a soak used a connection late in the life of its process, none read slowly, and nothing kept a drain open, so that LOST could not show. Change: long rests, requests in two parts, uploads, long answers read slowly, a share of slow runs; a request that was sent whole and whose connection ends a second later without an answer counts as lost. New clients are accepted for 0.4 s after the platform knows.

--- a/wickspring/dataplane/shutdown.py
+++ b/wickspring/dataplane/shutdown.py
@@ -20,12 +20,12 @@
 from wickspring.net.listening import Serve, close_listener, take_rest
 
 # Shares of the grace period, between SIGTERM and SIGKILL.
-ACCEPT_SHARE = 0.33  # new connections are accepted until then at the latest
-TAKE_SHARE = 0.4  # requests are taken until then; the longest usual ones take about as long as what is left
+ACCEPT_SHARE = 0.4  # new connections are accepted until then at the latest
+TAKE_SHARE = 0.45  # requests are taken until then; most take much less than what is left
 ANSWER_SHARE = 0.93  # requests in progress are answered until then
 CLOSE_SHARE = 0.97  # and the last bytes leave until then
 
-MIN_ACCEPT_S = 0.4  # in which connections that are on their way are still accepted
+ON_THE_WAY_S = 0.4  # in which connections still come that the platform has passed on before it knew
 FIRST_REQUEST_S = 0.1  # for the first request on a connection that was accepted last
 POLL_S = 0.02
 
@@ -67,8 +67,8 @@
     async def _accept_last(self, at_most_s: float) -> None:
         """Accept clients until the platform sends no more, and stop listening."""
         with trio.move_on_after(at_most_s):
-            await trio.sleep(MIN_ACCEPT_S)
             while not self._platform_knows():
                 await trio.sleep(POLL_S)
+            await trio.sleep(ON_THE_WAY_S)
         take_rest(self._listener, self._data_plane, self._serve)
         close_listener(self._listener)
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -39,10 +39,12 @@
 TOY_MAX_PAUSE_S = 0.2
 
 
-def gateway_config(version: int, rate: float = 0.0, effectful_prefix: str = EFFECTFUL_PREFIX) -> bytes:
+def gateway_config(
+    version: int, rate: float = 0.0, effectful_prefix: str = EFFECTFUL_PREFIX, timeout_s: float = 2.0
+) -> bytes:
     """Return the JSON of a configuration with a pure and an effectful route, each to a service of its own.
 
-    `rate` is the tenant's requests a second; 0 is no quota.
+    `rate` is the tenant's requests a second; 0 is no quota. `timeout_s` is that of the routes.
     """
 
     def route(name: str, kind: str, prefix: str, service: str) -> dict[str, object]:
@@ -53,7 +55,7 @@
             "priority": 1,
             "public": False,
             "pattern": {"path_prefix": prefix},
-            "effect": {"service": service, "timeout_s": 2.0, "max_tries": 2},
+            "effect": {"service": service, "timeout_s": timeout_s, "max_tries": 2},
         }
 
     config = {
--- a/wickspring/lab/emulation/stand_in_server.py
+++ b/wickspring/lab/emulation/stand_in_server.py
@@ -27,6 +27,8 @@
 DRAIN_S = 2.5  # after an acknowledged drain in which requests may still arrive
 READ_SIZE = 65536
 CUT_BODY_BYTES = 4
+LONG_PATH = "long"  # the end of a path whose response is long
+LONG_BODY_BYTES = 300_000
 
 Headers = list[tuple[str, str]]
 
@@ -74,13 +76,15 @@
 
 @dataclass
 class StandInServer:
-    """One stand-in server; tests set `state`, `capacity`, `service_time_s` and `fault_share` as it runs."""
+    """One stand-in server; tests set `state`, `capacity`, service times and `fault_share` as it runs."""
 
     ip: str
     service: str
     control_planes: list[str]
     id: str
     service_time_s: float = 0.01
+    slow_share: float = 0.0  # of the requests, which take `slow_time_s`
+    slow_time_s: float = 0.0
     capacity: int = 4
     state: str = "ready"
     call_seq: int = 0
@@ -167,7 +171,10 @@
             if not await self._execute(attempt_id, headers.get("x-tenant", ""), stream):
                 return False
             seal = ("X-Server-Seal", f"seal.{attempt_id}")
-            response = ServerResponse(200, [attempt_header, seal], f"{attempt_id} by {self.id}\n".encode())
+            body = f"{attempt_id} by {self.id}\n".encode()
+            if headers[":path"].endswith(LONG_PATH):
+                body *= LONG_BODY_BYTES // len(body)
+            response = ServerResponse(200, [attempt_header, seal], body)
             if self.random.random() < self.fault_share:
                 fault = self.random.choice(tuple(ResponseFault))
                 return await self._send_faulty(http, stream, fault, response)
@@ -176,7 +183,7 @@
 
     @staticmethod
     async def _read_request(http: h11.Connection, stream: trio.SocketStream) -> dict[str, str] | None:
-        """Read a request to its end; return its headers, or None at the end of the connection."""
+        """Read a request to its end; return its headers and `:path`, or None at the end of the connection."""
         headers: dict[str, str] = {}
         while True:
             event = http.next_event()
@@ -184,6 +191,7 @@
                 http.receive_data(await stream.receive_some(READ_SIZE))
             elif isinstance(event, h11.Request):
                 headers = {name.decode(): value.decode() for name, value in event.headers}
+                headers[":path"] = event.target.decode()
             elif isinstance(event, h11.EndOfMessage):
                 return headers
             elif isinstance(event, h11.ConnectionClosed):
@@ -196,8 +204,9 @@
         self.executions_by_tenant[tenant] += 1
         execution = Execution(attempt_id, trio.current_time())
         self.execution_log.append(execution)
+        is_slow = self.slow_share > 0.0 and self.random.random() < self.slow_share
         try:
-            with trio.move_on_after(self.service_time_s) as work:
+            with trio.move_on_after(self.slow_time_s if is_slow else self.service_time_s) as work:
                 await _wait_until_closed(stream)
         finally:
             self.in_flight -= 1
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -14,6 +14,7 @@
 
 GONE_AFTER_S = 0.5  # after a client has left, by which work for it has ended
 MAX_GONE = 3  # runs that may go on; a pause of the lab's own is no fault of the gateway
+LOSS_SLACK_S = 1.0  # after the last byte of a request that was not executed, in which its connection may end
 TROUBLE_BEFORE_S = 0.5  # that a request may have been sent before a trouble that ends its connection
 TROUBLE_AFTER_S = 1.5  # after a process is back, in which its trouble may still end connections
 
@@ -96,12 +97,14 @@
 def _is_lost(request: SoakRequest, executions: list[Execution], seen: Observations) -> bool:
     """Tell whether a request has no answer, though nothing was wrong with its data plane.
 
-    One that was not executed counts only where its client has waited in vain: a connection that ends without
-    an answer promises nothing, and such a request may be sent again.
+    One that was not executed counts only where its client has waited in vain, or some time after it had been
+    sent whole: a connection that ends at once promises nothing, and such a request may be sent again.
     """
     if request.status != NO_ANSWER or request.left_at is not None:
         return False
-    if not (executions or request.timed_out):
+    sent_at = request.sent_whole_at
+    waited = request.timed_out or (sent_at is not None and request.ended_at - sent_at > LOSS_SLACK_S)
+    if not (executions or waited):
         return False
     return not any(
         trouble.process == request.data_plane
--- a/wickspring/lab/experiments/soak/clients.py
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from random import Random
 
 import h11
@@ -16,19 +17,43 @@
     HOST,
     PURE_PREFIX,
 )
+from wickspring.lab.emulation.stand_in_server import LONG_PATH
 from wickspring.lab.experiments.soak.observations import SoakRequest
 
-DEADLINE_S = 3.0
+DEADLINE_S = 5.0
 ANSWER_TIMEOUT_S = DEADLINE_S + 1.0
 EFFECTFUL_SHARE = 0.3
 LEAVE_SHARE = 0.25  # of the requests, whose client does not wait for the answer
 LEAVE_AFTER_S = (0.02, 0.2)
 THINK_S = (0.0, 0.25)
+REST_SHARE = 0.06  # of the pauses, which are long: the connection is used late in the life of its process
+REST_S = (0.5, 5.0)
 RECONNECT_S = 0.1
 READ_SIZE = 65536
+SLOW_READ_SIZE = 16384
+SLOW_READ_PAUSE_S = 0.03
+SLOW_SEND_PAUSE_S = (0.0, 1.0)
+UPLOAD_BYTES = 150_000  # more than is buffered, so that it is streamed
 BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
 
 
+class RequestShape(Enum):
+    """How a request is sent, and its answer read."""
+
+    PLAIN = "plain"
+    SENT_SLOWLY = "sent_slowly"  # in two parts, with a pause between
+    UPLOAD = "upload"  # with a long body
+    LONG_ANSWER = "long_answer"  # that is read slowly
+
+
+SHAPE_WEIGHTS = {
+    RequestShape.PLAIN: 20,
+    RequestShape.SENT_SLOWLY: 2,
+    RequestShape.UPLOAD: 1,
+    RequestShape.LONG_ANSWER: 1,
+}
+
+
 @dataclass(slots=True)
 class ClientSettings:
     """What all clients of a run share."""
@@ -74,7 +99,12 @@
                 return
             finally:
                 request.ended_at = trio.current_time()
-            await trio.sleep(self._random.uniform(*THINK_S) / settings.pressure())
+            await trio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        if self._random.random() < REST_SHARE:
+            return self._random.uniform(*REST_S)
+        return self._random.uniform(*THINK_S) / self._settings.pressure()
 
     def _next_request(self, data_plane: str) -> SoakRequest:
         self._sent += 1
@@ -86,10 +116,12 @@
     async def _exchange(self, http: h11.Connection, stream: trio.SocketStream, request: SoakRequest) -> bool:
         """Send a request and read its answer; False where the connection is not to be used again."""
         leaves = self._random.random() < LEAVE_SHARE
+        shape = self._random.choices(list(SHAPE_WEIGHTS), list(SHAPE_WEIGHTS.values()))[0]
         wait_s = self._random.uniform(*LEAVE_AFTER_S) if leaves else ANSWER_TIMEOUT_S
         with trio.move_on_after(wait_s) as patience:
-            await stream.send_all(_encode(http, request))
-            await _read_answer(http, stream, request)
+            await self._send(stream, _encode(http, request, shape), shape)
+            request.sent_whole_at = trio.current_time()
+            await _read_answer(http, stream, request, shape)
         if patience.cancelled_caught:
             await trio.aclose_forcefully(stream)
             if leaves:
@@ -99,31 +131,47 @@
             return False
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    async def _send(self, stream: trio.SocketStream, data: bytes, shape: RequestShape) -> None:
+        if shape is RequestShape.SENT_SLOWLY:
+            half = len(data) // 2
+            await stream.send_all(data[:half])
+            await trio.sleep(self._random.uniform(*SLOW_SEND_PAUSE_S))
+            data = data[half:]
+        await stream.send_all(data)
+
 
-def _encode(http: h11.Connection, request: SoakRequest) -> bytes:
+def _encode(http: h11.Connection, request: SoakRequest, shape: RequestShape) -> bytes:
     method, path = ("POST", EFFECTFUL_PREFIX) if request.effectful else ("GET", PURE_PREFIX)
+    body = bytes(UPLOAD_BYTES) if shape is RequestShape.UPLOAD else b""
+    name = LONG_PATH if shape is RequestShape.LONG_ANSWER else "1"
     headers = [
         ("Host", HOST),
         ("X-Key", API_KEY),
         ("X-Attempt-Id", request.id),
         ("X-Deadline-Ms", str(int(1000.0 * DEADLINE_S))),
-        ("Content-Length", "0"),
+        ("Content-Length", str(len(body))),
     ]
-    head = http.send(h11.Request(method=method, target=f"{path}1", headers=headers)) or b""
-    return head + (http.send(h11.EndOfMessage()) or b"")
+    data = http.send(h11.Request(method=method, target=f"{path}{name}", headers=headers)) or b""
+    data += http.send(h11.Data(data=body)) or b""
+    return data + (http.send(h11.EndOfMessage()) or b"")
 
 
-async def _read_answer(http: h11.Connection, stream: trio.SocketStream, request: SoakRequest) -> None:
+async def _read_answer(
+    http: h11.Connection, stream: trio.SocketStream, request: SoakRequest, shape: RequestShape
+) -> None:
     """Read one answer; only a complete one counts."""
     status, body = 0, b""
+    reads_slowly = shape is RequestShape.LONG_ANSWER
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
-            http.receive_data(await stream.receive_some(READ_SIZE))
+            if reads_slowly:
+                await trio.sleep(SLOW_READ_PAUSE_S)
+            http.receive_data(await stream.receive_some(SLOW_READ_SIZE if reads_slowly else READ_SIZE))
         elif isinstance(event, h11.Response):
             status = event.status_code
         elif isinstance(event, h11.Data):
-            body += bytes(event.data)
+            body += event.data
         elif isinstance(event, h11.EndOfMessage):
             request.status, request.body = status, body
             return
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -33,6 +33,9 @@
 SERVERS_PER_SERVICE = 3
 PURE_SERVICE_TIME_S = 0.8  # so that work for a client that has left can be seen to go on
 EFFECTFUL_SERVICE_TIME_S = 0.01
+SLOW_SHARE = 0.03  # of the requests, which keep a process that ends for a while
+SLOW_SERVICE_TIME_S = 3.5
+ROUTE_TIMEOUT_S = 5.0
 CAPACITY = 24  # of a stand-in server
 
 
@@ -109,6 +112,8 @@
             is_pure = server.service == PURE_SERVICE
             server.service_time_s = PURE_SERVICE_TIME_S if is_pure else EFFECTFUL_SERVICE_TIME_S
             server.capacity = CAPACITY
+            server.slow_share = SLOW_SHARE
+            server.slow_time_s = SLOW_SERVICE_TIME_S
             nursery.start_soon(server.run)
         await self._replace_config()
         await gateway.wait_until_ready(READY_TIMEOUT_S)
@@ -201,7 +206,8 @@
     async def _replace_config(self) -> None:
         self.version += 1
         version = self.version
-        if await self.gateway.replace_config(gateway_config(version, self.options.rate)) == 200:
+        config = gateway_config(version, self.options.rate, timeout_s=ROUTE_TIMEOUT_S)
+        if await self.gateway.replace_config(config) == 200:
             self.seen.acknowledged_version = max(self.seen.acknowledged_version, version)
 
     async def _drain_server(self) -> None:
