Cancel the attempts of a hedged request that have lost, once its response is known

Change: with a response given, or begun as a stream, all other attempts are cancelled and their connections closed. Result: tests/dataplane/test_hedging.py fails before and passes after, for buffered and streamed responses.

--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -65,6 +65,7 @@
             return
         client = request.waiting_client()
         self._finish(request)
+        self._cancel_attempts(request)
         self._context.event_counts["answered"] += 1
         signed = any(name == SIGNATURE_HEADER and value for name, value in response.pairs)
         check_invariant(signed or not 200 <= response.code < 300, "a success is signed")
@@ -79,6 +80,7 @@
         if head.length is None and client.http.their_http_version == b"1.0":
             return None  # without a length, such a client cannot tell a truncated body from a complete one
         request.streaming_attempt = attempt_number
+        self._cancel_attempts(request, except_number=attempt_number)
         request.cancel_deadline()
         client.begin_response(head.length, head.status, end_to_end_headers(head.pairs))
         return ResponseStream(request, attempt_number, client)
@@ -164,8 +166,13 @@
         if request.must_complete():
             return
         self._finish(request)
-        for exchange in list(request.exchanges.values()):
-            self._context.upstream.cancel(exchange)
+        self._cancel_attempts(request)
+
+    def _cancel_attempts(self, request: Request, except_number: int = 0) -> None:
+        """Cancel attempts whose responses nobody wants any more, such as the loser of a hedged request."""
+        for number, exchange in list(request.exchanges.items()):
+            if number != except_number:
+                self._context.upstream.cancel(exchange)
 
     def _finish(self, request: Request) -> None:
         request.attempts.ended = True
