--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -11,7 +11,7 @@
 from wickspring.lab.emulation.stand_in_server import Execution
 from wickspring.lab.experiments.soak.checks import GONE_AFTER_S, MAX_GONE, SoakViolations, check_soak
 from wickspring.lab.experiments.soak.observations import Observations, SoakRequest, Trouble
-from wickspring.lab.experiments.soak.plan import StepKind, draw_plan
+from wickspring.lab.experiments.soak.plan import UNPLANNED, StepKind, draw_plan
 from wickspring.lab.experiments.soak.run import SoakOptions, run_soak
 
 RATE = 20.0
@@ -26,6 +26,14 @@
     assert result.served > 100 and result.steps > 4
 
 
+def test_planned_work_alone_loses_nothing(loopback_net: int) -> None:
+    """Ends of processes in series, reloads and changes, under clients that use connections to the end."""
+    options = SoakOptions(seconds=20.0, rate=400.0, net=loopback_net, planned_only=True)
+    result = run_soak(1, options)
+    assert result.violations.total == 0, result
+    assert result.served > 500 and result.steps > 20
+
+
 def observe_served_requests() -> Observations:
     """Return a run in which every rule is kept."""
     seen = Observations(acknowledged_version=3, read_back_version=3)
@@ -136,6 +144,8 @@
     plans = [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert plans == [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES) for seed in range(40)]
     assert {step.kind for plan in plans for step in plan} == set(StepKind)
+    planned = [draw_plan(seed, 15.0, CONTROL_PLANES, DATA_PLANES, planned_only=True) for seed in range(40)]
+    assert {step.kind for plan in planned for step in plan} == set(StepKind) - UNPLANNED
     pairs = [list(pairwise(plan)) for plan in plans]
     overlapping = [steps for steps in pairs if any(b.at_s - a.at_s < a.for_s for a, b in steps)]
     assert len(overlapping) > 20
--- a/wickspring/lab/experiments/soak/__main__.py
+++ b/wickspring/lab/experiments/soak/__main__.py
@@ -18,6 +18,8 @@
     parser.add_argument("--seconds", type=float, default=defaults.seconds)
     parser.add_argument("--control-planes", type=int, default=defaults.control_planes)
     parser.add_argument("--data-planes", type=int, default=defaults.data_planes)
+    parser.add_argument("--rate", type=float, default=defaults.rate, help="of the tenant, requests a second")
+    parser.add_argument("--planned-only", action="store_true", help="no faults, but more planned work")
     parser.add_argument("--net", type=int, default=defaults.net, help="N of the addresses 127.N.0.0/16")
     return parser.parse_args()
 
@@ -34,7 +36,9 @@
         seconds=arguments.seconds,
         control_planes=arguments.control_planes,
         data_planes=arguments.data_planes,
+        rate=arguments.rate,
         net=arguments.net,
+        planned_only=arguments.planned_only,
     )
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/wickspring/lab/experiments/soak/plan.py
+++ b/wickspring/lab/experiments/soak/plan.py
@@ -14,6 +14,7 @@
 PAUSE_S = (0.3, 2.5)
 DOWN_S = (0.0, 0.8)
 SECONDS_PER_SERIES = 2.0
+SECONDS_PER_PLANNED_SERIES = 0.7  # where all steps are planned work
 
 
 class StepKind(Enum):
@@ -54,9 +55,13 @@
 
 
 def draw_plan(
-    seed: int, seconds: float, control_planes: Sequence[str], data_planes: Sequence[str]
+    seed: int,
+    seconds: float,
+    control_planes: Sequence[str],
+    data_planes: Sequence[str],
+    planned_only: bool = False,
 ) -> list[Step]:
-    """Return the steps of a run, in order.
+    """Return the steps of a run, in order; with `planned_only` none of them is a fault.
 
     At most one control plane at a time is killed, paused or told to end, as many as three of them tolerate;
     all of them may be killed at once, which keeps their disks.
@@ -64,17 +69,24 @@
     random = Random(f"soak {seed}")
     steps: list[Step] = []
     last_s = max(QUIET_START_S, seconds - QUIET_END_S)
-    for _ in range(max(1, int(seconds / SECONDS_PER_SERIES))):
-        steps += _draw_series(random, random.uniform(QUIET_START_S, last_s), control_planes, data_planes)
+    kinds = [kind for kind in WEIGHTS if not (planned_only and kind in UNPLANNED)]
+    seconds_per_series = SECONDS_PER_PLANNED_SERIES if planned_only else SECONDS_PER_SERIES
+    for _ in range(max(1, int(seconds / seconds_per_series))):
+        at_s = random.uniform(QUIET_START_S, last_s)
+        steps += _draw_series(random, at_s, kinds, control_planes, data_planes)
     steps = [step for step in steps if step.at_s <= last_s]
     return sorted(steps, key=lambda step: step.at_s)
 
 
 def _draw_series(
-    random: Random, at_s: float, control_planes: Sequence[str], data_planes: Sequence[str]
+    random: Random,
+    at_s: float,
+    kinds: Sequence[StepKind],
+    control_planes: Sequence[str],
+    data_planes: Sequence[str],
 ) -> list[Step]:
     """Return one to some steps of one kind, one shortly after the other."""
-    kind = random.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+    kind = random.choices(kinds, [WEIGHTS[kind] for kind in kinds])[0]
     steps = []
     for _ in range(random.randint(1, MAX_STEPS_IN_SERIES)):
         target = ""
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -48,6 +48,7 @@
     data_planes: int = 3
     rate: float = 40.0  # of the tenant, requests a second
     net: int = 18  # second number of all addresses
+    planned_only: bool = False  # SIGTERM, SIGHUP and changes, but no faults
 
 
 class SoakResult(msgspec.Struct, kw_only=True):
@@ -82,7 +83,11 @@
         self.gateway = LocalGateway(self.folder, options.control_planes, options.data_planes, options.net)
         self.random = Random(f"run {self.seed}")
         self.plan = draw_plan(
-            self.seed, options.seconds, self.gateway.control_planes, self.gateway.data_planes
+            self.seed,
+            options.seconds,
+            self.gateway.control_planes,
+            self.gateway.data_planes,
+            options.planned_only,
         )
         self.locks = {ip: trio.Lock() for ip in (*self.gateway.control_planes, *self.gateway.data_planes)}
         self.core = trio.Lock()  # one trouble of the control plane at a time, as it tolerates
