Give both fronts one base for their end, and limits and syntax checks modules of their own

Change: FrontConnection (net/front_connection.py), net/front_limits.py, net/http1_syntax.py; calls in progress at a control plane are answered before it ends, with a test.

--- a/tests/controlplane/test_api_server.py
+++ b/tests/controlplane/test_api_server.py
@@ -4,18 +4,24 @@
 
 import json
 import re
+import socket
 
 import pytest
 import trio
+import trio.testing
 
 from wickspring.common import logs
 from wickspring.common.settings import Limits
 from wickspring.controlplane.api.calls import ApiRequest, ApiResponse, find_handler
-from wickspring.controlplane.api.server import MAX_BODY_BYTES, ApiServer
+from wickspring.controlplane.api.server import MAX_BODY_BYTES, ApiServer, serve_http
+from wickspring.controlplane.process import finish_calls
 from wickspring.net.body_stream import BodyStream
+from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.http_server import HttpRequest
+from wickspring.net.link import Link
 
 PIECE_BYTES = 1 << 20
+SLOW_S = 0.1
 
 
 class RecordingClient:
@@ -125,3 +131,36 @@
     assert find_handler(handlers, "POST", "/echo/i1") == (handlers[0], {"id": "i1"})
     with pytest.raises(LookupError):
         find_handler(handlers, "POST", "/echo/i1/")
+
+
+class SlowHandler(EchoHandler):
+    """Answers after a while."""
+
+    async def call(self, request: ApiRequest) -> ApiResponse:
+        await trio.sleep(SLOW_S)
+        return await super().call(request)
+
+
+def test_a_call_in_progress_is_answered_before_the_process_ends() -> None:
+    async def connect(server: ApiServer) -> trio.SocketStream:
+        near, far = socket.socketpair()
+        server.nursery.start_soon(serve_http, Link(near, server.nursery), server)
+        await trio.testing.wait_all_tasks_blocked()
+        return trio.SocketStream(trio.socket.from_stdlib_socket(far))
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            server = ApiServer(nursery, Limits())
+            server.handlers = [SlowHandler()]
+            nursery.start_soon(server.timers.run)
+            busy, idle = await connect(server), await connect(server)
+            await busy.send_all(b"POST /echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+            await trio.testing.wait_all_tasks_blocked()
+            server.begin_drain(DrainTimes(take_ms=5000.0, answer_ms=5000.0, close_ms=5000.0))
+            nursery.start_soon(finish_calls, server, None)
+            assert await idle.receive_some(1) == b""
+            answer = await busy.receive_some(4096)
+            assert answer.startswith(b"HTTP/1.1 200") and b"Connection: close" in answer
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -17,7 +17,7 @@
 from wickspring import interface as api
 from wickspring.core import effects as core
 from wickspring.core.reducer import Reducer
-from wickspring.net import http1_front
+from wickspring.net import http1_front, http1_syntax
 from wickspring.net.body_stream import BUFFER_BYTES
 from wickspring.net.http_server import TRANSFER_BYTES
 
@@ -307,7 +307,7 @@
     ],
 )
 def test_origin_form(given: str, wanted: str) -> None:
-    assert http1_front.origin_form(given) == wanted
+    assert http1_syntax.origin_form(given) == wanted
 
 
 # The core: what may follow once bytes have flowed.
--- a/wickspring/controlplane/api/server.py
+++ b/wickspring/controlplane/api/server.py
@@ -18,7 +18,8 @@
 )
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import Client
-from wickspring.net.http1_front import FrontLimits, Http1Connection
+from wickspring.net.front_limits import FrontLimits
+from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -152,9 +152,8 @@
             await trio.sleep(DRAIN_POLL_S)
 
 
-async def finish_calls(control_plane: ControlPlane, listener: socket.socket | None) -> None:
+async def finish_calls(api_server: ApiServer, listener: socket.socket | None) -> None:
     """Take no more connections, and answer the calls in progress."""
-    api_server = control_plane.api_server
     if listener is not None:
         take_rest(listener, api_server, serve_http)
         close_listener(listener)
@@ -176,7 +175,7 @@
         )
         await ended.wait()
         await drain(control_plane)
-        await finish_calls(control_plane, started.api_listener)
+        await finish_calls(control_plane.api_server, started.api_listener)
         logs.log_event("stopped", epoch=replication.chain.view.epoch)
         nursery.cancel_scope.cancel()
 
--- a/wickspring/dataplane/limits.py
+++ b/wickspring/dataplane/limits.py
@@ -6,7 +6,7 @@
 
 from wickspring.common.routing_table import ClientLimits, RoutingTable
 from wickspring.connections.limits import ConnectionLimits
-from wickspring.net.http1_front import FrontLimits
+from wickspring.net.front_limits import FrontLimits
 
 CONNECTION_SHARE = 0.9  # of an endpoint's connections that all data planes together open
 MIN_CONNECTIONS = 3  # to one endpoint
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -40,7 +40,7 @@
 from wickspring.net.calls import Client
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.datagrams import Udp
-from wickspring.net.http1_front import FrontLimits
+from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.upstream.manager import UpstreamManager
 
--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -17,7 +17,8 @@
 from wickspring.dataplane.endpoint_table import EndpointTable
 from wickspring.net.calls import Client
 from wickspring.net.clock import Clock
-from wickspring.net.http1_front import FrontLimits, Http1Connection
+from wickspring.net.front_limits import FrontLimits
+from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -2,33 +2,21 @@
 
 from __future__ import annotations
 
-import re
 import socket
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import h11
 import trio
 
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import (
-    BODY_BYTES_PER_MS,
-    BODY_MS,
-    DEFER_S,
-    FIRST_BYTE_MS,
-    HEAD_MS,
-    IDLE_MS,
-    MAX_BODY_BYTES,
-    MAX_BUFFERED_BODY,
-    CallError,
-    read_head,
-)
-from wickspring.net.delivery import DeliveryWatch, close_after_delivery
+from wickspring.net.calls import BODY_BYTES_PER_MS, DEFER_S, MAX_BUFFERED_BODY, CallError, read_head
+from wickspring.net.front_connection import FrontConnection
+from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
+from wickspring.net.http1_syntax import has_ambiguous_length, origin_form
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
-MAX_HEAD_BYTES = 16 * 1024
 MAX_READ_AHEAD = (
     MAX_HEAD_BYTES + MAX_BUFFERED_BODY
 )  # bytes of further requests, read while a response is owed
@@ -40,46 +28,10 @@
 TOO_MANY_REQUESTS = 429
 MAX_LENGTH_STATUSES = (413, 431)  # that h11 gives for what is too long
 
-_CONTENT_LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
-_ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
-
 HeaderPairs = Sequence[tuple[str, str]]
 
 
-def has_ambiguous_length(head: bytes) -> bool:
-    """Tell whether a head gives its body's length twice, even as one number, or not in digits.
-
-    RFC 9112, section 6.3, lets a recipient fold equal ones, as h11 does; here they are refused.
-    """
-    lengths = _CONTENT_LENGTH.findall(head)
-    return len(lengths) > 1 or (len(lengths) == 1 and not lengths[0].strip().isdigit())
-
-
-def origin_form(target: str) -> str:
-    """Return a request target without scheme and host (RFC 9112, section 3.2.2), as servers know it."""
-    absolute = _ABSOLUTE_FORM.match(target)
-    if absolute is None:
-        return target
-    rest = target[absolute.end() :]
-    return rest if rest.startswith("/") else f"/{rest}"
-
-
-@dataclass(slots=True, frozen=True)
-class FrontLimits:
-    """What a client may send, and how long it may take."""
-
-    first_byte_ms: float = FIRST_BYTE_MS
-    head_ms: float = HEAD_MS
-    body_ms: float = BODY_MS  # and 1 ms more for each `BODY_BYTES_PER_MS` bytes
-    idle_ms: float = IDLE_MS
-    max_head_bytes: int = MAX_HEAD_BYTES
-    max_body_bytes: int = MAX_BODY_BYTES
-
-
-DEFAULT_LIMITS = FrontLimits()
-
-
-class Http1Connection:
+class Http1Connection(FrontConnection):
     """One client connection, and the place where the response to its present request goes."""
 
     can_be_handed_over = True
@@ -91,7 +43,8 @@
         read_ahead: bytes | None = None,
         limits: FrontLimits = DEFAULT_LIMITS,
     ) -> None:
-        self.link, self.server, self.limits = link, server, limits
+        super().__init__(link, server)
+        self.server, self.limits = server, limits
         self.read_ahead = read_ahead  # by the process before this one; None for a new connection
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self.request: h11.Request | None = None
@@ -102,14 +55,10 @@
         self.body_size = 0
         self.request_number: int | None = None  # of the request that waits for its response
         self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
-        self.end_reason: EndReason | None = None  # why this connection ends, once that is known
         self._discards_requests = False  # what still comes is no rest of a request that has been answered
         self._has_discarded = False
-        self.last_received_at = server.clock.now()
         self.started_at = self.last_received_at  # of the connection, or of the present request
         self.has_received_request = read_ahead is not None
-        self.closing = False
-        self._delivery = DeliveryWatch(link, server.clock)
         self._advancing = False
         self._handled_at_once = 0  # requests, by the present call of `advance`
         self._closes_after_stream = False  # the connection, with the streamed response that has begun
@@ -117,17 +66,6 @@
 
     # Reading.
 
-    async def run(self) -> None:
-        """Read until the client leaves or this side has written its last response."""
-        try:
-            await self._read()
-        except trio.Cancelled:
-            self._note_end(EndReason.PROCESS_ENDED)
-            raise
-        except Exception:
-            self._note_end(EndReason.INTERNAL_ERROR)
-            raise
-
     async def _read(self) -> None:
         self._begin_reading()
         discarded = 0
@@ -137,9 +75,7 @@
                 continue
             data = await self.link.receive()
             if not data:
-                if data is not None and self.request_number is None:
-                    await self.link.wait_writable()  # it may have closed its own direction alone
-                self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
+                await self._on_read_end(data)
                 break
             if self.closing:
                 discarded += len(data)  # read, so that closing does not reset the response
@@ -306,17 +242,8 @@
         self.closing = True
         return sock, read_ahead
 
-    def _note_end(self, reason: EndReason) -> None:
-        """Note why this connection ends, unless that is known already."""
-        if self.end_reason is not None:
-            return
-        closed_by_link = reason is EndReason.CLIENT_RESET and self.link.closed
-        self.end_reason = EndReason.CLIENT_NOT_READING if closed_by_link else reason
-
-    def _close(self, reason: EndReason) -> None:
-        """Close it at once."""
-        self._note_end(reason)
-        self.link.close()
+    def _has_request(self) -> bool:
+        return self.request_number is not None
 
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the request that waits for its response, or whose response has not left whole."""
@@ -343,11 +270,6 @@
         """Return when bytes were last received (ms); None while a response is owed or has not left."""
         return self.last_received_at if self.request_number is None and self.link.flushed else None
 
-    def close_if_unread(self, reason: EndReason) -> None:
-        """Close it now, unless bytes have arrived that are not read yet."""
-        if self.link.peek() is None:
-            self._close(reason)
-
     def close_if_idle(self, reason: EndReason) -> None:
         """Close it where nothing is owed on it."""
         if not self.closing and self.is_idle():
@@ -400,12 +322,10 @@
 
     def finish(self) -> None:
         """Close the connection after what has been written."""
-        self.closing = True
         self.body = bytearray()
         self._discards_requests = self.http.their_state is not h11.SEND_BODY
         self.server.record_buffered(self, 0)
-        self.link.finish()
-        close_after_delivery(self.link, self.server)
+        self._finish_link(self.server)
 
     # The response.
 
--- /dev/null
+++ b/wickspring/net/http1_syntax.py
@@ -0,0 +1,26 @@
+"""Checks of HTTP/1.1 requests that h11 leaves to its users (RFC 9112)."""
+
+from __future__ import annotations
+
+import re
+
+_CONTENT_LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
+_ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
+
+
+def has_ambiguous_length(head: bytes) -> bool:
+    """Tell whether a head gives its body's length twice, even as one number, or not in digits.
+
+    RFC 9112, section 6.3, lets a recipient fold equal ones, as h11 does; here they are refused.
+    """
+    lengths = _CONTENT_LENGTH.findall(head)
+    return len(lengths) > 1 or (len(lengths) == 1 and not lengths[0].strip().isdigit())
+
+
+def origin_form(target: str) -> str:
+    """Return a request target without scheme and host (RFC 9112, section 3.2.2), as servers know it."""
+    absolute = _ABSOLUTE_FORM.match(target)
+    if absolute is None:
+        return target
+    rest = target[absolute.end() :]
+    return rest if rest.startswith("/") else f"/{rest}"
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -22,7 +22,8 @@
     CallError,
     read_head,
 )
-from wickspring.net.delivery import LINGER_MS, DeliveryWatch, close_after_delivery
+from wickspring.net.delivery import LINGER_MS
+from wickspring.net.front_connection import FrontConnection
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
@@ -92,13 +93,14 @@
         self.owner.end_response(self, complete)
 
 
-class Http2Connection:
+class Http2Connection(FrontConnection):
     """One client connection with many streams."""
 
     can_be_handed_over = False  # the state of the header compression cannot be
 
     def __init__(self, link: Link, server: Runtime) -> None:
-        self.link, self.server = link, server
+        super().__init__(link, server)
+        self.server = server
         config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
         self.http = h2.connection.H2Connection(config)
         self.frames = Frames(PREFACE_SIZE)
@@ -106,21 +108,6 @@
         self.last_stream_id = 0
         self.reset_count = 0
         self.going_away = False  # no new streams: the last GOAWAY has been sent
-        self.last_received_at = server.clock.now()
-        self.closing = False
-        self.end_reason: EndReason | None = None  # why this connection ends, once that is known
-        self._delivery = DeliveryWatch(link, server.clock)
-
-    async def run(self) -> None:
-        """Read until the client leaves or this side has written its last response."""
-        try:
-            await self._read()
-        except trio.Cancelled:
-            self._note_end(EndReason.PROCESS_ENDED)
-            raise
-        except Exception:
-            self._note_end(EndReason.INTERNAL_ERROR)
-            raise
 
     async def _read(self) -> None:
         if self.link.peek() is None:  # handed over without a word: it has been silent since it connected
@@ -133,9 +120,7 @@
         while True:
             data = await self.link.receive()
             if not data:
-                if data is not None and not self.streams:
-                    await self.link.wait_writable()  # it may have closed its own direction alone
-                self._note_end(EndReason.CLIENT_CLOSED if data is not None else EndReason.CLIENT_RESET)
+                await self._on_read_end(data)
                 break
             if not self.closing:
                 self.last_received_at = self.server.clock.now()
@@ -167,11 +152,8 @@
         if self.going_away and not self.streams:
             self._close_after_flush()
 
-    def _note_end(self, reason: EndReason) -> None:
-        """Note why this connection ends, unless that is known already."""
-        if self.end_reason is None:
-            closed_by_link = reason is EndReason.CLIENT_RESET and self.link.closed
-            self.end_reason = EndReason.CLIENT_NOT_READING if closed_by_link else reason
+    def _has_request(self) -> bool:
+        return bool(self.streams)
 
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the requests that wait for a response, or whose response has not left whole."""
@@ -216,12 +198,6 @@
         owed = any(stream.request_number is not None or stream.outgoing is not None for stream in streams)
         return self.last_received_at if not owed and self.link.flushed else None
 
-    def close_if_unread(self, reason: EndReason) -> None:
-        """Close it now, unless bytes have arrived that are not read yet."""
-        if self.link.peek() is None:
-            self._note_end(reason)
-            self.link.close()
-
     def close_if_idle(self, reason: EndReason) -> None:
         """Refuse new streams unless some have arrived unread, and close once those there are have ended.
 
@@ -236,8 +212,7 @@
     def expire(self, now: float) -> None:
         """Close the connection where it has been silent, or a request has been arriving, for too long."""
         if self._delivery.has_stalled():
-            self._note_end(EndReason.CLIENT_NOT_READING)
-            self.link.close()
+            self._close(EndReason.CLIENT_NOT_READING)
             return
         late = [s for s in self.streams.values() if not s.request_complete and now - s.started_at > HEAD_MS]
         max_idle_ms = IDLE_MS if self.last_stream_id else FIRST_BYTE_MS
@@ -271,9 +246,7 @@
 
     def _close_after_flush(self) -> None:
         """Close the connection after what has been written."""
-        self.closing = True
-        self.link.finish()
-        close_after_delivery(self.link, self.server)
+        self._finish_link(self.server)
 
     # Events of the connection.
 
