Close idle connections before the listener, so that their clients can come again

Change: idle connections that have had a request close 0.2 s before the listener of an ingress, and while the platform's last clients still come at a data plane.

--- a/tests/net/test_http2.py
+++ b/tests/net/test_http2.py
@@ -330,6 +330,9 @@
     async def main() -> None:
         async with site() as here:
             client, other = await client2(here.http2), await client2(here.http2)
+            assert (await other.ask(request()))[
+                0
+            ] == 200  # a silent one would be closed meanwhile, beside load
             with pytest.raises((trio.BrokenResourceError, AssertionError)):
                 while True:
                     stream = await client.send(request("ticket-escalate"))
--- a/wickspring/dataplane/shutdown.py
+++ b/wickspring/dataplane/shutdown.py
@@ -16,7 +16,7 @@
 
 from wickspring.common import logs
 from wickspring.dataplane.process import DataPlane
-from wickspring.net.connection_drain import DrainTimes, close_connections
+from wickspring.net.connection_drain import DrainTimes, close_connections, close_idle_connections
 from wickspring.net.listening import Serve, close_listener, take_rest
 
 # Shares of the grace period, between SIGTERM and SIGKILL.
@@ -69,6 +69,7 @@
         with trio.move_on_after(at_most_s):
             while not self._platform_knows():
                 await trio.sleep(POLL_S)
+            close_idle_connections(self._data_plane)
             await trio.sleep(ON_THE_WAY_S)
         take_rest(self._listener, self._data_plane, self._serve)
         close_listener(self._listener)
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -28,6 +28,16 @@
     close_ms: float  # responses may leave; then the process ends
 
 
+def close_idle_connections(server: HttpServer) -> None:
+    """Close the connections that are idle now and have had a request; those that are new may be about to.
+
+    To be called before the listener closes: a client whose request crosses the close can then come again.
+    """
+    for connection in list(server.connections):
+        if not connection.is_new and not (server.handing_over and connection.can_be_handed_over):
+            connection.close_if_idle(EndReason.DRAINED)
+
+
 async def close_connections(server: HttpServer) -> bool:
     """Close each client connection once it is idle; return False where some are left when time is over."""
     left_ms = server.drain_ends_at - server.clock.now()
--- a/wickspring/net/graceful_shutdown.py
+++ b/wickspring/net/graceful_shutdown.py
@@ -8,7 +8,7 @@
 
 from wickspring.logs import kv
 from wickspring.net.calls import BODY_MS, HEAD_MS
-from wickspring.net.connection_drain import DrainTimes, close_connections
+from wickspring.net.connection_drain import DrainTimes, close_connections, close_idle_connections
 from wickspring.net.front_listener import FrontListener
 from wickspring.net.listening import close_listener, take_rest
 from wickspring.net.runtime import Runtime
@@ -16,6 +16,7 @@
 log = logging.getLogger(__name__)
 
 ACCEPT_ON_S = 0.6  # after SIGTERM: new connections keep arriving for up to 0.4 s
+COME_AGAIN_S = 0.2  # in which clients whose idle connections have been closed may connect again
 REQUEST_MS = HEAD_MS + BODY_MS  # for a request that has begun to arrive; long bodies are streamed
 STREAMS_MS = 60_000.0  # for streamed bodies and responses to end; who cannot wait sends SIGKILL
 POLL_S = 0.01
@@ -38,7 +39,7 @@
 def _drain_times(runtime: Runtime) -> DrainTimes:
     """Return the times of the drain: requests that are taken last have their whole deadline."""
     longest_deadline_ms = max((kind.deadline for kind in runtime.instance.settings.classes), default=0.0)
-    take_ms = 1000.0 * ACCEPT_ON_S + REQUEST_MS
+    take_ms = 1000.0 * (ACCEPT_ON_S + COME_AGAIN_S) + REQUEST_MS
     answer_ms = take_ms + longest_deadline_ms
     return DrainTimes(take_ms, answer_ms, answer_ms + STREAMS_MS)
 
@@ -49,6 +50,8 @@
         runtime.upstream.close_idle_from_now_on()
     else:
         await trio.sleep(ACCEPT_ON_S)
+        close_idle_connections(runtime)
+        await trio.sleep(COME_AGAIN_S)
     for front in listeners:
         if not runtime.handing_over:
             take_rest(front.listener, runtime, front.serve)
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -242,6 +242,11 @@
         self.closing = True
         return sock, read_ahead
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request has come on it yet."""
+        return not self.has_received_request
+
     def _has_request(self) -> bool:
         return self.request_number is not None
 
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -152,6 +152,11 @@
         if self.going_away and not self.streams:
             self._close_after_flush()
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request has come on it yet."""
+        return not self.last_stream_id
+
     def _has_request(self) -> bool:
         return bool(self.streams)
 
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -53,6 +53,10 @@
 
     can_be_handed_over: bool  # to another process, while it is idle
 
+    @property
+    def is_new(self) -> bool:
+        """Whether no request has come on it yet."""
+
     async def run(self) -> None:
         """Read until either side ends it."""
 
