Have clients of planned ends stream responses and upload long bodies as well

Cause: the simulation of a planned end had neither streamed responses nor streamed bodies. Change: two more kinds of clients; an upload of which a part was passed on counts among what ended unanswered.

--- a/tests/dataplane/test_planned_end.py
+++ b/tests/dataplane/test_planned_end.py
@@ -111,6 +111,8 @@
         simulation = Killed(seed)
         simulation.run()
         counts.update(simulation.data_plane.unanswered.counts)
-        unanswered += sum(request.is_read and not request.status for request in simulation.sent)
+        sent_to = simulation.ledger.sent_to  # also uploads of which a part was passed on
+        taken = [request for request in simulation.sent if request.is_read or sent_to[request.id]]
+        unanswered += sum(not request.status for request in taken)
     assert unanswered > 50
     assert counts == {EndReason.PROCESS_ENDED: unanswered}
--- a/wickspring/lab/simulation/request_path/planned_end.py
+++ b/wickspring/lab/simulation/request_path/planned_end.py
@@ -16,7 +16,7 @@
 
 from wickspring.lab.emulation.local_gateway import API_KEY, HOST, PURE_PREFIX
 from wickspring.lab.simulation.request_path.faulty_server import FaultyServer, ReceivedRequest
-from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX
+from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX, request_body
 from wickspring.lab.simulation.request_path.memory_connection import DataPlaneEnd, PeerEnd
 from wickspring.lab.simulation.request_path.simulation import Simulation
 from wickspring.net.http1_front import Http1Connection
@@ -28,6 +28,9 @@
 DEADLINE_MS = 8000  # beyond the grace period, as clients' deadlines may be
 SERVICE_TIMES_S = (0.05, 0.05, 0.3, 1.0, 2.5, 4.0)
 LONG_BODY_BYTES = 60_000  # below what is streamed: the whole response is written at once
+STREAMED_BODY_BYTES = 200_000  # above it
+UPLOAD_BYTES = 150_000
+UPLOAD_PIECE_BYTES = 50_000
 KERNEL_BYTES = 20_000  # that are buffered for a client that reads slowly
 SLOW_READ_BYTES = 8_000
 SLOW_READ_PAUSE_S = 0.15
@@ -41,6 +44,8 @@
     SILENT = "silent"  # connected, and a first request much later
     SLOW_SENDER = "slow_sender"  # the end of each request comes some time after its beginning
     SLOW_READER = "slow_reader"  # long responses are read slowly
+    STREAMING = "streaming"  # longer ones, which are passed on as they arrive
+    UPLOADER = "uploader"  # long bodies, which are passed on as they arrive, in pieces with pauses
 
 
 @dataclass(slots=True)
@@ -84,7 +89,8 @@
 
     def _body(self, request: ReceivedRequest, executed: bool) -> bytes:
         line = f"{request.id} by {self.name}\n".encode()
-        return line * (LONG_BODY_BYTES // len(line)) if ".long" in request.id else line
+        length = {"long": LONG_BODY_BYTES, "streamed": STREAMED_BODY_BYTES}.get(request.id.split(".")[-1], 0)
+        return line * max(1, length // len(line))
 
 
 @dataclass
@@ -159,10 +165,13 @@
         """Send one request and read its response; False where the connection is not to be used again."""
         if behaviour is ClientBehaviour.SLOW_READER:
             request_id += ".long"
+        elif behaviour is ClientBehaviour.STREAMING:
+            request_id += ".streamed"
         path = EFFECTFUL_PREFIX if self.random.random() < self.effectful_share else PURE_PREFIX
-        self.ledger.requests[request_id] = path, 0
+        body_length = UPLOAD_BYTES if behaviour is ClientBehaviour.UPLOADER else 0
+        self.ledger.requests[request_id] = path, body_length
         request = SentRequest(request_id, end)
-        await self._send(request, encode_request(path, request_id), behaviour)
+        await self._send(request, encode_request(path, request_id, body_length), behaviour)
         self.sent.append(request)
         goes_on = await self._read(request, behaviour)
         request.ended_at = trio.current_time()
@@ -175,6 +184,10 @@
             end.send(data[:half])
             await trio.sleep(self.random.uniform(0.0, 1.5))
             data = data[half:]
+        while behaviour is ClientBehaviour.UPLOADER and len(data) > UPLOAD_PIECE_BYTES and not end.ended:
+            end.send(data[:UPLOAD_PIECE_BYTES])
+            data = data[UPLOAD_PIECE_BYTES:]
+            await trio.sleep(self.random.uniform(0.0, 0.4))
         end.send(data)
         request.sent_at = trio.current_time()
         request.last_byte = end.bytes_sent
@@ -226,14 +239,14 @@
         return request.sent_at <= half and any(work.ends_at > half for work in latest)
 
 
-def encode_request(path: str, request_id: str) -> bytes:
-    """Return the bytes of a request without a body."""
+def encode_request(path: str, request_id: str, body_length: int = 0) -> bytes:
+    """Return the bytes of a request."""
     lines = [
         f"POST {path}x HTTP/1.1",
         f"Host: {HOST}",
         f"X-Key: {API_KEY}",
         f"X-Attempt-Id: {request_id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
-        "Content-Length: 0",
+        f"Content-Length: {body_length}",
     ]
-    return "\r\n".join([*lines, "", ""]).encode()
+    return "\r\n".join([*lines, "", ""]).encode() + request_body(request_id, body_length)
