Name the time of a soak request's last byte in plain words

Cause: sent_whole_at held a word of the former house style. Change: fully_sent_at, in the soak and its tests.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -132,11 +132,11 @@
 def test_a_request_that_is_never_answered_is_lost_whether_it_was_executed_or_not() -> None:
     seen = observe_served_requests()
     seen.requests.append(SoakRequest("hung", False, "d1", 2.0, ended_at=6.0, timed_out=True))
-    closed_at_once = SoakRequest("closed", False, "d1", 2.0, sent_whole_at=2.0, ended_at=2.1)
+    closed_at_once = SoakRequest("closed", False, "d1", 2.0, fully_sent_at=2.0, ended_at=2.1)
     seen.requests.append(closed_at_once)  # may be sent again
     seen.requests.append(SoakRequest("half", False, "d1", 2.0, ended_at=9.0))  # was never sent whole
     assert check_soak(seen, RATE).lost == 1
-    seen.requests.append(SoakRequest("dropped", False, "d1", 2.0, sent_whole_at=2.5, ended_at=4.0))
+    seen.requests.append(SoakRequest("dropped", False, "d1", 2.0, fully_sent_at=2.5, ended_at=4.0))
     assert check_soak(seen, RATE).lost == 2
 
 
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -102,7 +102,7 @@
     """
     if request.status != NO_ANSWER or request.left_at is not None:
         return False
-    sent_at = request.sent_whole_at
+    sent_at = request.fully_sent_at
     waited = request.timed_out or (sent_at is not None and request.ended_at - sent_at > LOSS_SLACK_S)
     if not (executions or waited):
         return False
--- a/wickspring/lab/experiments/soak/clients.py
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -120,7 +120,7 @@
         wait_s = self._random.uniform(*LEAVE_AFTER_S) if leaves else ANSWER_TIMEOUT_S
         with trio.move_on_after(wait_s) as patience:
             await self._send(stream, _encode(http, request, shape), shape)
-            request.sent_whole_at = trio.current_time()
+            request.fully_sent_at = trio.current_time()
             await _read_answer(http, stream, request, shape)
         if patience.cancelled_caught:
             await trio.aclose_forcefully(stream)
--- a/wickspring/lab/experiments/soak/observations.py
+++ b/wickspring/lab/experiments/soak/observations.py
@@ -19,7 +19,7 @@
     sent_at: float
     status: int = NO_ANSWER
     body: bytes = b""
-    sent_whole_at: float | None = None  # its last byte; None where not all of it was sent
+    fully_sent_at: float | None = None  # its last byte; None where not all of it was sent
     ended_at: float = 0.0
     left_at: float | None = None  # when its client closed the connection, well before its deadline
     timed_out: bool = False  # its client has waited past the deadline
