--- a/wickspring/lab/experiments/soak/__main__.py
+++ b/wickspring/lab/experiments/soak/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import signal
 import sys
+from pathlib import Path
 
 import msgspec
 
@@ -19,6 +20,7 @@
     parser.add_argument("--control-planes", type=int, default=defaults.control_planes)
     parser.add_argument("--data-planes", type=int, default=defaults.data_planes)
     parser.add_argument("--rate", type=float, default=defaults.rate, help="of the tenant, requests a second")
+    parser.add_argument("--keep-logs-in", type=Path, help="where a rule is broken")
     parser.add_argument("--planned-only", action="store_true", help="no faults, but more planned work")
     parser.add_argument("--net", type=int, default=defaults.net, help="N of the addresses 127.N.0.0/16")
     return parser.parse_args()
@@ -42,7 +44,7 @@
     )
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
-        result = run_soak(seed, options)
+        result = run_soak(seed, options, arguments.keep_logs_in)
         broken += result.violations.total > 0
         sys.stdout.write(msgspec.json.encode(result).decode() + "\n")
         sys.stdout.flush()
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -56,7 +56,7 @@
         ),
         over_quota=_over_quota(requests, executions, rate),
         went_on=gone if gone > MAX_GONE else 0,
-        lost=sum(_is_lost(request, executions[request.id], seen) for request in requests),
+        lost=len(lost_requests(seen)),
         config_lost=int(seen.read_back_version < seen.acknowledged_version),
         own_ends=len(seen.own_ends),
         not_ready=len(seen.not_ready),
@@ -94,6 +94,14 @@
     return any(execution.ends_at is None or execution.ends_at > latest for execution in executions)
 
 
+def lost_requests(seen: Observations) -> list[SoakRequest]:
+    """Return the requests that have no answer, though nothing was wrong with their data planes."""
+    executed: dict[str, list[Execution]] = defaultdict(list)
+    for execution in seen.executions:
+        executed[execution.request_id].append(execution)
+    return [request for request in seen.requests if _is_lost(request, executed[request.id], seen)]
+
+
 def _is_lost(request: SoakRequest, executions: list[Execution], seen: Observations) -> bool:
     """Tell whether a request has no answer, though nothing was wrong with its data plane.
 
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import signal
 import tempfile
 from dataclasses import dataclass, field
@@ -19,9 +20,9 @@
     gateway_config,
 )
 from wickspring.lab.emulation.stand_in_server import DRAIN_S
-from wickspring.lab.experiments.soak.checks import SoakViolations, check_soak
+from wickspring.lab.experiments.soak.checks import SoakViolations, check_soak, lost_requests
 from wickspring.lab.experiments.soak.clients import ClientSettings, SoakClient
-from wickspring.lab.experiments.soak.observations import Observations, Trouble
+from wickspring.lab.experiments.soak.observations import Observations, SoakRequest, Trouble
 from wickspring.lab.experiments.soak.plan import Step, StepKind, draw_plan
 
 GRACE_S = 6.0  # between SIGTERM and SIGKILL, as the default settings have it
@@ -63,6 +64,7 @@
     left: int  # requests whose clients did not wait
     violations: SoakViolations
     own_ends: list[str]  # processes that ended by themselves, with their exit status
+    lost: list[str]  # requests that were lost, for a search in the logs
 
 
 @dataclass
@@ -264,10 +266,22 @@
             left=sum(request.left_at is not None for request in requests),
             violations=check_soak(self.seen, self.options.rate),
             own_ends=self.seen.own_ends,
+            lost=[self._describe_lost(request) for request in lost_requests(self.seen)],
         )
 
+    def _describe_lost(self, request: SoakRequest) -> str:
+        runs = [one for one in self.seen.executions if one.request_id == request.id]
+        times = [(round(one.begins_at, 3), one.ends_at and round(one.ends_at, 3)) for one in runs]
+        return f"{request} executions={times}"
 
-def run_soak(seed: int, options: SoakOptions) -> SoakResult:
-    """Run one soak; raises trio.TooSlowError where the gateway does not become ready."""
+
+def run_soak(seed: int, options: SoakOptions, keep_logs_in: Path | None = None) -> SoakResult:
+    """Run one soak; raises trio.TooSlowError where the gateway does not become ready.
+
+    Where a rule is broken, the files of all processes are kept in a folder below `keep_logs_in`.
+    """
     with tempfile.TemporaryDirectory(prefix="wickspring-soak-") as folder:
-        return trio.run(Soak(seed, options, Path(folder)).run)
+        result = trio.run(Soak(seed, options, Path(folder)).run)
+        if result.violations.total and keep_logs_in is not None:
+            shutil.copytree(folder, keep_logs_in / f"soak-{seed}-{options.net}", dirs_exist_ok=True)
+    return result
