--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,6 +24,7 @@
     "net",
     "system/test_example.py",
     "system/test_gateway_processes.py",
+    "system/test_signals_while_loading.py",
 )
 """Below `tests`: what starts processes, takes loopback networks or waits by the wall clock."""
 
