End a process in order that is told to end while it loads; wait for its first statements

Cause: SIGTERM and SIGHUP were left to the kernel's default action until the event loop ran (SIGTERM) or the settings were read (SIGHUP). The program listens before, so the end reset clients in its accept queue; on a full machine it loads for seconds. Change: common/termination.py records SIGTERM from the first statement on; once loaded, the process drains within what is left of its grace period. The ingress and the agents ignore SIGHUP until they receive it (the agent of one machine always).

--- a/wickspring/commands/fleet/commands.py
+++ b/wickspring/commands/fleet/commands.py
@@ -27,6 +27,7 @@
     history_line,
     status_table,
 )
+from wickspring.common.termination import ignore_reload_signal
 from wickspring.fleet.file import load_fleet
 from wickspring.fleet.model import InstanceRecord, Kind, Operation
 from wickspring.settings.errors import ConfigError
@@ -58,6 +59,7 @@
         from wickspring.agent.node import Node, NodeError
         from wickspring.agent.store import StoreError
 
+        ignore_reload_signal()
         logs.setup()
         try:
             trio.run(Node(load_fleet(self._file.resolve()), name).run)
--- a/wickspring/commands/local.py
+++ b/wickspring/commands/local.py
@@ -14,6 +14,7 @@
 from wickspring import __version__, cli, config, logs
 from wickspring.agent.settings import AgentSettings, load_agent
 from wickspring.command_line.errors import CommandError, ExitCode
+from wickspring.common.termination import ignore_reload_signal
 from wickspring.settings.errors import ConfigError
 from wickspring.settings.http2_file import HTTP2_FILE
 from wickspring.tenants import Tenants
@@ -54,9 +55,10 @@
         )
 
     def agent(self, file: Path) -> None:
-        """Run and watch the instances of an agent file."""
+        """Run and watch the instances of an agent file; SIGHUP changes nothing."""
         from wickspring.agent import agent, control
 
+        ignore_reload_signal()
         logs.setup()
         try:
             trio.run(agent.run, load_agent(file))
--- a/wickspring/common/bootstrap.py
+++ b/wickspring/common/bootstrap.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import signal
 import socket
 import sys
 
 from wickspring.common.errors import GatewayError, settings_error
 from wickspring.common.settings_file import parse_address, parse_lines, read_settings_file
+from wickspring.common.termination import Termination
 from wickspring.net.sockets import listen
 
 _NEEDED_TO_LISTEN = ("ip", "port_range")
@@ -20,14 +20,15 @@
 
 
 class Bootstrap:
-    """What a process starts with: its settings and its listening sockets.
+    """What a process starts with: settings, listening sockets, and whether it has been told to end.
 
     Raises:
         GatewayError: a setting is missing or cannot be used.
         OSError: an address cannot be listened on.
     """
 
-    def __init__(self, text: str) -> None:
+    def __init__(self, text: str, termination: Termination) -> None:
+        self.termination = termination
         lines = parse_lines(text)
         for name in _NEEDED_TO_LISTEN:
             if name not in lines:
@@ -47,15 +48,10 @@
     return listen(parse_address(lines[name]), defer=False) if lines.get(name) else None
 
 
-def bootstrap() -> Bootstrap:
-    """Read the settings and listen; on an error, print it and exit.
-
-    A SIGHUP that comes before `lifecycle.main` handles it is ignored: the settings have just been read, and
-    by default it would end the process.
-    """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+def bootstrap(termination: Termination) -> Bootstrap:
+    """Read the settings and listen; on an error, print it and exit."""
     try:
-        return Bootstrap(read_settings_file())
+        return Bootstrap(read_settings_file(), termination)
     except (GatewayError, OSError) as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
--- a/wickspring/common/lifecycle.py
+++ b/wickspring/common/lifecycle.py
@@ -4,7 +4,6 @@
 
 import gc
 import secrets
-import signal
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -14,6 +13,7 @@
 from wickspring.common import settings_file
 from wickspring.common.bootstrap import Bootstrap
 from wickspring.common.errors import GatewayError
+from wickspring.common.termination import RELOAD_SIGNAL, TERMINATION_SIGNALS, Termination
 
 # Thresholds of the garbage collector. The first is far above the default (700 new objects): fewer runs, each
 # over more objects, take less time in total.
@@ -24,13 +24,17 @@
 Run = Callable[[Bootstrap, int, trio.Event], Awaitable[None]]
 
 
-async def _handle_signals(ended: trio.Event) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+async def _handle_signals(termination: Termination, ended: trio.Event) -> None:
+    with trio.open_signal_receiver(*TERMINATION_SIGNALS, RELOAD_SIGNAL) as signals:
+        if termination.is_requested:
+            logs_module.log_event("told_to_end_while_loading")
+            ended.set()
         async for number in signals:
             logs_module.log_event("signal_received", number=int(number))
-            if number == signal.SIGHUP:
+            if number == RELOAD_SIGNAL:
                 _check_settings_file()
             else:
+                termination.request()
                 ended.set()
 
 
@@ -45,7 +49,7 @@
 async def _main(run: Run, started: Bootstrap) -> None:
     ended = trio.Event()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_handle_signals, ended)
+        nursery.start_soon(_handle_signals, started.termination, ended)
         await run(started, secrets.randbits(SEED_BITS), ended)
         nursery.cancel_scope.cancel()
 
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -140,9 +140,8 @@
         return [*samples, *event_samples(self.api_server.unanswered.figures())]
 
 
-async def drain(control_plane: ControlPlane) -> None:
-    """Wait until nothing depends on this node alone, or the grace period is nearly over."""
-    grace_s = control_plane.settings.guarantees.grace_s
+async def drain(control_plane: ControlPlane, grace_s: float) -> None:
+    """Wait until nothing depends on this node alone, or what is left of the grace period is nearly over."""
     close_ms = 1000.0 * CLOSE_SHARE * grace_s
     times = DrainTimes(take_ms=1000.0 * DRAIN_SHARE * grace_s, answer_ms=close_ms, close_ms=close_ms)
     control_plane.api_server.begin_drain(times)
@@ -174,7 +173,7 @@
             stored_version=replication.chain.replica.config.version,
         )
         await ended.wait()
-        await drain(control_plane)
+        await drain(control_plane, started.termination.time_left_s(started.settings.guarantees.grace_s))
         await finish_calls(control_plane.api_server, started.api_listener)
         logs.log_event("stopped", epoch=replication.chain.view.epoch)
         nursery.cancel_scope.cancel()
--- a/wickspring/dataplane/server.py
+++ b/wickspring/dataplane/server.py
@@ -39,5 +39,6 @@
         nursery.start_soon(accept, front, data_plane, serve)
         logs.log_event("started", ip=settings.ip, zone=settings.zone)
         await ended.wait()
-        await GracefulShutdown(data_plane, front, serve, lambda: probe.platform_knows).run()
+        shutdown = GracefulShutdown(data_plane, front, serve, lambda: probe.platform_knows)
+        await shutdown.run(started.termination.time_left_s(settings.guarantees.grace_s))
         nursery.cancel_scope.cancel()
--- a/wickspring/dataplane/shutdown.py
+++ b/wickspring/dataplane/shutdown.py
@@ -52,11 +52,13 @@
         self._serve = serve
         self._platform_knows = platform_knows
 
-    async def run(self) -> None:
-        """Return once all is answered and closed, or the time is over."""
+    async def run(self, grace_s: float) -> None:
+        """Return once all is answered and closed, or the time is over.
+
+        `grace_s` is what is left of the grace period, in seconds.
+        """
         data_plane = self._data_plane
         requests = data_plane.request_context.requests
-        grace_s = data_plane.settings.guarantees.grace_s
         data_plane.begin_drain(drain_times(grace_s))
         logs.log_event("draining", requests_in_flight=len(requests), connections=len(data_plane.connections))
         await self._accept_last(ACCEPT_SHARE * grace_s)
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -11,12 +11,14 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from random import Random
 
 import trio
 
+from wickspring.common.termination import RELOAD_SIGNAL, TERMINATION_SIGNALS
 from wickspring.lab.emulation.http_call import DEFAULT_HOST, HttpRequest, call
 from wickspring.lab.emulation.stand_in_server import CONTROL_PORT, HEARTBEAT_S, StandInServer
 
@@ -78,6 +80,20 @@
     return json.dumps(config).encode()
 
 
+@contextmanager
+def _signals_blocked() -> Iterator[None]:
+    """Block the signals of an operator for the processes that are started meanwhile.
+
+    A program cannot handle a signal until its first statements have run. One that is sent to it before that
+    stays pending; the program unblocks it when it can.
+    """
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, {*TERMINATION_SIGNALS, RELOAD_SIGNAL})
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 class LocalGateway:
     """The processes of one gateway.
 
@@ -104,7 +120,7 @@
         settings_file.write_text(self._settings(ip, first))
         is_control_plane = ip in self.control_planes
         program = "wickspring.controlplane" if is_control_plane else "wickspring.dataplane"
-        with (folder / "log").open("ab") as log:
+        with (folder / "log").open("ab") as log, _signals_blocked():
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", program],
                 cwd=ROOT,
