Test that a process told to end closes its connections if its successor exits

Cause: the mend of hand-overs whose successor ends during a drain had no test. Change: tests/net/test_handover.py: a successor that has taken over ends while a request is in progress at the old process, which must answer it with Connection: close and end.

--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -18,9 +18,10 @@
 import trio
 
 from example import toy
+from example.toy import Answer, Seen, ToyServer, echo
 from tests.net.test_operating import call, listed, put
 from tests.support.example_config import example_config
-from tests.support.ingress import client1, request
+from tests.support.ingress import Client1, client1, request, site
 from tests.support.policy_gateway import Gateway, make_settings
 from wickspring import interface as api
 from wickspring.core import effects as core
@@ -31,6 +32,7 @@
 from wickspring.net.handover import Predecessor, Successor
 from wickspring.routing.maintenance import Maintenance
 
+SETTLE_S = 0.2  # for the process to act on what it was sent
 READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
 
 
@@ -166,6 +168,36 @@
     trio.run(main)
 
 
+def test_a_process_told_to_end_closes_its_connections_if_its_successor_exits(folder: Path) -> None:
+    """Nobody takes them any more: each ends here, with `Connection: close` in its last response."""
+
+    async def answer_slowly(seen: Seen) -> Answer:
+        await trio.sleep(4 * SETTLE_S)
+        return await echo(seen)
+
+    async def use_to_the_end(client: Client1) -> None:
+        status, headers, _ = await client.ask(request("ticket-view"))
+        assert status == 200 and headers.get("connection") == "close"
+
+    async def main() -> None:
+        slow = site(ToyServer("s0", answer_slowly), handover_folder=str(folder))
+        async with slow as here, trio.open_nursery() as nursery:
+            nursery.start_soon(use_to_the_end, await client1(here.http1))
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as successor:
+                successor.connect(str(next(folder.glob("*.sock"))))
+                successor.setblocking(False)
+                successor.send(handover._encode(succession.Hello(succession.VERSION)))
+                successor.send(handover._encode(succession.Serving()))
+                await trio.sleep(SETTLE_S)
+                assert here.runtime.handing_over
+                os.kill(os.getpid(), signal.SIGTERM)
+                await trio.sleep(SETTLE_S)
+            await trio.sleep(SETTLE_S)
+            assert not here.runtime.handing_over
+
+    trio.run(main)
+
+
 # The handover protocol, with both sides in one process.
 
 
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -12,6 +12,7 @@
 import h2.connection
 import h2.events
 import h11
+import msgspec
 import trio
 
 from example import toy
@@ -92,6 +93,7 @@
     reread: ReadInstance | None = None,
     known: bool = False,
     mute_discovery: bool = False,
+    handover_folder: str = "",
     **changes: Any,
 ) -> AsyncIterator[Site]:
     """Start stand-ins and one ingress; stop them all at the end."""
@@ -116,6 +118,7 @@
             limits = Limits(sockets=sockets, memory_mb=memory_mb)
             listing = Listing(servers=tuple(listed) if known else ())
             instance = Instance("n0", local, found, counted, limits, listing, settings, http2)
+            instance = msgspec.structs.replace(instance, folder=handover_folder)
             up = trio.Event()
             got: list[tuple[Runtime, list[tuple[str, int]]]] = []
 
