Test that SIGHUP does not end an ingress that loads

Change: tests/net/test_handover.py sends SIGHUP every 2 ms from the first statements of an ingress until it is ready.

--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -32,6 +32,7 @@
 from wickspring.net.handover import Predecessor, Successor
 from wickspring.routing.maintenance import Maintenance
 
+POLL_S = 0.002
 SETTLE_S = 0.2  # for the process to act on what it was sent
 READY = b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n"
 
@@ -198,6 +199,34 @@
     trio.run(main)
 
 
+def test_a_reload_signal_while_an_ingress_loads_does_not_end_it(folder: Path) -> None:
+    async def main() -> None:
+        async with example_site(folder) as (path, _, processes):
+            ingress = Process(path, folder)
+            processes.append(ingress)
+            while not ignores_reloads(ingress.process.pid):
+                await trio.sleep(POLL_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_reloads, ingress)
+                await ingress.up()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def ignores_reloads(pid: int) -> bool:
+    """Return whether a process ignores SIGHUP, which an ingress does from its first statements on."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    ignored = next(line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:"))
+    return bool(int(ignored, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+async def send_reloads(ingress: Process) -> None:
+    while True:
+        ingress.process.send_signal(signal.SIGHUP)
+        await trio.sleep(POLL_S)
+
+
 # The handover protocol, with both sides in one process.
 
 
