Give the streams of HTTP/2 clients a module; write each end of a response once

Change: net/http2_stream.py has the stream and what it asks of its connection; _send_headers, _on_response_ended, _shut_out and _end_by_client_error stand once. Complete responses and header pairs of HTTP/1.1 are written and read in net/http1_syntax.py. _note_end is now _set_end_reason.

--- a/wickspring/net/front_connection.py
+++ b/wickspring/net/front_connection.py
@@ -30,10 +30,10 @@
         try:
             await self._read()
         except trio.Cancelled:
-            self._note_end(EndReason.PROCESS_ENDED)
+            self._set_end_reason(EndReason.PROCESS_ENDED)
             raise
         except Exception:
-            self._note_end(EndReason.INTERNAL_ERROR)
+            self._set_end_reason(EndReason.INTERNAL_ERROR)
             raise
 
     @abstractmethod
@@ -47,13 +47,13 @@
     async def _on_read_end(self, data: bytes | None) -> None:
         """Note the end of what the client sends: b"" in good order, None where the connection has ended."""
         if data is None:
-            self._note_end(EndReason.CLIENT_RESET)
+            self._set_end_reason(EndReason.CLIENT_RESET)
             return
         if not self._has_request():
             await self.link.wait_writable()  # it may have closed its own direction alone
-        self._note_end(EndReason.CLIENT_CLOSED)
+        self._set_end_reason(EndReason.CLIENT_CLOSED)
 
-    def _note_end(self, reason: EndReason) -> None:
+    def _set_end_reason(self, reason: EndReason) -> None:
         """Note why this connection ends, unless that is known already."""
         if self.end_reason is not None:
             return
@@ -62,7 +62,7 @@
 
     def _close(self, reason: EndReason) -> None:
         """Close it at once."""
-        self._note_end(reason)
+        self._set_end_reason(reason)
         self.link.close()
 
     def _finish_link(self, server: HttpServer) -> None:
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Sequence
 
 import h11
 import trio
@@ -12,7 +11,13 @@
 from wickspring.net.calls import BODY_BYTES_PER_MS, DEFER_S, MAX_BUFFERED_BODY, CallError, read_head
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
-from wickspring.net.http1_syntax import has_ambiguous_length, origin_form
+from wickspring.net.http1_syntax import (
+    HeaderPairs,
+    encode_response,
+    has_ambiguous_length,
+    header_pairs,
+    origin_form,
+)
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 from wickspring.net.unanswered import EndReason, UnansweredRequest
@@ -27,8 +32,7 @@
 NO_CONTENT_STATUSES = (204, 304)  # RFC 9110, section 6.4.1
 TOO_MANY_REQUESTS = 429
 MAX_LENGTH_STATUSES = (413, 431)  # that h11 gives for what is too long
-
-HeaderPairs = Sequence[tuple[str, str]]
+RESPONSE_NOT_BEGUN = (h11.IDLE, h11.SEND_RESPONSE)  # states of this side
 
 
 class Http1Connection(FrontConnection):
@@ -82,7 +86,7 @@
                 self._on_discarded()
                 continue
             if not self._receive(data):
-                self._note_end(EndReason.CLIENT_ERROR)
+                self._set_end_reason(EndReason.CLIENT_ERROR)
                 break
         self.closing = True
 
@@ -165,7 +169,7 @@
         self.body_started_at, self.body_size = self.server.clock.now(), 0
         if has_ambiguous_length(read[: len(read) - len(self.http.trailing_data[0])]):
             raise CallError("content-length")
-        self.headers = read_head(self.pairs())
+        self.headers = read_head(header_pairs(request))
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.link.send(self.http.send(go_on) or b"")
@@ -223,9 +227,7 @@
 
     def pairs(self) -> list[tuple[str, str]]:
         """Return the headers of the present request, in order, their names in lower case."""
-        if self.request is None:
-            return []
-        return [(k.decode("latin-1"), v.decode("latin-1")) for k, v in self.request.headers]
+        return [] if self.request is None else header_pairs(self.request)
 
     # The connection.
 
@@ -297,7 +299,7 @@
         if idle:
             self._close(EndReason.IDLE)
         elif self.request_number is not None and self.server.executes_partial_requests:
-            self._note_end(EndReason.UPLOAD_STALLED)
+            self._set_end_reason(EndReason.UPLOAD_STALLED)
             self.server.record_unanswered(
                 UnansweredRequest(EndReason.UPLOAD_STALLED, self.request_read_at, self.request_number)
             )
@@ -348,12 +350,8 @@
         closes = self._closes_connection() or self._is_pipelined_error(status)
         if closes or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            data = self.http.send(h11.Response(status_code=status, headers=headers)) or b""
-            if body:
-                data += self.http.send(h11.Data(data=body)) or b""
-            data += self.http.send(h11.EndOfMessage()) or b""
-            self.link.send(data)
+        if self.http.our_state in RESPONSE_NOT_BEGUN:
+            self.link.send(encode_response(self.http, status, headers, body))
         self._response_ended(closes)
 
     def _is_pipelined_error(self, status: int) -> bool:
@@ -391,7 +389,7 @@
         self._closes_after_stream = self._closes_connection()
         if self._closes_after_stream or self.http.their_state is not h11.DONE:
             headers.append(("Connection", "close"))
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.http.our_state in RESPONSE_NOT_BEGUN:
             self.link.send(self.http.send(h11.Response(status_code=status, headers=headers)) or b"")
 
     def write_body(self, data: bytes) -> None:
@@ -406,7 +404,7 @@
     def end_response(self, complete: bool) -> None:
         """End a response; an incomplete one ends with a reset, so that it cannot pass for complete."""
         if not complete or self.http.our_state is not h11.SEND_BODY:
-            self._note_end(EndReason.TRUNCATED)
+            self._set_end_reason(EndReason.TRUNCATED)
             self.request_number, self.closing = None, True
             if self._resumed is not None:
                 self._resumed.set()
--- a/wickspring/net/http1_syntax.py
+++ b/wickspring/net/http1_syntax.py
@@ -1,8 +1,13 @@
-"""Checks of HTTP/1.1 requests that h11 leaves to its users (RFC 9112)."""
+"""What h11 leaves to its users (RFC 9112): some checks of requests, and messages written as one."""
 
 from __future__ import annotations
 
 import re
+from collections.abc import Sequence
+
+import h11
+
+HeaderPairs = Sequence[tuple[str, str]]
 
 _CONTENT_LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
@@ -24,3 +29,16 @@
         return target
     rest = target[absolute.end() :]
     return rest if rest.startswith("/") else f"/{rest}"
+
+
+def header_pairs(request: h11.Request) -> list[tuple[str, str]]:
+    """Return the headers of a request, in order, their names in lower case."""
+    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers]
+
+
+def encode_response(http: h11.Connection, status: int, headers: HeaderPairs, body: bytes) -> bytes:
+    """Return the bytes of a complete response."""
+    data = http.send(h11.Response(status_code=status, headers=[*headers])) or b""
+    if body:
+        data += http.send(h11.Data(data=body)) or b""
+    return data + (http.send(h11.EndOfMessage()) or b"")
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -8,7 +8,6 @@
 import h2.config
 import h2.connection
 import h2.events
-import trio
 from h2.errors import ErrorCodes
 from h2.exceptions import H2Error
 
@@ -24,6 +23,7 @@
 )
 from wickspring.net.delivery import LINGER_MS
 from wickspring.net.front_connection import FrontConnection
+from wickspring.net.http2_stream import Stream
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
@@ -36,63 +36,6 @@
 WINDOW_BYTES = 1 << 20  # of request bodies that a connection may have in flight (RFC 9113, section 6.9)
 
 
-class Stream:
-    """One request on a connection, and the place where its answer goes."""
-
-    def __init__(self, owner: Http2Connection, stream_id: int) -> None:
-        self.owner, self.id = owner, stream_id
-        self.headers: dict[str, str] = {}
-        self.body = bytearray()
-        self.started_at = owner.server.clock.now()
-        self.request_complete = False  # its last byte has arrived
-        self.read_at = 0.0  # when that was
-        self.request_number: int | None = None  # while a response is owed
-        self.budget_ms = 0.0  # that the client waits
-        self.outgoing: bytearray | None = None  # what is left of the answer
-        self.streaming = False  # more of it is to come
-        self._writable: trio.Event | None = None
-
-    def request_accepted(self, number: int, budget: float) -> None:
-        """Note that a response is owed."""
-        self.request_number, self.budget_ms = number, budget
-
-    def respond(self, status: int, retry_after: str, body: bytes) -> None:
-        """Give a complete response, as fast as the client's windows let it out."""
-        self.request_number = None
-        self.owner.respond(self, status, retry_after, body)
-
-    def begin_response(self, length: int | None) -> None:
-        """Begin a response that is passed on as it arrives."""
-        self.streaming = True
-        self.owner.begin_response(self, length)
-
-    def write_body(self, data: bytes) -> None:
-        """Pass a piece of the body on."""
-        if self.outgoing is not None:
-            self.outgoing += data
-            self.owner.flush_stream(self)
-
-    async def wait_writable(self) -> bool:
-        """Wait until the client's windows have let out what was passed on; False where it has gone."""
-        while self.outgoing and not self.owner.closing and self.id in self.owner.streams:
-            self._writable = trio.Event()
-            await self._writable.wait()
-        return (
-            not self.owner.closing and self.id in self.owner.streams and await self.owner.link.wait_writable()
-        )
-
-    def wake_writer(self) -> None:
-        """Wake the task that waits until more may be written."""
-        if self._writable is not None:
-            self._writable.set()
-
-    def end_response(self, complete: bool) -> None:
-        """End a response; an incomplete one ends with a reset of its stream."""
-        self.request_number = None
-        self.streaming = False
-        self.owner.end_response(self, complete)
-
-
 class Http2Connection(FrontConnection):
     """One client connection with many streams."""
 
@@ -137,16 +80,11 @@
                     self._on_event(event)
         except (H2Error, UnicodeDecodeError, ValueError) as error:
             log.info("client_broke_http2", extra=kv(reason=error))
-            self._give_all_up(EndReason.CLIENT_ERROR)
-            self.flush()
-            self._close_after_flush()
+            self._end_by_client_error()
             return
         if not self.server.record_buffered(self, sum(len(stream.body) for stream in self.streams.values())):
             log.warning("client_holds_too_much", extra=kv(streams=len(self.streams)))
-            self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
-            self._give_all_up(EndReason.CLIENT_ERROR)
-            self.flush()
-            self._close_after_flush()
+            self._shut_out()
             return
         self.flush()
         if self.going_away and not self.streams:
@@ -160,6 +98,10 @@
     def _has_request(self) -> bool:
         return bool(self.streams)
 
+    def has_stream(self, stream_id: int) -> bool:
+        """Return whether a stream is still open."""
+        return stream_id in self.streams
+
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the requests that wait for a response, or whose response has not left whole."""
         reason = self.end_reason or EndReason.CLIENT_RESET
@@ -173,12 +115,19 @@
     def _unanswered_stream(self, stream: Stream, reason: EndReason) -> UnansweredRequest:
         return UnansweredRequest(reason, stream.read_at, stream.request_number, len(stream.outgoing or b""))
 
-    def _give_all_up(self, reason: EndReason) -> None:
-        """Withdraw all requests, for a fault of the client's."""
-        self._note_end(reason)
+    def _shut_out(self) -> None:
+        """End a connection that asks too much of this process (RFC 9113, section 7)."""
+        self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
+        self._end_by_client_error()
+
+    def _end_by_client_error(self) -> None:
+        """Withdraw all requests, for a fault of the client's, and close after what has been written."""
+        self._set_end_reason(EndReason.CLIENT_ERROR)
         for request in self.unanswered():
             self.server.record_unanswered(request)
         self.cancel_requests()
+        self.flush()
+        self._close_after_flush()
 
     def cancel_requests(self) -> None:
         """Withdraw all requests that have no response yet."""
@@ -211,7 +160,7 @@
         if self.closing or self.link.peek() is not None:
             return
         if not self.streams:
-            self._note_end(reason)
+            self._set_end_reason(reason)
         self.finish()
 
     def expire(self, now: float) -> None:
@@ -219,7 +168,7 @@
         if self._delivery.has_stalled():
             self._close(EndReason.CLIENT_NOT_READING)
             return
-        late = [s for s in self.streams.values() if not s.request_complete and now - s.started_at > HEAD_MS]
+        late = [s for s in self.streams.values() if not s.request_complete and now - s.opened_at > HEAD_MS]
         max_idle_ms = IDLE_MS if self.last_stream_id else FIRST_BYTE_MS
         nothing_owed = not self.streams and self.link.flushed
         idle = nothing_owed and now - self.last_received_at > max_idle_ms
@@ -277,7 +226,7 @@
             return
         self.last_stream_id = max(self.last_stream_id, stream_id)
         pairs = [(str(name), str(value)) for name, value in event.headers]
-        stream = self.streams[stream_id] = Stream(self, stream_id)
+        stream = self.streams[stream_id] = Stream(self, stream_id, self.server.clock.now())
         try:
             stream.headers = read_head(pairs)
         except CallError as error:
@@ -317,73 +266,71 @@
         self.reset_count += 1
         if self.reset_count > MAX_RESETS:
             log.warning("client_resets_too_much", extra=kv(resets=self.reset_count))
-            self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
-            self._give_all_up(EndReason.CLIENT_ERROR)
-            self.flush()
-            self._close_after_flush()
+            self._shut_out()
 
     # Responses.
 
     def respond(self, stream: Stream, status: int, retry_after: str, body: bytes) -> None:
         """Give a complete response on a stream."""
-        if self.closing or stream.id not in self.streams:
+        if not stream.is_open:
             return
         self.reset_count = max(0, self.reset_count - 1)
         headers = [(":status", str(status)), ("content-length", str(len(body)))]
         if retry_after:
             headers.append(("retry-after", retry_after))
-        try:
-            self.http.send_headers(stream.id, headers, end_stream=not body)
-        except H2Error as error:  # the stream has ended in a way that h2 has not told yet
-            log.info("answer_not_sent", extra=kv(reason=error))
-            self.streams.pop(stream.id, None)
+        if not self._send_headers(stream, headers, end_stream=not body):
             return
         stream.outgoing = bytearray(body)
         self._pump(stream)
         if stream.id in self.streams:  # a window is shut; past the client's time the answer is no use
             self.server.call_later(max(stream.budget_ms, LINGER_MS), lambda: self._give_up(stream))
-        self.flush()
-        if self.server.near_connection_limit:
-            self.finish()
-        elif self.going_away and not self.streams:
-            self._close_after_flush()
+        self._on_response_ended()
 
     def begin_response(self, stream: Stream, length: int | None) -> None:
         """Begin a response that is passed on as it arrives."""
-        if self.closing or stream.id not in self.streams:
+        if not stream.is_open:
             return
         headers = [(":status", "200")]
         if length is not None:
             headers.append(("content-length", str(length)))
+        if self._send_headers(stream, headers, end_stream=False):
+            stream.outgoing = bytearray()
+            self.flush()
+
+    def _send_headers(self, stream: Stream, headers: list[tuple[str, str]], end_stream: bool) -> bool:
+        """Write the head of a response; False where the stream has ended and h2 has not told yet."""
         try:
-            self.http.send_headers(stream.id, headers)
+            self.http.send_headers(stream.id, headers, end_stream=end_stream)
         except H2Error as error:
             log.info("answer_not_sent", extra=kv(reason=error))
             self.streams.pop(stream.id, None)
-            return
-        stream.outgoing = bytearray()
+            return False
+        return True
+
+    def _on_response_ended(self) -> None:
+        """Write what is ready, and close where this was the last response."""
         self.flush()
+        if self.server.near_connection_limit:
+            self.finish()
+        elif self.going_away and not self.streams:
+            self._close_after_flush()
 
     def flush_stream(self, stream: Stream) -> None:
         """Write what the flow-control windows allow."""
-        if not self.closing and stream.id in self.streams:
+        if stream.is_open:
             self._pump(stream)
             self.flush()
 
     def end_response(self, stream: Stream, complete: bool) -> None:
         """End a response that was passed on."""
-        if self.closing or stream.id not in self.streams:
+        if not stream.is_open:
             return
         if complete:
             self._pump(stream)
         else:
             self.server.record_unanswered(self._unanswered_stream(stream, EndReason.TRUNCATED))
             self._reset_stream(stream.id, ErrorCodes.INTERNAL_ERROR)
-        self.flush()
-        if self.server.near_connection_limit:
-            self.finish()
-        elif self.going_away and not self.streams:
-            self._close_after_flush()
+        self._on_response_ended()
 
     def _pump(self, stream: Stream) -> None:
         if stream.outgoing is None:
