Stop a soak's processes when it gets SIGTERM, also in the background of a script

Cause: default_int_handler on SIGTERM raised KeyboardInterrupt inside trio's loop, which was abandoned, so three to four processes of the gateway were left behind; SIGINT is ignored in a script's background jobs. Change: SIGTERM raises SIGINT, which trio brings to the main task; Python's handler of SIGINT is set for it.

--- a/wickspring/lab/experiments/soak/__main__.py
+++ b/wickspring/lab/experiments/soak/__main__.py
@@ -29,9 +29,11 @@
 def main() -> int:
     """Run all seeds; return how many broke a rule.
 
-    SIGTERM ends it as Ctrl-C does, so that no process of a gateway is left behind.
+    SIGTERM ends it as Ctrl-C does, so that no process of a gateway is left behind. Trio brings Ctrl-C to the
+    run's main task where Python's own handler is set, which it isn't in the background of a script.
     """
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda _number, _frame: signal.raise_signal(signal.SIGINT))
     arguments = _parse_arguments()
     first, _, last = arguments.seeds.partition("-")
     options = SoakOptions(
