Describe the parts of a control plane's status once, in common/status.py

Cause: the chain's part of GET /status was described in controlplane/status.py and again in ctl/reports.py. A test of calls in progress at a control plane hung without the mend that it tests. Change: common/status.py has the replication, endpoint and quota parts; the command line reads the chain by the node's own class. The test ends after 20 s.

--- a/tests/controlplane/test_api_server.py
+++ b/tests/controlplane/test_api_server.py
@@ -22,6 +22,7 @@
 
 PIECE_BYTES = 1 << 20
 SLOW_S = 0.1
+ENDS_WITHIN_S = 20.0
 
 
 class RecordingClient:
@@ -149,6 +150,10 @@
         return trio.SocketStream(trio.socket.from_stdlib_socket(far))
 
     async def main() -> None:
+        with trio.fail_after(ENDS_WITHIN_S):
+            await end_with_a_call_in_progress()
+
+    async def end_with_a_call_in_progress() -> None:
         async with trio.open_nursery() as nursery:
             server = ApiServer(nursery, Limits())
             server.handlers = [SlowHandler()]
--- /dev/null
+++ b/wickspring/common/status.py
@@ -0,0 +1,54 @@
+"""Parts of a control-plane node's status: written by the node, read by the command line.
+
+The names in JSON belong to the interface of operators. Where a field has another name in this program, the
+`rename` of its class keeps the name in JSON.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ReplicationStatus(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "is_member": "member",
+        "stored_version": "held",
+        "committed_version": "safe",
+        "disk_id": "disk",
+        "tolerance_shortfalls": "short",
+    },
+):
+    """The replication chain as this node knows it."""
+
+    epoch: int
+    members: list[str]  # of the chain, its head first
+    voters: list[str]
+    is_member: bool
+    contact: str
+    frozen: bool
+    steady: bool
+    stored_version: int
+    committed_version: int
+    disk_id: str
+    tolerance_shortfalls: list[str]  # faults named in the settings that the view would not survive
+
+
+class EndpointStatus(msgspec.Struct, frozen=True, rename={"heartbeat_age_s": "silent_s"}):
+    """One endpoint; `heartbeat_age_s` is the time since its last heartbeat."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    heartbeat_age_s: float
+
+
+class QuotaCountStatus(msgspec.Struct, frozen=True, rename={"remaining": "left"}):
+    """The count of one tenant: units in the span, and those that the present window still has."""
+
+    in_span: int
+    remaining: float
--- a/wickspring/controlplane/status.py
+++ b/wickspring/controlplane/status.py
@@ -1,8 +1,4 @@
-"""The state of one control-plane node for operators, as `GET /status` answers it.
-
-The names in JSON belong to the interface of operators. Where a field has another name in this program, the
-`rename` of its class keeps the name in JSON.
-"""
+"""The state of one control-plane node, collected for operators as `GET /status` answers it."""
 
 from __future__ import annotations
 
@@ -10,6 +6,7 @@
 
 from wickspring.common.endpoints import Endpoint
 from wickspring.common.messages import NodeStatus
+from wickspring.common.status import EndpointStatus, QuotaCountStatus, ReplicationStatus
 from wickspring.controlplane.components import Components
 from wickspring.controlplane.data_plane_sessions import DataPlaneSessions
 from wickspring.controlplane.quota_counter import QuotaCounter
@@ -19,32 +16,6 @@
 _DIGITS = 1
 
 
-class ReplicationStatus(
-    msgspec.Struct,
-    frozen=True,
-    rename={
-        "is_member": "member",
-        "stored_version": "held",
-        "committed_version": "safe",
-        "disk_id": "disk",
-        "tolerance_shortfalls": "short",
-    },
-):
-    """The replication chain as this node knows it."""
-
-    epoch: int
-    members: list[str]  # of the chain, its head first
-    voters: list[str]
-    is_member: bool
-    contact: str
-    frozen: bool
-    steady: bool
-    stored_version: int
-    committed_version: int
-    disk_id: str
-    tolerance_shortfalls: list[str]  # faults named in the settings that the view would not survive
-
-
 class UnknownNodeStatus(msgspec.Struct, frozen=True, rename={"is_live": "live"}):
     """Another control-plane node that has reported nothing yet."""
 
@@ -70,25 +41,6 @@
     reachable: list[str]
 
 
-class EndpointStatus(msgspec.Struct, frozen=True, rename={"heartbeat_age_s": "silent_s"}):
-    """One endpoint; `heartbeat_age_s` is the time since its last heartbeat."""
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int
-    heartbeat_age_s: float
-
-
-class QuotaCountStatus(msgspec.Struct, frozen=True, rename={"remaining": "left"}):
-    """The count of one tenant: units in the span, and those that the present window still has."""
-
-    in_span: int
-    remaining: float
-
-
 class ControlPlaneStatus(
     msgspec.Struct,
     frozen=True,
--- a/wickspring/ctl/reports.py
+++ b/wickspring/ctl/reports.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from wickspring.common.status import ReplicationStatus
+
 NO_CONTACT = "none"  # `contact` of a node that does not reach a majority
 NOTHING = "-"
 UNKNOWN = "?"
@@ -30,31 +32,6 @@
 QUOTA_LABELS = {"in_span": "used", "left": "remaining"}
 
 
-class ChainStatus(
-    msgspec.Struct,
-    frozen=True,
-    rename={
-        "is_member": "member",
-        "stored_version": "held",
-        "committed_version": "safe",
-        "disk_id": "disk",
-        "shortfalls": "short",
-    },
-):
-    """`chain` of `GET /status`: the view that a node knows, and its own part in it."""
-
-    epoch: int
-    members: list[str]
-    is_member: bool
-    contact: str
-    frozen: bool
-    steady: bool
-    stored_version: int
-    committed_version: int
-    disk_id: str
-    shortfalls: list[str]
-
-
 class PeerStatus(msgspec.Struct, frozen=True, rename={"is_live": "live", "disk_id": "disk"}):
     """One entry of `core`: another node; disk and version are missing before its first report."""
 
@@ -78,7 +55,7 @@
     """`GET /status`."""
 
     node: str
-    replication: ChainStatus
+    replication: ReplicationStatus
     peer_nodes: dict[str, PeerStatus]
     data_planes: list[str]
     endpoints: list[dict[str, str | int | float]]
@@ -163,7 +140,7 @@
     behind: str
 
 
-def node_state(chain: ChainStatus) -> NodeState:
+def node_state(chain: ReplicationStatus) -> NodeState:
     """Return the state that operators are shown for a node."""
     if chain.frozen:
         return NodeState.STABLE if chain.steady else NodeState.FROZEN
@@ -185,7 +162,7 @@
         committed=f"r{chain.committed_version}",
         endpoints=len(report.endpoints),
         data_planes=",".join(report.data_planes) or NOTHING,
-        shortfalls=chain.shortfalls,
+        shortfalls=chain.tolerance_shortfalls,
     )
 
 
