Answer 500 where the program itself fails in handling a request that was read

Cause: an exception in handling a request ended its connection without an answer, on HTTP/2 with all its streams; where the request had no number yet, request_unanswered did not name it either. Change: HttpServer.take_request catches it, logs request_handling_failed, and the client's place withdraws the request and answers 500, unless it has its response already.

--- a/tests/controlplane/test_api_server.py
+++ b/tests/controlplane/test_api_server.py
@@ -50,6 +50,9 @@
     def end_response(self, complete: bool) -> None:
         raise AssertionError("answers of the API are not streamed")
 
+    def fail_request(self) -> None:
+        raise AssertionError("only a server that has caught a fault calls this")
+
 
 class EchoHandler:
     """Answers with the named part of the path and the length of the body."""
--- a/wickspring/lab/simulation/stub_endpoints.py
+++ b/wickspring/lab/simulation/stub_endpoints.py
@@ -6,6 +6,7 @@
 
 from wickspring.dataplane.upstream import BufferedResponse
 from wickspring.interface import Status
+from wickspring.net.calls import INTERNAL_SERVER_ERROR
 from wickspring.net.upstream.exchange import ServerExchange
 from wickspring.net.upstream.manager import UpstreamManager
 
@@ -45,6 +46,10 @@
     def end_response(self, complete: bool) -> None:
         """Ignore the end of a streamed response."""
 
+    def fail_request(self) -> None:
+        """Report a fault of the program."""
+        self._on_status(INTERNAL_SERVER_ERROR)
+
     def respond(self, status: int, retry_after: str, body: bytes) -> None:
         """Report the status of a complete response."""
         self._on_status(status)
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -109,6 +109,11 @@
     def end_response(self, complete: bool) -> None:
         """End a streamed response; an incomplete one must not pass for complete."""
 
+    def fail_request(self) -> None:
+        """Withdraw the request and answer it 500, unless it has its response already."""
+
+
+INTERNAL_SERVER_ERROR = 500  # RFC 9110, section 15.6.1
 
 STATUS = {
     ResponseKind.SERVED: 200,
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -8,7 +8,14 @@
 import trio
 
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import BODY_BYTES_PER_MS, DEFER_S, MAX_BUFFERED_BODY, CallError, read_head
+from wickspring.net.calls import (
+    BODY_BYTES_PER_MS,
+    DEFER_S,
+    INTERNAL_SERVER_ERROR,
+    MAX_BUFFERED_BODY,
+    CallError,
+    read_head,
+)
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
 from wickspring.net.http1_syntax import (
@@ -381,6 +388,16 @@
         else:
             self.finish()
 
+    def fail_request(self) -> None:
+        """Withdraw the request that has been read and answer it 500, unless it has its response already."""
+        if self.request is None:
+            return
+        self.cancel_requests()
+        if self.http.our_state in RESPONSE_NOT_BEGUN:
+            self.respond(INTERNAL_SERVER_ERROR, "", b"")
+        else:
+            self.end_response(False)
+
     def begin_response(self, length: int | None, status: int = 200, extra_headers: HeaderPairs = ()) -> None:
         """Begin a response that is passed on as it arrives."""
         headers = [*extra_headers]
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -134,10 +134,11 @@
         self.closing = True
         streams, self.streams = list(self.streams.values()), {}
         for stream in streams:
-            self._withdraw(stream)
+            self.withdraw(stream)
             stream.wake_writer()
 
-    def _withdraw(self, stream: Stream) -> None:
+    def withdraw(self, stream: Stream) -> None:
+        """Withdraw the request of a stream, where a response is owed."""
         number, stream.request_number = stream.request_number, None
         if number is not None:
             self.server.client_disconnected(number)
@@ -261,7 +262,7 @@
             return
         if stream.request_complete:
             self.server.record_unanswered(self._unanswered_stream(stream, EndReason.CLIENT_RESET))
-        self._withdraw(stream)
+        self.withdraw(stream)
         stream.wake_writer()
         self.reset_count += 1
         if self.reset_count > MAX_RESETS:
--- a/wickspring/net/http2_stream.py
+++ b/wickspring/net/http2_stream.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wickspring.net.calls import INTERNAL_SERVER_ERROR
 from wickspring.net.link import Link
 
 
@@ -18,6 +19,9 @@
     def has_stream(self, stream_id: int) -> bool:
         """Return whether a stream is still open."""
 
+    def withdraw(self, stream: Stream) -> None:
+        """Withdraw the request of a stream, where a response is owed."""
+
     def respond(self, stream: Stream, status: int, retry_after: str, body: bytes) -> None:
         """Give a complete response on a stream."""
 
@@ -78,6 +82,16 @@
             await self._writable.wait()
         return self.is_open and await self.connection.link.wait_writable()
 
+    def fail_request(self) -> None:
+        """Withdraw the request and answer it 500, unless it has its response already."""
+        if not self.is_open:
+            return
+        self.connection.withdraw(self)
+        if self.outgoing is None:
+            self.respond(INTERNAL_SERVER_ERROR, "", b"")
+        else:
+            self.end_response(False)
+
     def wake_writer(self) -> None:
         """Wake the task that waits until more may be written."""
         if self._writable is not None:
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -137,12 +137,20 @@
         return False
 
     def take_request(self, client: Client, request: HttpRequest) -> None:
-        """Have a request handled that a front has read; refuse it where this process ends too soon."""
-        if self.clock.now() <= self.takes_until:
-            self.handle_request(client, request)
+        """Have a request handled that a front has read; refuse it where this process ends too soon.
+
+        A fault of this program in its handling is logged and answered 500: it may have been passed on.
+        """
+        if self.clock.now() > self.takes_until:
+            self.closed_counts["refused_while_draining"] += 1
+            client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
             return
-        self.closed_counts["refused_while_draining"] += 1
-        client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
+        try:
+            self.handle_request(client, request)
+        except Exception as error:
+            log.exception("request_handling_failed", extra=kv(reason=error))
+            self.closed_counts["request_handling_failed"] += 1
+            client.fail_request()
 
     @abstractmethod
     def handle_request(self, client: Client, request: HttpRequest) -> None:
