Give the arriving body of an HTTP/1.1 request a class of its own

Cause: net/http1_front.py kept buffer, stream, size and start of a body in four attributes of the connection, beside all else it does. Change: net/request_body.py has RequestBody: what is buffered, when it is streamed, until when it may take.

--- a/tests/net/test_long_bodies.py
+++ b/tests/net/test_long_bodies.py
@@ -191,7 +191,7 @@
                 await client.send(request("ticket-reply", body=os.urandom(40 << 20)))
             assert limit.cancelled_caught
             streams = [
-                c.body_stream for c in here.runtime.connections if isinstance(c, http1_front.Http1Connection)
+                c.body.stream for c in here.runtime.connections if isinstance(c, http1_front.Http1Connection)
             ]
             assert len(streams) == 1 and streams[0] is not None
             assert len(streams[0]._buffer) <= BUFFER_BYTES + 65536
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -9,7 +9,6 @@
 
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import (
-    BODY_BYTES_PER_MS,
     DEFER_S,
     INTERNAL_SERVER_ERROR,
     MAX_BUFFERED_BODY,
@@ -27,6 +26,7 @@
 )
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
+from wickspring.net.request_body import RequestBody
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
 MAX_READ_AHEAD = (
@@ -60,10 +60,7 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self.request: h11.Request | None = None
         self.headers: dict[str, str] = {}
-        self.body = bytearray()
-        self.body_stream: BodyStream | None = None  # for the rest of a long body, while it arrives
-        self.body_started_at = 0.0  # put off by the time in which the client was not read
-        self.body_size = 0
+        self.body = RequestBody(0.0)
         self.request_number: int | None = None  # of the request that waits for its response
         self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
         self._discards_requests = False  # what still comes is no rest of a request that has been answered
@@ -115,19 +112,20 @@
 
     def _must_pause(self) -> bool:
         """Tell whether the client is not to be read for now."""
-        if self.body_stream is not None:
-            return self.body_stream.is_full
+        if self.body.stream is not None:
+            return self.body.stream.is_full
         return self.request_number is not None and len(self.http.trailing_data[0]) > MAX_READ_AHEAD
 
     async def _pause(self) -> None:
         """Wait until the client may be read again."""
-        if self.body_stream is None:
+        body = self.body
+        if body.stream is None:
             self._resumed = trio.Event()
             await self._resumed.wait()
             return
         paused_at = self.server.clock.now()
-        await self.body_stream.wait_writable()
-        self.body_started_at += self.server.clock.now() - paused_at  # no fault of the client's
+        await body.stream.wait_writable()
+        body.started_at += self.server.clock.now() - paused_at  # no fault of the client's
 
     def _receive(self, data: bytes) -> bool:
         """Process bytes; False where the connection is to be closed at once."""
@@ -135,11 +133,11 @@
         if self.has_received_request and self.is_idle():
             self.started_at = self.last_received_at
         self.http.receive_data(data)
-        if self.request_number is None or self.body_stream is not None:
+        if self.request_number is None or self.body.stream is not None:
             self.advance()
         size = len(self.http.trailing_data[0])
         if self.request is not None:
-            size += len(self.body)
+            size += len(self.body.buffered)
         if not self.server.record_buffered(self, size) and not self.closing:
             if self.request_number is not None:
                 return False
@@ -151,7 +149,7 @@
         self._advancing = True
         self._handled_at_once = 0
         try:
-            while not self.closing and (self.request_number is None or self.body_stream is not None):
+            while not self.closing and (self.request_number is None or self.body.stream is not None):
                 read = self.http.trailing_data[0] if self.request is None else b""
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
@@ -172,8 +170,7 @@
 
     def _on_head(self, request: h11.Request, read: bytes) -> None:
         """Take a request's head; `read` is what had been read before it was parsed."""
-        self.request, self.body = request, bytearray()
-        self.body_started_at, self.body_size = self.server.clock.now(), 0
+        self.request, self.body = request, RequestBody(self.server.clock.now())
         if has_ambiguous_length(read[: len(read) - len(self.http.trailing_data[0])]):
             raise CallError("content-length")
         self.headers = read_head(header_pairs(request))
@@ -182,22 +179,19 @@
             self.link.send(self.http.send(go_on) or b"")
 
     def _on_body(self, data: bytes) -> None:
-        self.body_size += len(data)
-        if self.body_stream is None:
-            self.body += data
-            if len(self.body) > MAX_BUFFERED_BODY and self.request is not None:
-                self._start_streaming(self.request)
-        elif self.body_size <= self.limits.max_body_bytes:
-            self.body_stream.write(bytes(data))
-        else:
+        body = self.body
+        if body.stream is not None and body.size + len(data) > self.limits.max_body_bytes:
             self.cancel_requests()
             self.respond(413, "", b"body too large\n")
+            return
+        body.receive(data)
+        if body.exceeds_buffer and self.request is not None:
+            self._start_streaming(self.request)
 
     def _on_end(self) -> bool:
         """Take a request's end; False where no further request is to be processed now."""
-        if self.body_stream is not None:
-            body_stream, self.body_stream, self.request = self.body_stream, None, None
-            body_stream.write_eof()
+        if self.body.end_stream():
+            self.request = None
             return False
         if self.request is None:
             return True
@@ -214,7 +208,7 @@
         self.has_received_request = True
         self.request_read_at = self.server.clock.now()
         self.server.take_request(
-            self, HttpRequest(method, target, self.headers, bytes(self.body), body_stream)
+            self, HttpRequest(method, target, self.headers, bytes(self.body.buffered), body_stream)
         )
 
     def _start_streaming(self, request: h11.Request) -> None:
@@ -224,13 +218,11 @@
             self.respond(503, f"{STREAM_RETRY_S:.3f}", b"too many long requests at once\n")
             return
         length = self.headers.get("content-length")
-        self.body_stream = BodyStream(int(length) if length is not None else None)
-        self.body_stream.write(bytes(self.body[MAX_BUFFERED_BODY:]))
-        del self.body[MAX_BUFFERED_BODY:]
-        self._handle(request, self.body_stream)
-        self.body = bytearray()
+        body = self.body
+        self._handle(request, body.start_stream(int(length) if length is not None else None))
+        body.buffered = bytearray()
         if self.request_number is None:  # answered at once
-            self.body_stream = None
+            body.stream = None
 
     def pairs(self) -> list[tuple[str, str]]:
         """Return the headers of the present request, in order, their names in lower case."""
@@ -294,8 +286,8 @@
         if self.request_number is None and self._delivery.has_stalled():
             self._close(EndReason.CLIENT_NOT_READING)
             return
-        body_stream = self.body_stream
-        waits_for_server = self.request_number is not None and (body_stream is None or body_stream.is_full)
+        stream = self.body.stream
+        waits_for_server = self.request_number is not None and (stream is None or stream.is_full)
         if self.closing or waits_for_server or now < self._expires_at():
             return
         if self.link.peek() is not None or self._is_delivering():
@@ -324,7 +316,7 @@
         """Return until when the client may take for what it is about."""
         limits = self.limits
         if self.request is not None:
-            return self.body_started_at + limits.body_ms + self.body_size / BODY_BYTES_PER_MS
+            return self.body.expires_at(limits.body_ms)
         if not self.is_idle():
             return self.started_at + limits.head_ms
         if self.has_received_request:
@@ -336,7 +328,7 @@
 
     def finish(self) -> None:
         """Close the connection after what has been written."""
-        self.body = bytearray()
+        self.body.buffered = bytearray()
         self._discards_requests = self.http.their_state is not h11.SEND_BODY
         self.server.record_buffered(self, 0)
         self._finish_link(self.server)
@@ -378,7 +370,7 @@
         """Go on to the next request, or close the connection."""
         if self._resumed is not None:
             self._resumed.set()
-        self.request_number = self.request = self.body_stream = None
+        self.request_number = self.request = self.body.stream = None
         if self.http.our_state is self.http.their_state is h11.DONE and not closes:
             has_read_ahead = bool(self.http.trailing_data[0])
             self.http.start_next_cycle()
--- /dev/null
+++ b/wickspring/net/request_body.py
@@ -0,0 +1,48 @@
+"""The body of a request while a client sends it: buffered at first, and streamed where it is long."""
+
+from __future__ import annotations
+
+from wickspring.net.body_stream import BodyStream
+from wickspring.net.calls import BODY_BYTES_PER_MS, MAX_BUFFERED_BODY
+
+
+class RequestBody:
+    """What has come of a body. `started_at` is in ms of the process's clock."""
+
+    def __init__(self, started_at: float) -> None:
+        self.started_at = started_at  # put off by the time in which the client was not read
+        self.size = 0  # bytes that have come
+        self.buffered = bytearray()
+        self.stream: BodyStream | None = None  # for the rest of a long body, while it arrives
+
+    def receive(self, data: bytes) -> None:
+        """Keep a piece of the body, or pass it on."""
+        self.size += len(data)
+        if self.stream is None:
+            self.buffered += data
+        else:
+            self.stream.write(bytes(data))
+
+    @property
+    def exceeds_buffer(self) -> bool:
+        """Whether more has come than may be buffered, so that the rest is to be streamed."""
+        return self.stream is None and len(self.buffered) > MAX_BUFFERED_BODY
+
+    def start_stream(self, length: int | None) -> BodyStream:
+        """Stream the rest from now on; `length` is what the client has declared, in bytes."""
+        self.stream = BodyStream(length)
+        self.stream.write(bytes(self.buffered[MAX_BUFFERED_BODY:]))
+        del self.buffered[MAX_BUFFERED_BODY:]
+        return self.stream
+
+    def end_stream(self) -> bool:
+        """Note that the body has come whole; False where it has not been streamed."""
+        if self.stream is None:
+            return False
+        stream, self.stream = self.stream, None
+        stream.write_eof()
+        return True
+
+    def expires_at(self, grace_ms: float) -> float:
+        """Return until when it may take to come, at the least rate that is accepted (ms)."""
+        return self.started_at + grace_ms + self.size / BODY_BYTES_PER_MS
