--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -27,6 +27,7 @@
 
 GRACE_S = 6.0  # between SIGTERM and SIGKILL, as the default settings have it
 READY_TIMEOUT_S = 30.0  # for all data planes, at the start and at the end
+READY_POLL_S = 0.05
 BURST_PRESSURE = 6.0
 CLIENTS_PER_DATA_PLANE = 20
 MAX_CLIENTS = 60
@@ -246,12 +247,13 @@
                 self.seen.not_ready.append(ip)
 
     async def _becomes_ready(self, ip: str, deadline: float) -> bool:
+        """Ask until it is ready or the time is over; once at least, as others may have used it up."""
         request = HttpRequest("GET", "/readiness")
-        while trio.current_time() < deadline:
-            if (await call(ip, READY_PORT, request, timeout_s=1.0))[0] == 200:
-                return True
-            await trio.sleep(0.05)
-        return False
+        while (await call(ip, READY_PORT, request, timeout_s=1.0))[0] != 200:
+            if trio.current_time() >= deadline:
+                return False
+            await trio.sleep(READY_POLL_S)
+        return True
 
     def _result(self) -> SoakResult:
         requests = self.seen.requests
