Say once what a successor says first, and which executions a request had

Cause: on reading the change again: three tests connect as a successor in the same lines, the soak groups executions by request twice, and common/status.py held two parts that the control plane alone uses. Change: connect_as_successor in the test, executions_by_request in the soak's checks; EndpointStatus and QuotaCountStatus are back in controlplane/status.py.

--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -9,7 +9,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -140,6 +140,15 @@
     trio.run(main)
 
 
+@contextlib.contextmanager
+def connect_as_successor(path: Path) -> Iterator[socket.socket]:
+    """Connect to a serving process and say what a successor says first."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:
+        peer.connect(str(path))
+        peer.send(handover._encode(succession.Hello(succession.VERSION)))
+        yield peer
+
+
 def test_a_successor_that_exits_before_serving_changes_nothing(folder: Path) -> None:
     async def main() -> None:
         async with example_site(folder) as (path, place, processes):
@@ -148,14 +157,10 @@
             await old.up()
             found = handover.place(str(folder), "n0", place[1])
             assert found is not None
-            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:  # it takes all, and dies
-                peer.connect(str(found))
-                peer.send(handover._encode(succession.Hello(succession.VERSION)))
+            with connect_as_successor(found) as peer:  # it takes all, and dies
                 peer.recv(1 << 16)
             assert (await (await client1(place)).ask(ask(1)))[0] == 200
-            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as peer:  # it says it serves, and dies
-                peer.connect(str(found))
-                peer.send(handover._encode(succession.Hello(succession.VERSION)))
+            with connect_as_successor(found) as peer:  # it says it serves, and dies
                 peer.recv(1 << 16)
                 peer.send(handover._encode(succession.Serving()))
                 peer.recv(1 << 16)
@@ -184,10 +189,7 @@
         slow = site(ToyServer("s0", answer_slowly), handover_folder=str(folder))
         async with slow as here, trio.open_nursery() as nursery:
             nursery.start_soon(use_to_the_end, await client1(here.http1))
-            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as successor:
-                successor.connect(str(next(folder.glob("*.sock"))))
-                successor.setblocking(False)
-                successor.send(handover._encode(succession.Hello(succession.VERSION)))
+            with connect_as_successor(next(folder.glob("*.sock"))) as successor:
                 successor.send(handover._encode(succession.Serving()))
                 await trio.sleep(SETTLE_S)
                 assert here.runtime.handing_over
--- a/wickspring/common/status.py
+++ b/wickspring/common/status.py
@@ -1,4 +1,4 @@
-"""Parts of a control-plane node's status: written by the node, read by the command line.
+"""The part of a control-plane node's status that the node writes and the command line reads by its fields.
 
 The names in JSON belong to the interface of operators. Where a field has another name in this program, the
 `rename` of its class keeps the name in JSON.
@@ -33,22 +33,3 @@
     committed_version: int
     disk_id: str
     tolerance_shortfalls: list[str]  # faults named in the settings that the view would not survive
-
-
-class EndpointStatus(msgspec.Struct, frozen=True, rename={"heartbeat_age_s": "silent_s"}):
-    """One endpoint; `heartbeat_age_s` is the time since its last heartbeat."""
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int
-    heartbeat_age_s: float
-
-
-class QuotaCountStatus(msgspec.Struct, frozen=True, rename={"remaining": "left"}):
-    """The count of one tenant: units in the span, and those that the present window still has."""
-
-    in_span: int
-    remaining: float
--- a/wickspring/controlplane/status.py
+++ b/wickspring/controlplane/status.py
@@ -6,7 +6,7 @@
 
 from wickspring.common.endpoints import Endpoint
 from wickspring.common.messages import NodeStatus
-from wickspring.common.status import EndpointStatus, QuotaCountStatus, ReplicationStatus
+from wickspring.common.status import ReplicationStatus
 from wickspring.controlplane.components import Components
 from wickspring.controlplane.data_plane_sessions import DataPlaneSessions
 from wickspring.controlplane.quota_counter import QuotaCounter
@@ -41,6 +41,25 @@
     reachable: list[str]
 
 
+class EndpointStatus(msgspec.Struct, frozen=True, rename={"heartbeat_age_s": "silent_s"}):
+    """One endpoint; `heartbeat_age_s` is the time since its last heartbeat."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    heartbeat_age_s: float
+
+
+class QuotaCountStatus(msgspec.Struct, frozen=True, rename={"remaining": "left"}):
+    """The count of one tenant: units in the span, and those that the present window still has."""
+
+    in_span: int
+    remaining: float
+
+
 class ControlPlaneStatus(
     msgspec.Struct,
     frozen=True,
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -40,9 +40,7 @@
 
 def check_soak(seen: Observations, rate: float) -> SoakViolations:
     """Return what was broken; `rate` is the tenant's requests a second, and its burst."""
-    executions: dict[str, list[Execution]] = defaultdict(list)
-    for execution in seen.executions:
-        executions[execution.request_id].append(execution)
+    executions = executions_by_request(seen)
     requests = seen.requests
     gone = sum(_went_on(request, executions[request.id], seen.troubles) for request in requests)
     return SoakViolations(
@@ -96,10 +94,16 @@
 
 def lost_requests(seen: Observations) -> list[SoakRequest]:
     """Return the requests that have no answer, though nothing was wrong with their data planes."""
-    executed: dict[str, list[Execution]] = defaultdict(list)
+    executions = executions_by_request(seen)
+    return [request for request in seen.requests if _is_lost(request, executions[request.id], seen)]
+
+
+def executions_by_request(seen: Observations) -> dict[str, list[Execution]]:
+    """Return the executions of each request by its id; none for an id without any."""
+    executions: dict[str, list[Execution]] = defaultdict(list)
     for execution in seen.executions:
-        executed[execution.request_id].append(execution)
-    return [request for request in seen.requests if _is_lost(request, executed[request.id], seen)]
+        executions[execution.request_id].append(execution)
+    return executions
 
 
 def _is_lost(request: SoakRequest, executions: list[Execution], seen: Observations) -> bool:
