Schedule deadlines, close last streams and spare handed-over connections in one place each

Cause: on reading the change again: a request's deadline was scheduled in two places, a connection of HTTP/2 closed after its last stream in four, "goes to the successor" and "awaits a request" were spelt out two and three times, and two statuses stood in two modules. Change: Responder.schedule_deadline, Http2Connection._close_if_last_has_ended, _goes_to_successor, Http1Connection._awaits_request; 500 and 503 beside each other; RequestBody.expires_at names what it adds. Behaviour as before, no test changed. Result: tests of fronts, drains, parsers, long bodies, hand-over, planned ends, data plane and common pass.

--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -25,9 +25,7 @@
 READY_BY_ONE_MS = 2500.0  # since the start, after which one control plane's endpoints suffice to be ready
 READINESS_PATH = "/readiness"
 PROBE_FDS = 64
-MISSES_UNTIL_OUT = (
-    2  # probes in a row that are not answered 200, after which the platform sends no more clients
-)
+MISSES_UNTIL_OUT = 2  # probes in a row not answered 200, after which the platform sends no more clients
 PROBE_IDLE_MS = 15_000.0
 
 
--- a/wickspring/dataplane/request/admission.py
+++ b/wickspring/dataplane/request/admission.py
@@ -51,8 +51,7 @@
         if not attempts.route.idempotent:
             context.non_idempotent_ids.add(request.id)
         incoming.client.request_accepted(request.number, request.wait_ms)
-        timer = context.timers.at(attempts.deadline, partial(self._responder.on_deadline, request))
-        request.cancel_deadline = timer.cancel
+        self._responder.schedule_deadline(request)
 
     def _request_advice(self, request: Request) -> None:
         """Ask the control plane which endpoints are best, and wait `ADVICE_TIMEOUT_MS` at most."""
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -122,8 +122,12 @@
             if request.attempts.deadline > latest:
                 request.attempts.deadline = latest
                 request.cancel_deadline()
-                timer = context.timers.at(latest, partial(self.on_deadline, request))
-                request.cancel_deadline = timer.cancel
+                self.schedule_deadline(request)
+
+    def schedule_deadline(self, request: Request) -> None:
+        """Have a request end at its deadline."""
+        timer = self._context.timers.at(request.attempts.deadline, partial(self.on_deadline, request))
+        request.cancel_deadline = timer.cancel
 
     def on_deadline(self, request: Request) -> None:
         """End a request whose time is over, unless its response is being streamed."""
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -114,6 +114,7 @@
 
 
 INTERNAL_SERVER_ERROR = 500  # RFC 9110, section 15.6.1
+SERVICE_UNAVAILABLE = 503  # RFC 9110, section 15.6.4
 
 STATUS = {
     ResponseKind.SERVED: 200,
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -14,7 +14,7 @@
 from wickspring.net.unanswered import EndReason
 
 if TYPE_CHECKING:
-    from wickspring.net.http_server import HttpServer
+    from wickspring.net.http_server import Connection, HttpServer
 
 POLL_S = 0.02  # between two looks at all connections
 
@@ -34,7 +34,7 @@
     To be called before the listener closes: a client whose request crosses the close can then come again.
     """
     for connection in list(server.connections):
-        if not connection.is_new and not (server.handing_over and connection.can_be_handed_over):
+        if not connection.is_new and not _goes_to_successor(server, connection):
             connection.close_if_idle(EndReason.DRAINED)
 
 
@@ -44,7 +44,12 @@
     with trio.move_on_after(max(0.0, left_ms) / 1000.0):
         while server.connections or server.has_unfinished_work:
             for connection in list(server.connections):
-                if not (server.handing_over and connection.can_be_handed_over):
+                if not _goes_to_successor(server, connection):
                     connection.close_if_idle(EndReason.DRAINED)
             await trio.sleep(POLL_S)
     return not server.connections
+
+
+def _goes_to_successor(server: HttpServer, connection: Connection) -> bool:
+    """Tell whether another process takes a connection over once it is idle."""
+    return server.handing_over and connection.can_be_handed_over
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -233,7 +233,7 @@
     def detach(self) -> tuple[socket.socket, bytes] | None:
         """Hand the connection over, with what has been read ahead; None while a request is in progress."""
         read_ahead, closed = self.http.trailing_data
-        if self.request_number is not None or self.request is not None or self._advancing:
+        if not self._awaits_request or self._advancing:
             return None
         if self.closing or closed:
             return None
@@ -251,6 +251,11 @@
     def _has_request(self) -> bool:
         return self.request_number is not None
 
+    @property
+    def _awaits_request(self) -> bool:
+        """Whether no request is arriving, and none waits for its response."""
+        return self.request_number is None and self.request is None
+
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the request that waits for its response, or whose response has not left whole."""
         reason = self.end_reason or EndReason.CLIENT_RESET
@@ -269,8 +274,7 @@
 
     def is_idle(self) -> bool:
         """Tell whether no request has come or is coming, and all responses have left."""
-        awaits_request = self.request_number is None and self.request is None
-        return awaits_request and not self.http.trailing_data[0] and self.link.flushed
+        return self._awaits_request and not self.http.trailing_data[0] and self.link.flushed
 
     def idle_since(self) -> float | None:
         """Return when bytes were last received (ms); None while a response is owed or has not left."""
@@ -310,7 +314,7 @@
 
     def _is_delivering(self) -> bool:
         """Tell whether a response is still on its way to a client that has sent nothing since."""
-        return self.request_number is None and self.request is None and not self.link.flushed
+        return self._awaits_request and not self.link.flushed
 
     def _expires_at(self) -> float:
         """Return until when the client may take for what it is about."""
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -87,8 +87,7 @@
             self._shut_out()
             return
         self.flush()
-        if self.going_away and not self.streams:
-            self._close_after_flush()
+        self._close_if_last_has_ended()
 
     @property
     def is_new(self) -> bool:
@@ -188,7 +187,11 @@
         if not self.going_away:
             self.going_away = True
             self.link.send(goaway(self.last_stream_id))
-        if not self.streams:
+        self._close_if_last_has_ended()
+
+    def _close_if_last_has_ended(self) -> None:
+        """Close the connection where no stream is left and none is to come."""
+        if self.going_away and not self.streams:
             self._close_after_flush()
 
     def detach(self) -> tuple[socket.socket, bytes] | None:
@@ -313,8 +316,8 @@
         self.flush()
         if self.server.near_connection_limit:
             self.finish()
-        elif self.going_away and not self.streams:
-            self._close_after_flush()
+        else:
+            self._close_if_last_has_ended()
 
     def flush_stream(self, stream: Stream) -> None:
         """Write what the flow-control windows allow."""
@@ -351,8 +354,7 @@
             self.server.record_unanswered(self._unanswered_stream(stream, EndReason.CLIENT_NOT_READING))
             self._reset_stream(stream.id, ErrorCodes.CANCEL)
             self.flush()
-            if self.going_away and not self.streams:
-                self._close_after_flush()
+            self._close_if_last_has_ended()
 
     def _reset_stream(self, stream_id: int, code: ErrorCodes) -> None:
         self.streams.pop(stream_id, None)
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -15,7 +15,7 @@
 
 from wickspring.logs import kv
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import MIN_IDLE_MS, Client, retry_after
+from wickspring.net.calls import MIN_IDLE_MS, SERVICE_UNAVAILABLE, Client, retry_after
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.link import Link
@@ -24,7 +24,6 @@
 
 log = logging.getLogger(__name__)
 
-SERVICE_UNAVAILABLE = 503  # RFC 9110, section 15.6.4
 EXPIRE_EVERY_MS = 200.0  # between two checks of all connections for clients that take too long
 TRANSFER_SHARE = 0.15  # of the memory, for streamed bodies and responses together
 TRANSFER_BYTES = 256 * 1024  # that one holds at most: what is kept for a further attempt, and a piece on its
--- a/wickspring/net/request_body.py
+++ b/wickspring/net/request_body.py
@@ -43,6 +43,6 @@
         stream.write_eof()
         return True
 
-    def expires_at(self, grace_ms: float) -> float:
-        """Return until when it may take to come, at the least rate that is accepted (ms)."""
-        return self.started_at + grace_ms + self.size / BODY_BYTES_PER_MS
+    def expires_at(self, body_ms: float) -> float:
+        """Return until when it may take to come (ms): `body_ms`, and more for each byte that has come."""
+        return self.started_at + body_ms + self.size / BODY_BYTES_PER_MS
