Give clients the descriptors of idle server connections; count time from arrival

Symptom: an ingress with 256 descriptors left 92 of 1,209 requests unanswered after a second of slow answers, 215 to 834 beside 8 and 16 busy loops with none. Cause: the bound of server connections held back dials alone. Idle connections kept descriptors, accept failed with EMFILE every 10 ms (354 times, 180 idle connections in the middle), and what waited in the kernel for up to 4.6 s was then given its whole budget again.

Change: idle connections beyond the bound are closed as clients come, and one for each accept without a descriptor; 16 descriptors stay free; up to 8 connections are accepted at a turn; a dial that finds no descriptor is not held against its server; a client's time runs from the arrival in the kernel (TCP_INFO), and what has lain beyond it is refused with 503. The data plane and HTTP/2 use the same. Counters: dial_errors, accept_failed by errno, unread_ms in request_unanswered.

--- a/wickspring/common/errors.py
+++ b/wickspring/common/errors.py
@@ -16,6 +16,7 @@
     NO_SERVER = "no_server"  # no endpoint could take the request, and it has not run
     MAY_HAVE_RUN = "may_have_run"
     TIMED_OUT = "timed_out"
+    EXPIRED = "expired"  # its client's time was over before it was read; it has not run
     IN_PROGRESS = "at_work"  # this data plane is handling a request with the same id
     NOT_READY = "not_ready"
     INVALID_CONFIG = "invalid_config"
@@ -44,6 +45,7 @@
     ErrorKind.NO_SERVER: ErrorResponse(503, has_retry_after=True),
     ErrorKind.MAY_HAVE_RUN: ErrorResponse(502),
     ErrorKind.TIMED_OUT: ErrorResponse(504),
+    ErrorKind.EXPIRED: ErrorResponse(503, has_retry_after=True),
     ErrorKind.IN_PROGRESS: ErrorResponse(409),
     ErrorKind.NOT_READY: ErrorResponse(503, has_retry_after=True),
     ErrorKind.INVALID_CONFIG: ErrorResponse(400),
--- a/wickspring/connections/dialer.py
+++ b/wickspring/connections/dialer.py
@@ -86,12 +86,10 @@
         """Close an idle connection of another server if there are as many as there may be."""
         if not self._is_full():
             return True
-        victim = self._table.longest_idle(other_than=pool)
-        if victim is None:
-            self._table.counters["full"] += 1
-            return False
-        self._table.close(victim, "made_room")
-        return True
+        if self._table.close_longest_idle("made_room", other_than=pool):
+            return True
+        self._table.counters["full"] += 1
+        return False
 
     def may_dial(self, now: float, pool: ServerPool, warmth: float) -> bool:
         """Tell whether the limits allow a dial to a server of this warmth (0 to 1) now."""
--- a/wickspring/connections/limits.py
+++ b/wickspring/connections/limits.py
@@ -6,6 +6,7 @@
 
 WAIT_SHARE = 0.8  # of the drain's grace that a request may wait for a connection at most
 RESERVED_DESCRIPTORS = 24  # for counter, discovery, listeners, log and the event loop
+CLIENT_HEADROOM = 16  # descriptors kept free for clients that connect before the next look at the limits
 MIN_SERVER_SHARE = 6  # a sixth of the descriptors is for servers at least: clients alone are of no use
 
 
--- a/wickspring/connections/pool_table.py
+++ b/wickspring/connections/pool_table.py
@@ -75,6 +75,14 @@
         )
         return min(idle, key=lambda connection: connection.idle_since, default=None)
 
+    def close_longest_idle(self, reason: str, other_than: ServerPool | None = None) -> bool:
+        """Close the connection idle for longest, leaving out one pool; False where none is idle."""
+        connection = self.longest_idle(other_than)
+        if connection is None:
+            return False
+        self.close(connection, reason)
+        return True
+
     def median_pool_size(self) -> float:
         """Return how many connections a server has in the middle of all; there must be a pool."""
         sizes = sorted(len(pool.connections) for pool in self.pools.values())
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -194,6 +194,30 @@
         self._dialer.dial_for_all(now)
         return self._table.take_actions()
 
+    def dial_not_made(self, connection: PooledConnection) -> list[Action]:
+        """Record that a dial could not be made for want of a descriptor: that says nothing of the server.
+
+        Requests go on waiting, and an idle connection makes room for the next dial.
+        """
+        self._dialer.dial_ended(connection)
+        self._table.remove(connection)
+        self.counters["dials_not_made"] += 1
+        self._table.close_longest_idle("made_room")
+        return self._table.take_actions()
+
+    def close_longest_idle(self) -> list[Action]:
+        """Close the connection idle for longest, whatever the limit says; no action where none is idle."""
+        self._table.close_longest_idle("made_room")
+        return self._table.take_actions()
+
+    def limit_connections(self, max_connections: int) -> list[Action]:
+        """Change how many connections there may be: idle ones beyond that are closed, longest idle first."""
+        self.settings.max_connections = max_connections
+        while self._table.connection_count > max_connections:
+            if not self._table.close_longest_idle("made_room"):
+                break  # all others carry requests, or are being dialed
+        return self._table.take_actions()
+
     def capacity_changed(self, now: float, connection: PooledConnection, capacity: int) -> list[Action]:
         """Change how many requests a connection carries at once; 0 for none any more."""
         connection.capacity = capacity
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -118,6 +118,19 @@
         """The most file descriptors for connections to clients and endpoints; a number, not the sockets."""
         return self.settings.limits.max_fds - RESERVED_FDS
 
+    @property
+    def requests_in_progress(self) -> int:
+        """How many requests are in progress."""
+        return len(self.request_context.requests)
+
+    def limit_server_connections(self) -> None:
+        """Keep the connections to endpoints to what clients leave."""
+        self.upstream.limit_connections()
+
+    def close_idle_server_connection(self) -> bool:
+        """Close a connection to an endpoint that carries nothing; False where there is none."""
+        return self.upstream.close_longest_idle()
+
     @property
     def active_streams(self) -> int:
         """How many requests with a streamed body or a streamed response are in flight."""
@@ -128,7 +141,13 @@
         """Handle a request that a front has read from a client connection."""
         self._handle(
             IncomingRequest(
-                client, request.method, request.target, request.headers, request.body, request.body_stream
+                client,
+                request.method,
+                request.target,
+                request.headers,
+                request.body,
+                request.body_stream,
+                self.clock.now() if request.arrived_at is None else request.arrived_at,
             )
         )
 
--- a/wickspring/dataplane/request/admission.py
+++ b/wickspring/dataplane/request/admission.py
@@ -38,7 +38,7 @@
         try:
             request = self._validator.validate(incoming)
         except RequestRefusedError as refusal:
-            self._responder.refuse(incoming.client, refusal.kind)
+            self._responder.refuse(incoming.client, refusal.kind, self._context.retry_after_ms())
             return
         self._register(request, incoming)
         self._request_advice(request)
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -47,6 +47,7 @@
     headers: Mapping[str, str]
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
+    arrived_at: float = 0.0  # ms: when its last bytes were in the kernel; its client's time runs from then
 
 
 def _nothing_to_cancel() -> None:
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -32,7 +32,8 @@
         """Return the request with its route and tenant.
 
         Raises:
-            RequestRefusedError: no route, no key, a bad id or deadline, or the id of a request in progress.
+            RequestRefusedError: no route, no key, a bad id or deadline, the id of a request in progress, or a
+                client whose time is over.
         """
         context = self._context
         routing_table = context.config.routing_table
@@ -48,7 +49,7 @@
         deadline_ms = self._deadline_ms(incoming)
         if not route.idempotent and request_id in context.non_idempotent_ids:
             raise RequestRefusedError(ErrorKind.IN_PROGRESS)
-        wait_ms = min(deadline_ms, 1000.0 * route.timeout_s)
+        wait_ms = self._wait_ms(incoming, min(deadline_ms, 1000.0 * route.timeout_s))
         attempts = self._attempts(route, wait_ms)
         request = Request(context.next_number(), incoming, attempts)
         request.wait_ms = wait_ms
@@ -82,6 +83,13 @@
             raise RequestRefusedError(ErrorKind.BAD_REQUEST)
         return min(float(text or "inf"), MAX_DEADLINE_MS)
 
+    def _wait_ms(self, incoming: IncomingRequest, allowed_ms: float) -> float:
+        """Return how long the client waits from now: it has waited since its request arrived."""
+        wait_ms = allowed_ms - (self._context.clock.now() - incoming.arrived_at)
+        if wait_ms <= FINAL_RESPONSE_MARGIN_MS:
+            raise RequestRefusedError(ErrorKind.EXPIRED)
+        return wait_ms
+
     def _attempts(self, route: Route, wait_ms: float) -> Attempts:
         now = self._context.clock.now()
         waits_until = min(now + wait_ms, self._context.answers_until)
--- a/wickspring/lab/simulation/request_path/memory_connection.py
+++ b/wickspring/lab/simulation/request_path/memory_connection.py
@@ -36,6 +36,7 @@
         self._shut = False
         self._unsent = bytearray()
         self._unread = bytearray()
+        self._last_arrival_at = trio.current_time()  # of bytes, in the kernel
         self._end = ""
         self._in_transit: deque[_Segment] = deque()
         self._moved = trio.Event()
@@ -54,6 +55,7 @@
         while self._in_transit and self._in_transit[0].arrives_at <= trio.current_time():
             segment = self._in_transit.popleft()
             self._unread += segment.data
+            self._last_arrival_at = segment.arrives_at
             self._end = self._end or segment.end
             if segment.end == "reset" and self.random.random() < 0.5:
                 self._unread.clear()
@@ -127,6 +129,10 @@
             return b""
         return bytes(self._unread[:1]) or None
 
+    def unread_ms(self) -> float:
+        """Return how long ago the latest bytes arrived in the kernel."""
+        return 1000.0 * (trio.current_time() - self._last_arrival_at)
+
     def finish(self) -> None:
         """Send nothing more."""
         self._shut = True
--- a/wickspring/net/front_connection.py
+++ b/wickspring/net/front_connection.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from wickspring.net.clock import Clock
 from wickspring.net.delivery import DeliveryWatch, close_after_delivery
 from wickspring.net.link import Link
 from wickspring.net.unanswered import EndReason
@@ -21,6 +22,7 @@
     def __init__(self, link: Link, server: HttpServer) -> None:
         self.link = link
         self.last_received_at = server.clock.now()
+        self.arrived_at = self.last_received_at  # when the latest bytes were in the kernel, ms
         self.closing = False  # nothing more is written
         self.end_reason: EndReason | None = None  # why this connection ends, once that is known
         self._delivery = DeliveryWatch(link, server.clock)
@@ -44,6 +46,10 @@
     def _has_request(self) -> bool:
         """Tell whether a response is owed."""
 
+    def _note_arrival(self, clock: Clock) -> None:
+        """Note when what has just been read had arrived: its client's time runs from then."""
+        self.arrived_at = clock.now() - self.link.unread_ms()
+
     async def _on_read_end(self, data: bytes | None) -> None:
         """Note the end of what the client sends: b"" in good order, None where the connection has ended."""
         if data is None:
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -89,6 +89,7 @@
                 discarded += len(data)  # read, so that closing does not reset the response
                 self._on_discarded()
                 continue
+            self._note_arrival(self.server.clock)
             if not self._receive(data):
                 self._set_end_reason(EndReason.CLIENT_ERROR)
                 break
@@ -207,8 +208,9 @@
         method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
         self.has_received_request = True
         self.request_read_at = self.server.clock.now()
+        body = bytes(self.body.buffered)
         self.server.take_request(
-            self, HttpRequest(method, target, self.headers, bytes(self.body.buffered), body_stream)
+            self, HttpRequest(method, target, self.headers, body, body_stream, self.arrived_at)
         )
 
     def _start_streaming(self, request: h11.Request) -> None:
@@ -261,7 +263,8 @@
         reason = self.end_reason or EndReason.CLIENT_RESET
         unsent = self.link.bytes_queued - self.link.bytes_sent
         if self.request_number is not None or unsent or reason is EndReason.TRUNCATED:
-            return [UnansweredRequest(reason, self.request_read_at, self.request_number, unsent)]
+            unread_ms = max(0.0, self.request_read_at - self.arrived_at)
+            return [UnansweredRequest(reason, self.request_read_at, self.request_number, unsent, unread_ms)]
         if self._has_discarded:
             return [UnansweredRequest(EndReason.DISCARDED, self.server.clock.now())]
         return []
@@ -378,7 +381,8 @@
         if self.http.our_state is self.http.their_state is h11.DONE and not closes:
             has_read_ahead = bool(self.http.trailing_data[0])
             self.http.start_next_cycle()
-            self.started_at = self.last_received_at = self.server.clock.now()
+            # The time of a request that has been read ahead runs from its turn.
+            self.started_at = self.last_received_at = self.arrived_at = self.server.clock.now()
             if has_read_ahead and not self._advancing:  # else the loop that handled this request goes on
                 self.advance()
         else:
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -67,6 +67,7 @@
                 break
             if not self.closing:
                 self.last_received_at = self.server.clock.now()
+                self._note_arrival(self.server.clock)
                 self.receive(data)
 
     def receive(self, data: bytes) -> None:
@@ -253,7 +254,10 @@
         headers, stream.request_complete = stream.headers, True
         stream.read_at = self.server.clock.now()
         method, target = headers.get(":method", ""), headers.get(":path", "")
-        self.server.take_request(stream, HttpRequest(method, target, headers, bytes(stream.body)))
+        body = bytes(stream.body)
+        self.server.take_request(
+            stream, HttpRequest(method, target, headers, body, arrived_at=self.arrived_at)
+        )
 
     def _on_reset(self, stream_id: int) -> None:
         """Cancel a stream that the client wants no answer on; the other streams are not touched.
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -34,6 +34,8 @@
 CLIENT_DESCRIPTOR_SHARE = 0.7  # of the descriptors; the rest is for servers and for other processes of ours
 NEAR_LIMIT_SHARE = 0.75  # of those, from which a connection is closed with its response instead of being kept
 DRAINING_RETRY_MS = 50.0  # after which a request refused by a process that ends may come again, to another
+FULL_SHARE = 0.9  # of the client connections: with so many requests in progress, further ones are refused
+OVERLOAD_RETRY_MS = 100.0  # after which a request refused by a process without room may come again
 CLOSE_AT_ONCE = 8  # idle connections closed at a time, so that a new client is accepted at once
 
 
@@ -45,6 +47,7 @@
     headers: Mapping[str, str]  # names in lower case
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
+    arrived_at: float | None = None  # ms: when its last bytes were in the kernel; None: just now
 
 
 class Connection(Protocol):
@@ -118,6 +121,19 @@
     def active_streams(self) -> int:
         """How many requests with a streamed body or a streamed response are in progress."""
 
+    @property
+    def requests_in_progress(self) -> int:
+        """How many requests wait for a response; subclasses that bound it say how many."""
+        return 0
+
+    def limit_server_connections(self) -> None:
+        """Keep the connections to servers to what clients leave; subclasses may have such connections."""
+        return
+
+    def close_idle_server_connection(self) -> bool:
+        """Close a connection to a server that carries nothing; False where there is none."""
+        return False
+
     @property
     def draining(self) -> bool:
         """Whether this process has been told to end."""
@@ -144,6 +160,9 @@
             self.closed_counts["refused_while_draining"] += 1
             client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
             return
+        if self.requests_in_progress >= FULL_SHARE * self.max_connections:
+            self.refuse_early(client, "refused_while_full")
+            return
         try:
             self.handle_request(client, request)
         except Exception as error:
@@ -151,6 +170,11 @@
             self.closed_counts["request_handling_failed"] += 1
             client.fail_request()
 
+    def refuse_early(self, client: Client, reason: str) -> None:
+        """Answer a request of which nothing has been begun: its client may ask again elsewhere at once."""
+        self.closed_counts[reason] += 1
+        client.respond(SERVICE_UNAVAILABLE, retry_after(OVERLOAD_RETRY_MS), b"")
+
     @abstractmethod
     def handle_request(self, client: Client, request: HttpRequest) -> None:
         """Handle one request, of either front; its response may be given before this returns."""
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -11,11 +11,18 @@
 import socket
 import struct
 from contextlib import suppress
+from enum import StrEnum
 
 import trio
 
 READ_SIZE = 65536
 MOST_UNSENT = 1 << 20  # bytes; a peer that lets more pile up has stopped reading
+# Of `struct tcp_info` (linux/tcp.h): two of its fields, where they lie, and how much of it holds both.
+_LAST_DATA_RECEIVED = struct.Struct("=I")  # tcpi_last_data_recv, ms
+_LAST_DATA_RECEIVED_AT = 52
+_BYTES_RECEIVED = struct.Struct("=Q")  # tcpi_bytes_received
+_BYTES_RECEIVED_AT = 128
+_TCP_INFO_BYTES = 136
 
 
 class Link:
@@ -137,6 +144,19 @@
         except OSError:
             return b""
 
+    def unread_ms(self) -> float:
+        """Return how long ago (ms) the latest bytes arrived in the kernel; 0 where it does not say.
+
+        Just after a read that is how long what was read had lain there, as far as it came in one piece.
+        """
+        try:
+            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+        except OSError:  # closed meanwhile, or no TCP
+            return 0.0
+        if len(info) < _TCP_INFO_BYTES or not _BYTES_RECEIVED.unpack_from(info, _BYTES_RECEIVED_AT)[0]:
+            return 0.0
+        return float(_LAST_DATA_RECEIVED.unpack_from(info, _LAST_DATA_RECEIVED_AT)[0])
+
     def finish(self) -> None:
         """Say that nothing more will be written; reading goes on, so that no reset hurts the answer."""
         if not self._shut:
@@ -174,12 +194,55 @@
             self._sock.close()
 
 
+class DialFailure(StrEnum):
+    """Why a dial did not come up. The values are part of the names of counters in logs and metrics."""
+
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    NO_RESOURCES = "no_resources"  # this process has no descriptor or port left: the peer was not asked
+    OTHER = "other"
+
+
+# What says of this machine, and nothing of the peer: descriptors, memory or ports are used up.
+LOCAL_ERRNOS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
+)
+
+
+class DialError(Exception):
+    """A dial that did not come up."""
+
+    def __init__(self, failure: DialFailure) -> None:
+        super().__init__(failure.value)
+        self.failure = failure
+
+
+def _dial_failure(error: OSError | trio.TooSlowError) -> DialFailure:
+    if isinstance(error, trio.TooSlowError):
+        return DialFailure.TIMED_OUT
+    if error.errno in LOCAL_ERRNOS:
+        return DialFailure.NO_RESOURCES
+    return DialFailure.REFUSED if error.errno == errno.ECONNREFUSED else DialFailure.OTHER
+
+
 async def connect(address: tuple[str, int], timeout_ms: float) -> socket.socket | None:
     """Dial within a time-out of its own; None where the connection does not come up."""
     try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except OSError:  # no descriptor left: as good as not coming up, and no reason for the ingress to end
+        return await dial(address, timeout_ms)
+    except DialError:
         return None
+
+
+async def dial(address: tuple[str, int], timeout_ms: float) -> socket.socket:
+    """Dial within a time-out of its own.
+
+    Raises:
+        DialError: the connection did not come up.
+    """
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise DialError(_dial_failure(error)) from error
     sock.setblocking(False)
     try:
         code = sock.connect_ex(address)
@@ -191,9 +254,9 @@
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             raise OSError(code, "connect")
-    except (OSError, trio.TooSlowError):
+    except (OSError, trio.TooSlowError) as error:
         sock.close()
-        return None
+        raise DialError(_dial_failure(error)) from error
     except BaseException:
         sock.close()
         raise
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -1,4 +1,8 @@
-"""Listening sockets: opening them, accepting on them, and ending without resetting who waits in line."""
+"""Listening sockets: opening them, accepting on them, and ending without resetting who waits in line.
+
+What waits in the kernel's queue of a listener may hold a request whose client's time runs. So the queue is
+emptied quickly, and a process without a descriptor for it closes an idle connection to a server.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +21,10 @@
 
 log = logging.getLogger(__name__)
 
+MAX_ACCEPTED_AT_ONCE = 8  # connections accepted before other tasks have their turn
+ACCEPT_RETRY_S = 0.01  # where there is no room for a connection, or no descriptor
+NO_DESCRIPTOR_ERRNOS = (errno.EMFILE, errno.ENFILE)
+
 AnyServer = TypeVar("AnyServer", bound=HttpServer)
 Serve = Callable[[Link, AnyServer], Awaitable[None]]
 
@@ -24,13 +32,9 @@
 async def accept(listener: socket.socket, server: AnyServer, serve: Serve[AnyServer]) -> None:
     """Accept until the listener is closed; short of descriptors, end the quietest connection or wait."""
     while True:
-        while len(server.connections) >= server.max_connections:
-            # Clients that hold connections and say nothing must not shut the others out.
-            server.closed_counts["waits_at_the_door"] += 1
-            server.close_idle_connections()
-            await trio.sleep(0.01)
+        await _wait_for_room(server)
         try:
-            sock, _ = listener.accept()
+            _accept_some(listener, server, serve)
         except BlockingIOError:
             try:
                 await trio.lowlevel.wait_readable(listener)
@@ -39,11 +43,42 @@
         except OSError as error:
             if error.errno == errno.EBADF:
                 return
-            log.warning("accept_failed", extra=kv(reason=error))
-            await trio.sleep(0.01)
+            await _on_accept_error(server, error)
         else:
-            server.nursery.start_soon(serve, Link(sock, server.nursery), server)
-            await trio.lowlevel.checkpoint()  # a crowd at the door must not keep those inside waiting
+            await trio.lowlevel.checkpoint()  # those inside must not wait for a long queue at the door
+
+
+async def _wait_for_room(server: HttpServer) -> None:
+    """Wait until there may be one more client connection.
+
+    Clients that hold connections and say nothing must not shut the others out.
+    """
+    while len(server.connections) >= server.max_connections:
+        server.closed_counts["waits_at_the_door"] += 1
+        server.close_idle_connections()
+        await trio.sleep(ACCEPT_RETRY_S)
+    server.limit_server_connections()
+
+
+def _accept_some(listener: socket.socket, server: AnyServer, serve: Serve[AnyServer]) -> None:
+    """Accept what waits, as far as there is room, `MAX_ACCEPTED_AT_ONCE` at most.
+
+    Raises OSError where nothing waits any more (BlockingIOError), or it cannot be accepted.
+    """
+    room = server.max_connections - len(server.connections)
+    for _ in range(min(room, MAX_ACCEPTED_AT_ONCE)):
+        sock, _ = listener.accept()
+        server.nursery.start_soon(serve, Link(sock, server.nursery), server)
+
+
+async def _on_accept_error(server: HttpServer, error: OSError) -> None:
+    """Make room where no descriptor is left; where nothing can be closed, and after other errors, wait."""
+    server.closed_counts[f"accept_failed[{errno.errorcode.get(error.errno or 0, 'other')}]"] += 1
+    if error.errno in NO_DESCRIPTOR_ERRNOS and server.close_idle_server_connection():
+        await trio.lowlevel.checkpoint()
+        return
+    log.warning("accept_failed", extra=kv(reason=error))
+    await trio.sleep(ACCEPT_RETRY_S)
 
 
 def close_listener(listener: socket.socket) -> None:
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -137,13 +137,17 @@
         except CallError as error:
             client.respond(error.status, "", f"bad {error}\n".encode())
             return
+        arrived_at = self.clock.now() if request.arrived_at is None else request.arrived_at
+        deadline = arrived_at + call.budget - TRANSIT_MS
+        if deadline <= self.clock.now():
+            self.refuse_early(client, "refused_after_its_time")
+            return
         self._last_number += 1
         number = self._last_number
         client.request_accepted(number, call.budget)
         self._open_requests.requests[number] = OpenRequest(call, client)
         if request.body_stream is not None:
             self._open_requests.body_streams[number] = request.body_stream
-        deadline = self.clock.now() + call.budget - TRANSIT_MS
         arrival = api.Request(
             number,
             call.class_index,
@@ -172,6 +176,19 @@
         """How many clients wait for a response."""
         return len(self._open_requests.requests)
 
+    @property
+    def requests_in_progress(self) -> int:
+        """How many requests wait for a response."""
+        return len(self._open_requests.requests)
+
+    def limit_server_connections(self) -> None:
+        """Keep the connections to ticket servers to what clients leave."""
+        self.upstream.limit_connections()
+
+    def close_idle_server_connection(self) -> bool:
+        """Close a connection to a ticket server that carries nothing; False where there is none."""
+        return self.upstream.close_longest_idle()
+
     @property
     def max_descriptors(self) -> int:
         """How many file descriptors this process may have for connections."""
--- a/wickspring/net/unanswered.py
+++ b/wickspring/net/unanswered.py
@@ -39,6 +39,7 @@
     read_at: float  # when the whole of it had been read
     number: int | None = None  # None where its response has been given, but has not left whole
     unsent_bytes: int = 0  # of its response, that the kernel has not taken
+    unread_ms: float = 0.0  # that it lay in the kernel before it was read
 
 
 class UnansweredRequests:
@@ -55,6 +56,8 @@
         self.counts[request.reason] += 1
         now = self._clock.now()
         values: dict[str, object] = {"reason": request.reason.value, "age_ms": now - request.read_at}
+        if request.unread_ms:
+            values["unread_ms"] = request.unread_ms
         if request.unsent_bytes:
             values["unsent_bytes"] = request.unsent_bytes
         if drain_began_at is not None:
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -11,7 +11,7 @@
 import trio
 
 from wickspring import interface as api
-from wickspring.connections.limits import ConnectionLimits, max_server_connections
+from wickspring.connections.limits import CLIENT_HEADROOM, ConnectionLimits, max_server_connections
 from wickspring.connections.model import (
     Action,
     AssignConnection,
@@ -26,7 +26,7 @@
 from wickspring.interface import Readiness, Status
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
-from wickspring.net.link import Link, connect
+from wickspring.net.link import DialError, DialFailure, Link, dial
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.exchange import ExchangeResult, ServerConnection, ServerExchange
 
@@ -160,7 +160,7 @@
         """Carry an exchange on a connection that has room, or on a new one."""
         timed_out = partial(self.stop, exchange, ExchangeResult(Status.TIMEOUT))
         exchange.timer = self.timers.at(exchange.deadline, timed_out)
-        self._limit_connections()
+        self.limit_connections()
         expected_capacity = self._owner.expected_capacity(exchange.server)
         self._perform(self.pools.request_connection(self.clock.now(), exchange, expected_capacity))
 
@@ -209,16 +209,26 @@
 
     async def connect(self, connection: PooledConnection) -> Link | None:
         """Dial; None where it failed, which the pools know then, or was closed by this side meanwhile."""
-        sock = await connect(connection.address, self.settings.dial_timeout)
-        if connection.state is ConnectionState.CLOSED:
-            if sock is not None:
-                sock.close()
+        try:
+            sock = await dial(connection.address, self.settings.dial_timeout)
+        except DialError as error:
+            if connection.state is not ConnectionState.CLOSED:
+                self._dial_ended(connection, error.failure)
             return None
-        if sock is None:
-            self.dial_failed(connection)
+        if connection.state is ConnectionState.CLOSED:
+            sock.close()
             return None
         return Link(sock, self.nursery)
 
+    def _dial_ended(self, connection: PooledConnection, failure: DialFailure) -> None:
+        """Record that a dial did not come up: by the server's fault, or for want of descriptors here."""
+        self.pools.counters[f"dial_errors[{failure.value}]"] += 1
+        if failure is not DialFailure.NO_RESOURCES:
+            self.dial_failed(connection)
+            return
+        self._connections.pop(connection, None)
+        self._perform(self.pools.dial_not_made(connection))
+
     def dial_succeeded(self, connection: PooledConnection, capacity: int) -> None:
         """Record that a connection is up and carries so many exchanges at once."""
         self._perform(self.pools.dial_succeeded(self.clock.now(), connection, capacity))
@@ -310,11 +320,18 @@
 
     # Maintenance.
 
-    def _limit_connections(self) -> None:
+    def limit_connections(self) -> None:
+        """Keep to the descriptors that clients leave: idle connections beyond them are closed."""
         owner = self._owner
-        self.pools.settings.max_connections = max_server_connections(
-            self.limits, owner.max_descriptors, len(owner.connections)
-        )
+        clients = len(owner.connections) + CLIENT_HEADROOM
+        max_connections = max_server_connections(self.limits, owner.max_descriptors, clients)
+        self._perform(self.pools.limit_connections(max_connections))
+
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest; False where none is."""
+        actions = self.pools.close_longest_idle()
+        self._perform(actions)
+        return bool(actions)
 
     def _schedule_retry(self) -> None:
         """Have queues served again when time alone may have made room."""
@@ -325,12 +342,12 @@
 
     def _retry_queues(self) -> None:
         self._retry_at = math.inf
-        self._limit_connections()
+        self.limit_connections()
         self._perform(self.pools.retry_queues(self.clock.now()))
 
     def _maintain(self) -> None:
         self.timers.at(self.clock.now() + MAINTENANCE_MS, self._maintain)
-        self._limit_connections()
+        self.limit_connections()
         self._perform(self.pools.maintain(self.clock.now()))
         for server in [server for server in self._statuses if self._owner.server_entry(server) is None]:
             del self._statuses[server]
