--- a/wickspring/lab/emulation/site_faults.py
+++ b/wickspring/lab/emulation/site_faults.py
@@ -18,7 +18,7 @@
     from wickspring.lab.emulation.site import Site
 
 COUNTER_BACK_S = 4.0  # after which a counter that was lost with its hall is back elsewhere, empty
-GATEWAY_FAULTS = frozenset({FaultKind.INGRESS_CRASH, FaultKind.INGRESS_PAUSED})
+GATEWAY_FAULTS = frozenset({FaultKind.INGRESS_CRASH, FaultKind.INGRESS_PAUSED, FaultKind.INGRESS_THROTTLED})
 
 
 class SiteFaults:
--- a/wickspring/lab/experiments/evaluate.py
+++ b/wickspring/lab/experiments/evaluate.py
@@ -76,6 +76,10 @@
         else:
             result.failed += 1
             result.escalate_failed += once
+        if request.sent_at >= 0:
+            late_ms = request.sent_at - request.scheduled.at_ms
+            result.lab_sent_late_ms = max(result.lab_sent_late_ms, round(late_ms, 1))
+    result.lab_unread_longest_ms = record.unread_longest_ms
     requests = max(1, result.requests)
     result.served_share = result.served / requests
     result.served_in_aim_share = served_in_target / requests
--- a/wickspring/lab/experiments/scenario.py
+++ b/wickspring/lab/experiments/scenario.py
@@ -41,6 +41,7 @@
     DISCOVERY_SILENT = "discovery-silent"
     INGRESS_CRASH = "ingress-crash"
     INGRESS_PAUSED = "ingress-paused"
+    INGRESS_THROTTLED = "ingress-throttled"
     HALL_LOST = "hall-lost"
 
 
@@ -115,7 +116,8 @@
     kind: FaultKind
     for_s: float = 1.0
     servers: tuple[int, ...] = ()  # none: all
-    size: float = 1.0  # slow, counter-slow: times; spoilt, failing: share of answers; flush: of counts
+    # slow, counter-slow, ingress-throttled: times; spoilt, failing: share of answers; flush: of counts
+    size: float = 1.0
     ingresses: tuple[int, ...] = ()  # ingress-crash: which; none: every second one
     hall: int = 0  # hall-lost: which; its ingresses go with it
 
--- a/wickspring/lab/experiments/scenario_checks.py
+++ b/wickspring/lab/experiments/scenario_checks.py
@@ -7,7 +7,12 @@
 from wickspring.lab.experiments.scenario import Fault, FaultKind, NetFault, Scenario, ScenarioError, party
 
 MAX_NUMBER = 1e7
-SOCKET_FAULTS = (FaultKind.INGRESS_CRASH, FaultKind.INGRESS_PAUSED, FaultKind.HALL_LOST)
+SOCKET_FAULTS = (
+    FaultKind.INGRESS_CRASH,
+    FaultKind.INGRESS_PAUSED,
+    FaultKind.INGRESS_THROTTLED,
+    FaultKind.HALL_LOST,
+)
 VIRTUAL_FAULTS = (FaultKind.RESET_ALL, FaultKind.SLOW)
 
 
--- a/wickspring/lab/experiments/socket_run.py
+++ b/wickspring/lab/experiments/socket_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -14,14 +13,14 @@
 from wickspring.lab.emulation.peer_ingresses import COUNTER, DISCOVERY, PeerIngresses, liar_build
 from wickspring.lab.emulation.site import LabError, Progress, Site, limits_text, listen, report_progress
 from wickspring.lab.experiments.evaluate import evaluate
-from wickspring.lab.experiments.scenario import Fault, FaultKind, Scenario
-from wickspring.lab.reports.record import Outage
+from wickspring.lab.experiments.scenario import FaultKind, Scenario
+from wickspring.lab.faults.ingress_faults import IngressFaults
 from wickspring.lab.reports.result import Result
 from wickspring.lab.traffic import schedule as scripts
 from wickspring.lab.traffic.client import Load
+from wickspring.net.loop_monitor import LoopMonitor, add_loop_monitor
 
 MISSED_DEADLINE = "broken[answered_before_the_deadline]"
-FRONT_DETECTION_S = 1.5  # after which the front sends nothing more to a dead gateway
 START_DELAY_S = 0.2  # before the first request
 GRACE_S = 1.0  # after the last deadline
 POLL_S = 0.02
@@ -38,6 +37,7 @@
         self.script = scripts.draw_script(scenario, seed)
         self.site = Site(scenario, seed, self.script)
         self.gateways: list[GatewayProcess] = []
+        self.loop_monitor: LoopMonitor | None = None  # of the event loop of clients and emulated site
 
     async def run(self) -> Result:
         """Start everything, play the scenario, stop everything and evaluate what was recorded."""
@@ -109,15 +109,12 @@
             gateway.measure()
         cpu_ms_before = [gateway.cpu_ms for gateway in self.gateways]
         site.record.dials.clear()
+        self.loop_monitor = add_loop_monitor()
         site.clock.start(in_s=START_DELAY_S)
         site.start_faults(nursery)
         await peers.faults()
         nursery.start_soon(peers.sample)
-        for fault in self.scenario.fault:
-            if fault.kind == FaultKind.INGRESS_PAUSED:
-                nursery.start_soon(self._pause, fault)
-            if fault.kind in (FaultKind.INGRESS_CRASH, FaultKind.HALL_LOST):
-                nursery.start_soon(self._crash, fault, load, processes)
+        IngressFaults(self.scenario, site, self.gateways, load, processes).start(nursery)
         if self.progress is not None:
             nursery.start_soon(report_progress, self.scenario, site, self.progress)
         await load.run(self.script.requests, nursery)
@@ -129,48 +126,6 @@
             gateway.cpu_ms -= before
         await load.close()
 
-    async def _sleep_until(self, at_s: float) -> None:
-        await trio.sleep(max(0.0, 1000.0 * at_s - self.site.clock.now()) / 1000.0)
-
-    async def _pause(self, fault: Fault) -> None:
-        """Stop gateways with SIGSTOP and continue them: to them no time has passed."""
-        numbers = list(fault.ingresses) or [0]
-        await self._sleep_until(fault.at_s)
-        for number in numbers:
-            now = self.site.clock.now()
-            self.site.record.outages.append(Outage(number, now, now + 1000.0 * fault.for_s))
-            self.gateways[number].signal(signal.SIGSTOP)
-        try:
-            await trio.sleep(fault.for_s)
-        finally:
-            for number in numbers:
-                self.gateways[number].signal(signal.SIGCONT)
-
-    async def _crash(self, fault: Fault, load: Load, processes: trio.Nursery) -> None:
-        """Kill gateways and start them again later: they keep no state."""
-        numbers = self._crashed_gateways(fault)
-        await self._sleep_until(fault.at_s)
-        outages = []
-        for number in numbers:
-            outage = Outage(number, self.site.clock.now())
-            outages.append(outage)
-            self.site.record.outages.append(outage)
-            await self.gateways[number].kill()
-        await trio.sleep(min(FRONT_DETECTION_S, fault.for_s))
-        load.closed.update(numbers)
-        await trio.sleep(max(0.0, fault.for_s - FRONT_DETECTION_S))
-        for number, outage in zip(numbers, outages, strict=True):
-            await self.gateways[number].start(processes)
-            outage.until = self.site.clock.now()
-            load.addresses[number] = self.gateways[number].address
-            load.closed.discard(number)
-
-    def _crashed_gateways(self, fault: Fault) -> list[int]:
-        count = len(self.gateways)
-        if fault.kind == FaultKind.HALL_LOST:
-            return [number for number in range(count) if number % self.scenario.servers.halls == fault.hall]
-        return list(fault.ingresses) or list(range(0, count, 2))
-
     # Evaluation.
 
     def _evaluate(self, peers: PeerIngresses) -> Result:
@@ -184,6 +139,9 @@
                 result.rules_broken += 1
         result.gateway = dict(figures)
         result.instances = len(self.gateways)
+        if self.loop_monitor is not None:
+            result.lab_loop_longest_ms = round(self.loop_monitor.longest_ms, 1)
+            result.lab_loop_long_turns = self.loop_monitor.long_turns
         result.rules_broken += self._broken_invariants(figures)
         cpu_ms = sum(gateway.cpu_ms for gateway in self.gateways)
         result.cpu_ms_per_request = cpu_ms / max(1, result.requests)
--- a/wickspring/lab/reports/record.py
+++ b/wickspring/lab/reports/record.py
@@ -128,6 +128,7 @@
     overloaded: list[str] = field(default_factory=list)  # cold servers that went down under their load
     in_flight: dict[str, list[InFlightAttempt]] = field(default_factory=dict)  # by call id
     outages: list[Outage] = field(default_factory=list)
+    unread_longest_ms: float = 0.0  # that a response lay unread in the kernel before its client
 
     def was_interrupted(self, ingress: int, sent_at: float, ended_at: float) -> bool:
         """Tell whether a request's ingress went down before its end, or was down when it was sent.
--- a/wickspring/lab/traffic/client.py
+++ b/wickspring/lab/traffic/client.py
@@ -27,6 +27,7 @@
 )
 from wickspring.lab.simulation.clock import RunClock
 from wickspring.lab.traffic.schedule import ScheduledRequest
+from wickspring.net.tcp_info import unread_ms
 
 LATE_MS = 400.0  # for which an answer is awaited past the deadline: a late one breaks a rule
 RETRY_SHARE = 0.7  # of the refused or failed requests that are retried, where clients retry
@@ -49,6 +50,7 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
+        self.unread_longest_ms = 0.0  # that a response lay in the kernel
 
     @property
     def is_stale(self) -> bool:
@@ -72,6 +74,7 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 self.http.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+                self.unread_longest_ms = max(self.unread_longest_ms, unread_ms(self.stream.socket))
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {name.decode(): value.decode() for name, value in event.headers}
@@ -194,6 +197,8 @@
                 patience.deadline = max(patience.deadline, trio.current_time() + wait_s)
 
             response = await connection.exchange(data, on_sent)
+            longest_ms = max(self.record.unread_longest_ms, connection.unread_longest_ms)
+            self.record.unread_longest_ms = longest_ms
             if response is None:
                 request.broken_at = self.clock.now()
                 return False
--- a/wickspring/net/link.py
+++ b/wickspring/net/link.py
@@ -15,14 +15,10 @@
 
 import trio
 
+from wickspring.net.tcp_info import unread_ms
+
 READ_SIZE = 65536
 MOST_UNSENT = 1 << 20  # bytes; a peer that lets more pile up has stopped reading
-# Of `struct tcp_info` (linux/tcp.h): two of its fields, where they lie, and how much of it holds both.
-_LAST_DATA_RECEIVED = struct.Struct("=I")  # tcpi_last_data_recv, ms
-_LAST_DATA_RECEIVED_AT = 52
-_BYTES_RECEIVED = struct.Struct("=Q")  # tcpi_bytes_received
-_BYTES_RECEIVED_AT = 128
-_TCP_INFO_BYTES = 136
 
 
 class Link:
@@ -149,13 +145,7 @@
 
         Just after a read that is how long what was read had lain there, as far as it came in one piece.
         """
-        try:
-            info = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-        except OSError:  # closed meanwhile, or no TCP
-            return 0.0
-        if len(info) < _TCP_INFO_BYTES or not _BYTES_RECEIVED.unpack_from(info, _BYTES_RECEIVED_AT)[0]:
-            return 0.0
-        return float(_LAST_DATA_RECEIVED.unpack_from(info, _LAST_DATA_RECEIVED_AT)[0])
+        return unread_ms(self._sock)
 
     def finish(self) -> None:
         """Say that nothing more will be written; reading goes on, so that no reset hurts the answer."""
