Refuse requests early while those that come lie unread for too long

Cause: it began all that it read, each turn of its loop took longer, and a request needs some five turns; clients gave up while it worked for them.

Change: OverloadLimiter bounds requests in progress by how long requests lay unread, as a share of what their clients wait: a twentieth that stands for 200 ms, or a fifth at once, cuts the limit; it grows and is lifted after. Ingress and data plane use it, and refuse where nine tenths of the client connections have a request in progress. Up to 64 connections are accepted at a turn.

--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -35,6 +35,7 @@
 from wickspring.dataplane.request.model import IncomingRequest, RequestContext
 from wickspring.dataplane.request.response import Responder
 from wickspring.dataplane.request.startup_queue import StartupQueue
+from wickspring.dataplane.request.validation import client_deadline_ms
 from wickspring.dataplane.state_exchange import StateExchange
 from wickspring.dataplane.upstream import ConnectionDefaults, UpstreamConnection
 from wickspring.net.calls import Client
@@ -42,6 +43,7 @@
 from wickspring.net.datagrams import Udp
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
+from wickspring.net.loop_monitor import add_loop_monitor
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
@@ -139,6 +141,8 @@
 
     def handle_request(self, client: Client, request: HttpRequest) -> None:
         """Handle a request that a front has read from a client connection."""
+        if not self.has_room(client, request, client_deadline_ms(request.headers)):
+            return
         self._handle(
             IncomingRequest(
                 client,
@@ -222,6 +226,7 @@
     def start(self, peer_listener: socket.socket) -> None:
         """Start the tasks of this data plane; other data planes connect to `peer_listener`."""
         nursery = self.nursery
+        self.loop_monitor = add_loop_monitor()
         nursery.start_soon(self.timers.run)
         nursery.start_soon(self.control_client.run)
         nursery.start_soon(self.gossip.run)
@@ -242,6 +247,7 @@
             **self.request_context.event_counts,
             **{f"connections_closed[{reason}]": count for reason, count in self.closed_counts.items()},
             **self.unanswered.figures(),
+            **self.delay_figures(),
             **self.upstream.report(),
         }
 
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
+
 from wickspring.common.errors import ErrorKind
 from wickspring.common.routing_table import Route, RoutingTable, Tenant
 from wickspring.dataplane.policy.attempts import FINAL_RESPONSE_MARGIN_MS, Attempts
@@ -14,11 +17,18 @@
 from wickspring.dataplane.upstream import ATTEMPT_ID_HEADER, HeaderPairs, end_to_end_headers
 from wickspring.net.http1_front import Http1Connection
 
+DEADLINE_HEADER = "x-deadline-ms"
 MAX_DEADLINE_MS = 600_000.0
 RETRY_DEADLINE_SHARE = 0.97  # of a route's longest deadline; a client that allows less retries
 
 # Headers of the client's that are not passed on: the data plane sets its own, or consumes them.
-_REPLACED_HEADERS = frozenset({"host", "x-key", "x-tenant", "x-target-instance", "x-deadline-ms", "expect"})
+_REPLACED_HEADERS = frozenset({"host", "x-key", "x-tenant", "x-target-instance", DEADLINE_HEADER, "expect"})
+
+
+def client_deadline_ms(headers: Mapping[str, str]) -> float:
+    """Return how long a client waits for a response; infinity where it does not say, or not in digits."""
+    text = headers.get(DEADLINE_HEADER, "")
+    return float(text) if text.isdecimal() else math.inf
 
 
 class RequestValidator:
@@ -78,10 +88,10 @@
 
     def _deadline_ms(self, incoming: IncomingRequest) -> float:
         """Return how long the client waits for a response."""
-        text = incoming.headers.get("x-deadline-ms", "")
+        text = incoming.headers.get(DEADLINE_HEADER, "")
         if text and not text.isdecimal():
             raise RequestRefusedError(ErrorKind.BAD_REQUEST)
-        return min(float(text or "inf"), MAX_DEADLINE_MS)
+        return min(client_deadline_ms(incoming.headers), MAX_DEADLINE_MS)
 
     def _wait_ms(self, incoming: IncomingRequest, allowed_ms: float) -> float:
         """Return how long the client waits from now: it has waited since its request arrived."""
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -19,6 +19,8 @@
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.link import Link
+from wickspring.net.loop_monitor import LoopMonitor
+from wickspring.net.overload import OverloadLimiter
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
 
@@ -108,6 +110,9 @@
         self.drain_ends_at = math.inf  # ms
         self.closed_counts: Counter[str] = Counter()  # client connections closed by this side, by reason
         self.unanswered = UnansweredRequests(self.clock)
+        self.overload = OverloadLimiter()
+        self.unread_longest_ms = 0.0  # that a request has lain in the kernel
+        self.loop_monitor: LoopMonitor | None = None  # where the process times its event loop
         self._buffered_bytes: dict[Connection, int] = {}  # of incomplete requests
         self._total_buffered_bytes = 0
 
@@ -160,9 +165,6 @@
             self.closed_counts["refused_while_draining"] += 1
             client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
             return
-        if self.requests_in_progress >= FULL_SHARE * self.max_connections:
-            self.refuse_early(client, "refused_while_full")
-            return
         try:
             self.handle_request(client, request)
         except Exception as error:
@@ -170,6 +172,28 @@
             self.closed_counts["request_handling_failed"] += 1
             client.fail_request()
 
+    def has_room(self, client: Client, request: HttpRequest, budget_ms: float) -> bool:
+        """Tell whether a request may be begun; it is refused where this process is full or runs late.
+
+        `budget_ms` is how long its client waits; infinity where it does not say.
+        """
+        now, in_progress = self.clock.now(), self.requests_in_progress
+        unread_ms = now - request.arrived_at if request.arrived_at is not None else 0.0
+        self.unread_longest_ms = max(self.unread_longest_ms, unread_ms)
+        self.overload.record(now, unread_ms, budget_ms, in_progress)
+        if in_progress >= FULL_SHARE * self.max_connections:
+            self.refuse_early(client, "refused_while_full")
+            return False
+        if not self.overload.admits(in_progress):
+            self.refuse_early(client, "refused_while_late")
+            return False
+        return True
+
+    def delay_figures(self) -> dict[str, object]:
+        """Return how late this process runs, by the names that the figures have in logs and metrics."""
+        loop = self.loop_monitor.figures() if self.loop_monitor is not None else {}
+        return {"unread_longest_ms": round(self.unread_longest_ms, 1), **loop}
+
     def refuse_early(self, client: Client, reason: str) -> None:
         """Answer a request of which nothing has been begun: its client may ask again elsewhere at once."""
         self.closed_counts[reason] += 1
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-MAX_ACCEPTED_AT_ONCE = 8  # connections accepted before other tasks have their turn
+MAX_ACCEPTED_AT_ONCE = 64  # connections accepted before other tasks have their turn
 ACCEPT_RETRY_S = 0.01  # where there is no room for a connection, or no descriptor
 NO_DESCRIPTOR_ERRNOS = (errno.EMFILE, errno.ENFILE)
 
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -137,6 +137,8 @@
         except CallError as error:
             client.respond(error.status, "", f"bad {error}\n".encode())
             return
+        if not self.has_room(client, request, call.budget):
+            return
         arrived_at = self.clock.now() if request.arrived_at is None else request.arrived_at
         deadline = arrived_at + call.budget - TRANSIT_MS
         if deadline <= self.clock.now():
@@ -259,7 +261,8 @@
     # Periodic work.
 
     def _sweep(self) -> None:
-        self.dispatch(core.SweepDue())
+        """Sweep after the timers that are due by now: in a late turn, those of requests may still come."""
+        self.call_later(0.0, partial(self.dispatch, core.SweepDue()))
         self.call_later(SWEEP_MS, self._sweep)
 
     def _read_tenants(self) -> None:
@@ -280,6 +283,7 @@
             "connections": len(self.connections),
             **self.upstream.report(),
             "cpu_s": time.process_time(),
+            **self.delay_figures(),
             **self.reducer.counters,
             **{f"let_go[{reason}]": times for reason, times in self.closed_counts.items()},
             **self.unanswered.figures(),
