Close connections that only wait for their clients to close when others wait

Cause: a connection that ends with its response stays for up to a second until its client closes, and counts against the limit of client connections; a slow client keeps its place from others.

Change: at the limit, connections whose last response the kernel has taken and on which nothing is unread are closed.

--- a/wickspring/net/front_connection.py
+++ b/wickspring/net/front_connection.py
@@ -77,6 +77,18 @@
         self.link.finish()
         close_after_delivery(self.link, server)
 
+    def close_if_lingering(self) -> bool:
+        """Close it where its last response has left and it only waits for its client to close; tell whether.
+
+        The kernel still delivers what it has taken. Bytes that have come and are not read would make it reset
+        the connection instead, so such a one stays.
+        """
+        lingers = self.closing and self.link.flushed and not self.link.broken
+        if not lingers or self.link.peek() is not None:
+            return False
+        self.link.close()
+        return True
+
     def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
         if self.link.peek() is None:
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -79,6 +79,9 @@
     def close_if_unread(self, reason: EndReason) -> None:
         """Close it now, unless bytes have arrived that are not read yet."""
 
+    def close_if_lingering(self) -> bool:
+        """Close it where its last response has left and only its client's close is awaited; tell whether."""
+
     def close_if_idle(self, reason: EndReason) -> None:
         """Close it where nothing is owed on it: no request has come or is coming, all responses have left.
 
@@ -254,6 +257,16 @@
         """
         return len(self.connections) >= NEAR_LIMIT_SHARE * self.max_connections
 
+    def close_lingering_connections(self) -> bool:
+        """Close the connections whose last response has left; False where there is none.
+
+        They wait for their clients to close first, and a client that is slow to do so holds a descriptor that
+        others need.
+        """
+        closed = sum(connection.close_if_lingering() for connection in list(self.connections))
+        self.closed_counts["lingering"] += closed
+        return closed > 0
+
     def close_idle_connections(self) -> None:
         """Close the client connections that have been silent for longest, at most `CLOSE_AT_ONCE` of them.
 
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -51,9 +51,13 @@
 async def _wait_for_room(server: HttpServer) -> None:
     """Wait until there may be one more client connection.
 
-    Clients that hold connections and say nothing must not shut the others out.
+    Clients that hold connections and say nothing must not shut the others out, nor those that have their
+    response and are slow to close.
     """
     while len(server.connections) >= server.max_connections:
+        if server.close_lingering_connections():
+            await trio.lowlevel.checkpoint()
+            continue
         server.closed_counts["waits_at_the_door"] += 1
         server.close_idle_connections()
         await trio.sleep(ACCEPT_RETRY_S)
