Dial clients' connections of the laboratory without name resolution

Cause: each dial by trio.open_tcp_stream resolves a name, opens a nursery and races addresses; profiled, it was the largest part of the laboratory's own work. Change: dial the numeric address directly, with the product's own dial. A closed connection's last bytes no longer count as unread.

--- a/wickspring/lab/traffic/client.py
+++ b/wickspring/lab/traffic/client.py
@@ -27,6 +27,7 @@
 )
 from wickspring.lab.simulation.clock import RunClock
 from wickspring.lab.traffic.schedule import ScheduledRequest
+from wickspring.net.link import connect
 from wickspring.net.tcp_info import unread_ms
 
 LATE_MS = 400.0  # for which an answer is awaited past the deadline: a late one breaks a rule
@@ -73,8 +74,10 @@
         while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
-                self.http.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
-                self.unread_longest_ms = max(self.unread_longest_ms, unread_ms(self.stream.socket))
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+                if data:
+                    self.unread_longest_ms = max(self.unread_longest_ms, unread_ms(self.stream.socket))
+                self.http.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {name.decode(): value.decode() for name, value in event.headers}
@@ -182,10 +185,8 @@
         """
         connection = None if fresh else await self._take_idle(request.ingress)
         if connection is None:
-            host, _, port = self.addresses[request.ingress].rpartition(":")
-            try:
-                connection = ClientConnection(await trio.open_tcp_stream(host, int(port)))
-            except OSError:
+            connection = await self._dial(self.addresses[request.ingress])
+            if connection is None:
                 return False
         keep = False
         try:
@@ -212,6 +213,14 @@
             if not keep:
                 await trio.aclose_forcefully(connection.stream)
 
+    async def _dial(self, address: str) -> ClientConnection | None:
+        """Open a connection; None where that fails. The caller's patience bounds it."""
+        host, _, port = address.rpartition(":")
+        sock = await connect((host, int(port)), math.inf)
+        if sock is None:
+            return None
+        return ClientConnection(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+
     async def _take_idle(self, ingress: int) -> ClientConnection | None:
         """Take an idle connection that is still open; None if there is none."""
         pool = self.idle[ingress]
