Remember that an ingress was killed until its next process runs

Cause: GatewayProcess.start forgot the kill before the next process existed; a run that ended in between took the killed one for a crash. Change: it is forgotten once the next process runs.

--- a/wickspring/lab/emulation/gateway_process.py
+++ b/wickspring/lab/emulation/gateway_process.py
@@ -76,7 +76,6 @@
         Raises LabError where it ends first, or is not ready after `READY_TIMEOUT_S`.
         """
         command = [sys.executable, "-O", "-m", "wickspring", "serve"]
-        self.killed = False
         self.starting = True
         log_start = self._log.stat().st_size if self._log.exists() else 0  # behind earlier processes' lines
         with self._log.open("ab") as log:
@@ -89,6 +88,7 @@
                 check=False,
             )
             self.process = await nursery.start(run)
+            self.killed = False  # that was the process before
         limits = self._files.max_descriptors, self._files.max_descriptors
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)  # as the platform has it
         with trio.move_on_after(READY_TIMEOUT_S):
