--- a/tests/lab/test_gateway_process.py
+++ b/tests/lab/test_gateway_process.py
@@ -1,10 +1,10 @@
 """An ingress process of a run that is killed and started again: its own crash, and what the run did to it.
 
-What happened: beside 12 busy processes `ingress-crash` reported "crashed: n2 ended with -9" in one of two runs,
-though no ingress had crashed: 9 is SIGKILL, which only the run sends.
+What happened: beside 12 busy processes `ingress-crash` reported "crashed: n2 ended with -9" in one run of
+two, though no ingress had crashed: 9 is SIGKILL, which only the run sends.
 
-Why: the start of the next process forgot that the last one had been killed before there was a next one. A run
-that ended in between took the killed process for a crashed one; on a busy machine a start takes longer.
+Why: the start of the next process forgot that the last one had been killed before there was a next one. A
+run that ended in between took the killed process for a crashed one; on a busy machine a start takes longer.
 """
 
 from __future__ import annotations
--- a/tests/net/test_slow_closers.py
+++ b/tests/net/test_slow_closers.py
@@ -1,10 +1,10 @@
 """Clients that have their response and are slow to close, while others wait to be accepted.
 
-What happened: `ingress-crash` beside 12 busy processes lost 180 of 6,330 requests. An ingress near the limit
-of its client connections ends each with its response and waits up to a second for the client to close. The
-laboratory was late to do so, all places were taken by connections on which nothing was owed, and requests lay
-unread for up to 616 ms and more at the door (229 waits of 10 ms) while the ingress had hardly anything to do:
-no turn of its loop took longer than 55 ms.
+What happened: `ingress-crash` beside 12 busy processes lost 180 of 6,330 requests. An ingress near the
+limit of its client connections ends each with its response and waits up to a second for the client to
+close. The laboratory was late to do so, all places were taken by connections on which nothing was owed, and
+requests lay unread for up to 616 ms and more at the door (229 waits of 10 ms) while the ingress had hardly
+anything to do: no turn of its loop took longer than 55 ms.
 """
 
 from __future__ import annotations
