--- a/wickspring/lab/emulation/ticket_connections.py
+++ b/wickspring/lab/emulation/ticket_connections.py
@@ -44,4 +44,5 @@
 
     target: str
     headers: dict[str, str]
-    first_byte_at: float  # ms of the run
+    first_byte_at: float  # ms of the run, when the first byte was in the kernel
+    received_at: float  # the same for the last one
--- a/wickspring/lab/reports/record.py
+++ b/wickspring/lab/reports/record.py
@@ -47,7 +47,7 @@
     hall: int
     call_id: str
     first_byte_at: float
-    received_at: float  # when it had been received completely
+    received_at: float  # when its last byte was in the kernel
     reused: bool  # its connection had been used before
     started: bool = False  # the server began to work on it
     answered: bool = False
