--- a/tests/lab/test_overlapping_attempts.py
+++ b/tests/lab/test_overlapping_attempts.py
@@ -1,14 +1,14 @@
 """Attempts of one request at two servers: in flight at once, or one after another and read late.
 
-What happened: beside 8 and more busy processes `ingress-crash` found 1 to 3 requests with an attempt sent while
-an earlier one was in flight, which its site forbids.
+What happened: beside 8 and more busy processes `ingress-crash` found 1 to 3 requests with an attempt sent
+while an earlier one was in flight, which its site forbids.
 
-Why: a laboratory that is late may read two attempts in the other order. The one that it read first was open,
-being the later; the one that it read then had been closed by its ingress before that.
+Why: a laboratory that is late may read two attempts in the other order. The one that it read first was
+open, being the later; the one that it read then had been closed by its ingress before that.
 
-What showed it: request d6094feb4cbea2b1, whose attempts were in the kernels of s-2, s-7 and s-1 at 400, 570 and
-768 ms and were read as s-2, s-1, s-7; the log of its ingress has start and stop of each in turn, at 328, 506 and
-682 ms of the same second.
+What showed it: request d6094feb4cbea2b1, whose attempts were in the kernels of s-2, s-7 and s-1 at 400, 570
+and 768 ms and were read as s-2, s-1, s-7; the log of its ingress has start and stop of each in turn, at
+328, 506 and 682 ms of the same second.
 """
 
 from __future__ import annotations
