--- a/tests/core/test_reducer.py
+++ b/tests/core/test_reducer.py
@@ -191,6 +191,17 @@
     assert invariants.broken["answered before the deadline"] == 1
 
 
+def test_a_late_sweep_leaves_requests_whose_own_timers_come_next() -> None:
+    """Beside busy processes runs counted requests as left unanswered whose timers were due in the same turn."""
+    front = ScriptedReducer()
+    front.request()
+    front.now = 4500.0
+    assert front.feed(core.SweepDue(at=4000.0 - OVERDUE_MS)) == []
+    assert invariants.broken["answered before the deadline"] == 0
+    overdue = core.SweepDue(at=4000.0 - OVERDUE_MS + 1)
+    assert front.feed(overdue) == [core.SendResponse(1, core.ResponseKind.FAILED)]
+
+
 def test_invariants_are_asserted_in_debug_builds() -> None:
     assert invariants.check_invariant(True, "fine")
     with pytest.raises(AssertionError, match="not fine"):
--- a/wickspring/core/effects.py
+++ b/wickspring/core/effects.py
@@ -68,7 +68,13 @@
 
 @dataclass(slots=True, frozen=True)
 class SweepDue:
-    """Time to look for requests that were not answered before their deadline."""
+    """Time to look for requests that were not answered before their deadline.
+
+    `at` is a time (ms) by which all timers that were due have run; None: now. In a late turn of the event
+    loop that is earlier than now, and requests whose own timers come next are not overdue.
+    """
+
+    at: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickspring/core/reducer.py
+++ b/wickspring/core/reducer.py
@@ -212,8 +212,9 @@
     def _on_sweep_due(self, now: float, event: SweepDue) -> None:
         """Fail what the module has let run past its time: no client may be left without an answer."""
         self.call_ids.expire(now)
+        judged_at = now if event.at is None else event.at
         for pending in list(self.pending.values()):
-            if not pending.answered and now > pending.deadline - OVERDUE_MS:
+            if not pending.answered and judged_at > pending.deadline - OVERDUE_MS:
                 self._fail_overdue(now, pending)
 
     def _fail_overdue(self, now: float, pending: PendingRequest) -> None:
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -262,7 +262,7 @@
 
     def _sweep(self) -> None:
         """Sweep after the timers that are due by now: in a late turn, those of requests may still come."""
-        self.call_later(0.0, partial(self.dispatch, core.SweepDue()))
+        self.call_later(0.0, partial(self.dispatch, core.SweepDue(self.clock.now())))
         self.call_later(SWEEP_MS, self._sweep)
 
     def _read_tenants(self) -> None:
