--- a/tests/core/test_reducer.py
+++ b/tests/core/test_reducer.py
@@ -192,7 +192,7 @@
 
 
 def test_a_late_sweep_leaves_requests_whose_own_timers_come_next() -> None:
-    """Beside busy processes runs counted requests as left unanswered whose timers were due in the same turn."""
+    """Runs beside busy processes counted requests as unanswered whose timers were due in the same turn."""
     front = ScriptedReducer()
     front.request()
     front.now = 4500.0
