--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -45,7 +45,10 @@
                 return
             await _on_accept_error(server, error)
         else:
-            await trio.lowlevel.checkpoint()  # those inside must not wait for a long queue at the door
+            # Those inside must not wait for a long queue at the door. New connections count once their tasks
+            # have run, which may be after this one in the next turn: two turns are enough.
+            await trio.lowlevel.checkpoint()
+            await trio.lowlevel.checkpoint()
 
 
 async def _wait_for_room(server: HttpServer) -> None:
