--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -41,7 +41,7 @@
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the tests that are known to fail, whichever of them were run."""
     for entry in read_known_red():
-        terminalreporter.write_line(f"known red: {entry.test}: {entry.cause} (issue {entry.issue})")
+        terminalreporter.write_line(f"known red: {entry.test}: {entry.observation} (issue {entry.issue})")
 
 
 @pytest.fixture
--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -39,6 +39,12 @@
     assert not {seed: units for seed, units in excesses.items() if units > 0.0}
 
 
+# The owner of the count and the data planes that it served end together, while no other node knows the count.
+@pytest.mark.parametrize("seed", [395, 423, 660, 672, 972])
+def test_ceiling_holds_where_a_count_ends_with_its_owner_and_its_data_planes(seed: int) -> None:
+    assert excess(RestartSimulation(seed)) <= 0.0
+
+
 @pytest.mark.parametrize("first_seed", range(0, 4 * SEEDS_PER_TEST, SEEDS_PER_TEST))
 def test_ceiling_holds_with_all_control_planes_restarted(first_seed: int) -> None:
     """Data planes are cut off meanwhile, so the new processes have never heard of them."""
