Measure processor share and request cost, needless refusals, and unknown requests in the lab

Cause: refusals beside load, a request lost on the idle machine and a request without an id could not be told apart by figures. Change: net/work_estimate.py measures what a request costs and which share of its turns a process has a processor; refusals of which begun work would have been done in half of the client's time count as refused_with_time_left; the least limit and its cuts are told; an emulated ticket server keeps sender, use, target and headers of a request that no client sent.

--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -43,7 +43,6 @@
 from wickspring.net.datagrams import Udp
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
-from wickspring.net.loop_monitor import add_loop_monitor
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
@@ -226,7 +225,7 @@
     def start(self, peer_listener: socket.socket) -> None:
         """Start the tasks of this data plane; other data planes connect to `peer_listener`."""
         nursery = self.nursery
-        self.loop_monitor = add_loop_monitor()
+        self.monitor_loop()
         nursery.start_soon(self.timers.run)
         nursery.start_soon(self.control_client.run)
         nursery.start_soon(self.gossip.run)
--- a/wickspring/lab/emulation/ticket_servers.py
+++ b/wickspring/lab/emulation/ticket_servers.py
@@ -214,6 +214,8 @@
         arrival.overlaps = any(
             _overlap(other, InFlightAttempt(arrival, connection.sock)) for other in in_flight
         )
+        if call_id not in self.requests:
+            self._record_unknown(connection, request)
         attempt = InFlightAttempt(arrival, connection.sock)
         in_flight.append(attempt)
         try:
@@ -223,6 +225,14 @@
             if not in_flight:
                 self.record.in_flight.pop(call_id, None)
 
+    def _record_unknown(self, connection: ServerConnection, request: ReceivedRequest) -> None:
+        """Keep what names the sender of a request that no client of this run has sent."""
+        peer = _peer_name(connection.sock)
+        self.record.unknown_requests.append(
+            f"{self.name} {self.address} from {peer} at {request.received_at:.0f} ms, connected at "
+            f"{connection.opened_at:.0f} ms, use {connection.uses}: {request.target} {request.headers}"
+        )
+
     async def _handle(self, connection: ServerConnection, arrival: Arrival, open_cost_ms: float) -> bool:
         scheduled = self.requests.get(arrival.call_id)
         self.record.arrivals.append(arrival)
@@ -282,6 +292,15 @@
             self.kill()
 
 
+def _peer_name(sock: trio.socket.SocketType) -> str:
+    """Return the address of a connection's other side; "gone" where it has ended."""
+    try:
+        host, port = sock.getpeername()
+    except OSError:
+        return "gone"
+    return f"{host}:{port}"
+
+
 def _overlap(one: InFlightAttempt, other: InFlightAttempt) -> bool:
     """Tell whether two attempts of one request are, or have been, in flight at once.
 
--- a/wickspring/lab/experiments/evaluate.py
+++ b/wickspring/lab/experiments/evaluate.py
@@ -49,6 +49,7 @@
     result.beyond_quota_worst = excess.worst
     result.counter_calls_per_request = record.counters["counter_calls"] / max(1, result.requests)
     result.series = _series(scenario, record)
+    result.unknown_requests = record.unknown_requests[:MAX_SHOWN]
     result.connections_peak = max(result.series.open, default=0)
     return result
 
--- a/wickspring/lab/reports/record.py
+++ b/wickspring/lab/reports/record.py
@@ -129,6 +129,7 @@
     in_flight: dict[str, list[InFlightAttempt]] = field(default_factory=dict)  # by call id
     outages: list[Outage] = field(default_factory=list)
     unread_longest_ms: float = 0.0  # that a response lay unread in the kernel before its client
+    unknown_requests: list[str] = field(default_factory=list)  # that no client sent: sender, use and content
 
     def was_interrupted(self, ingress: int, sent_at: float, ended_at: float) -> bool:
         """Tell whether a request's ingress went down before its end, or was down when it was sent.
--- a/wickspring/lab/reports/result.py
+++ b/wickspring/lab/reports/result.py
@@ -95,6 +95,7 @@
     peak_rss_alone_mb: float = -1.0
     peer_bytes_s: float = -1.0  # sent to other ingresses, by the one that sent most
     violations: list[str] = []  # the first of each rule: name of the rule, colon, what broke it
+    unknown_requests: list[str] = []  # at ticket servers, that no client sent: sender, use and content
     gateway: dict[str, float] = {}  # the gateways' own counters, summed
     series: Series = msgspec.field(default_factory=Series)
 
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -19,10 +19,11 @@
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.link import Link
-from wickspring.net.loop_monitor import LoopMonitor
+from wickspring.net.loop_monitor import LoopMonitor, add_loop_monitor
 from wickspring.net.overload import OverloadLimiter
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
+from wickspring.net.work_estimate import WorkEstimate
 
 log = logging.getLogger(__name__)
 
@@ -38,6 +39,7 @@
 DRAINING_RETRY_MS = 50.0  # after which a request refused by a process that ends may come again, to another
 FULL_SHARE = 0.9  # of the client connections: with so many requests in progress, further ones are refused
 OVERLOAD_RETRY_MS = 100.0  # after which a request refused by a process without room may come again
+ANSWERED_SHARE = 0.5  # of a client's time: what is estimated to take less would have been answered in time
 CLOSE_AT_ONCE = 8  # idle connections closed at a time, so that a new client is accepted at once
 
 
@@ -114,6 +116,8 @@
         self.closed_counts: Counter[str] = Counter()  # client connections closed by this side, by reason
         self.unanswered = UnansweredRequests(self.clock)
         self.overload = OverloadLimiter()
+        self.work = WorkEstimate()
+        self.least_processor_share = 1.0
         self.unread_longest_ms = 0.0  # that a request has lain in the kernel
         self.loop_monitor: LoopMonitor | None = None  # where the process times its event loop
         self._buffered_bytes: dict[Connection, int] = {}  # of incomplete requests
@@ -188,18 +192,38 @@
             self.refuse_early(client, "refused_while_full")
             return False
         if not self.overload.admits(in_progress):
+            if self.work.time_ms(in_progress + 1) < ANSWERED_SHARE * (budget_ms - unread_ms):
+                self.closed_counts["refused_with_time_left"] += 1
             self.refuse_early(client, "refused_while_late")
             return False
+        self.work.count_admitted()
         return True
 
+    def monitor_loop(self) -> None:
+        """Time the event loop that this is called in, and what it gets of a processor."""
+        self.loop_monitor = add_loop_monitor(self._on_turns)
+
+    def _on_turns(self, processor_ms: float, turns_ms: float) -> None:
+        self.work.record_turns(processor_ms, turns_ms, self.requests_in_progress)
+        self.least_processor_share = min(self.least_processor_share, self.work.processor_share)
+
     def delay_figures(self) -> dict[str, object]:
         """Return how late this process runs, by the names that the figures have in logs and metrics."""
         loop = self.loop_monitor.figures() if self.loop_monitor is not None else {}
-        return {"unread_longest_ms": round(self.unread_longest_ms, 1), **loop}
+        return {
+            "unread_longest_ms": round(self.unread_longest_ms, 1),
+            "processor_share": round(self.work.processor_share, 3),
+            "processor_share_least": round(self.least_processor_share, 3),
+            "request_cost_ms": round(self.work.request_cost_ms, 3),
+            "overload_cuts": self.overload.cuts,
+            "overload_limit_least": round(self.overload.least_limit, 1),
+            **loop,
+        }
 
     def refuse_early(self, client: Client, reason: str) -> None:
         """Answer a request of which nothing has been begun: its client may ask again elsewhere at once."""
         self.closed_counts[reason] += 1
+        self.work.count_refused()
         client.respond(SERVICE_UNAVAILABLE, retry_after(OVERLOAD_RETRY_MS), b"")
 
     @abstractmethod
--- a/wickspring/net/loop_monitor.py
+++ b/wickspring/net/loop_monitor.py
@@ -7,17 +7,26 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import trio
 
 MS_PER_S = 1000.0
 LONG_TURN_MS = 100.0  # from which a turn is counted as long
+SAMPLE_MS = 20.0  # of turns, after which the processor time that they had is looked at
+
+OnTurns = Callable[[float, float], None]
+"""Takes in a sample: the processor time that some turns had, and how long they took (ms)."""
 
 
 class LoopMonitor(trio.abc.Instrument):
     """Times the turns of the event loop that it is added to, from one wait for I/O to the next."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_turns: OnTurns | None = None) -> None:
+        self._on_turns = on_turns
+        self._unsampled_ms = 0.0  # of turns that have ended
+        self._sampled_until: float | None = None  # seconds of the monotonic clock, within the present turn
+        self._processor_s = time.process_time()  # at the latest sample
         self.turns = 0
         self.long_turns = 0
         self.longest_ms = 0.0
@@ -26,18 +35,44 @@
 
     def after_io_wait(self, timeout: float) -> None:
         """Note that a turn begins."""
-        self._turn_began_at = time.monotonic()
+        self._turn_began_at = self._sampled_until = time.monotonic()
 
     def before_io_wait(self, timeout: float) -> None:
         """Take in the turn that ends."""
         if self._turn_began_at is None:
             return
-        turn_ms = MS_PER_S * (time.monotonic() - self._turn_began_at)
+        now = time.monotonic()
+        turn_ms = MS_PER_S * (now - self._turn_began_at)
+        self._take_unsampled(now)
+        if self._unsampled_ms >= SAMPLE_MS:
+            self._sample()
+        self._sampled_until = None
         self.turns += 1
         self.busy_ms += turn_ms
         self.long_turns += turn_ms >= LONG_TURN_MS
         self.longest_ms = max(self.longest_ms, turn_ms)
 
+    def sample_present_turn(self) -> None:
+        """Have what the present turn has taken so far looked at, where that is long enough."""
+        if self._sampled_until is None:
+            return
+        now = time.monotonic()
+        if MS_PER_S * (now - self._sampled_until) >= SAMPLE_MS:
+            self._take_unsampled(now)
+            self._sample()
+
+    def _take_unsampled(self, now: float) -> None:
+        if self._sampled_until is not None:
+            self._unsampled_ms += MS_PER_S * (now - self._sampled_until)
+            self._sampled_until = now
+
+    def _sample(self) -> None:
+        processor_s = time.process_time()
+        if self._on_turns is not None:
+            self._on_turns(MS_PER_S * (processor_s - self._processor_s), self._unsampled_ms)
+        self._processor_s = processor_s
+        self._unsampled_ms = 0.0
+
     def figures(self) -> dict[str, float]:
         """Return the figures of all turns so far, by the names that they have in logs and metrics."""
         return {
@@ -48,8 +83,8 @@
         }
 
 
-def add_loop_monitor() -> LoopMonitor:
-    """Time the turns of the event loop that this is called in."""
-    monitor = LoopMonitor()
+def add_loop_monitor(on_turns: OnTurns | None = None) -> LoopMonitor:
+    """Time the turns of the event loop that this is called in; `on_turns` takes in samples of them."""
+    monitor = LoopMonitor(on_turns)
     trio.lowlevel.add_instrument(monitor)
     return monitor
--- a/wickspring/net/overload.py
+++ b/wickspring/net/overload.py
@@ -28,6 +28,8 @@
 
     def __init__(self) -> None:
         self.limit = math.inf  # requests in progress
+        self.cuts = 0
+        self.least_limit = -1.0  # that there has been; -1: none
         self.delay_share = 0.0  # of the clients' time, mean of the last window
         self._window_began_at = -math.inf
         self._sum = 0.0
@@ -68,6 +70,8 @@
         self._cut_at = now
         cut = FIRST_CUT * in_progress if math.isinf(self.limit) else FURTHER_CUT * self.limit
         self.limit = max(MIN_LIMIT, cut)
+        self.cuts += 1
+        self.least_limit = self.limit if self.least_limit < 0 else min(self.least_limit, self.limit)
 
     def _grow(self, in_progress: int) -> None:
         """Raise the limit, and lift it once it binds no more."""
--- a/wickspring/net/server.py
+++ b/wickspring/net/server.py
@@ -20,7 +20,6 @@
 from wickspring.net.handover import Predecessor, Successor
 from wickspring.net.ingress_process import IngressProcess
 from wickspring.net.listening import Serve, listen
-from wickspring.net.loop_monitor import add_loop_monitor
 from wickspring.net.reload import ReadInstance, reload
 from wickspring.net.runtime import Runtime
 from wickspring.settings.address import parse_address
@@ -80,7 +79,7 @@
         await self._start_peers()
         listeners = open_listeners(self.instance, inherited)
         self._make_fronts(listeners)
-        self.runtime.loop_monitor = add_loop_monitor()
+        self.runtime.monitor_loop()
         self.nursery.start_soon(self.runtime.timers.run)
         await self._wait_for_servers()
         gc.collect()
--- /dev/null
+++ b/wickspring/net/work_estimate.py
@@ -0,0 +1,64 @@
+"""How long the work that a process has begun will still take. No I/O, no clock.
+
+Two figures are measured: how much processor time a request takes, and for which share of the time of its
+event loop's turns the process has a processor; for the rest it waits behind others, or is stopped. With N
+requests in progress, one more is done after about N x cost / share, as all of them advance side by side
+(Little's law).
+"""
+
+from __future__ import annotations
+
+SHARE_HORIZON_MS = 200.0  # of turns, over which the share is averaged: a shortage is known after as long
+COST_HORIZON = 200.0  # requests, over which their cost is averaged
+FIRST_COST_MS = 2.0  # taken for the cost until requests have been measured
+MIN_COST_MS, MAX_COST_MS = 0.2, 10.0  # beyond which a cost is no request's: other work, or none, was measured
+MIN_SHARE = 0.01  # of a processor: a lower one would be a guess from a few turns
+REFUSAL_COST = 0.1  # of a request's cost: what refusing one takes
+
+
+class WorkEstimate:
+    """The estimate of one process, from samples of its event loop."""
+
+    def __init__(self) -> None:
+        self.processor_share = 1.0  # of the time of turns
+        self._cost_sum_ms = FIRST_COST_MS * COST_HORIZON
+        self._cost_count = COST_HORIZON
+        self._admitted = 0  # since the latest sample
+        self._refused = 0
+
+    @property
+    def request_cost_ms(self) -> float:
+        """Return the processor time that a request takes."""
+        return min(MAX_COST_MS, max(MIN_COST_MS, self._cost_sum_ms / self._cost_count))
+
+    def count_admitted(self) -> None:
+        """Count a request that is begun."""
+        self._admitted += 1
+
+    def count_refused(self) -> None:
+        """Count a request that is refused before anything is begun."""
+        self._refused += 1
+
+    def record_turns(self, processor_ms: float, turns_ms: float, in_progress: int) -> None:
+        """Take in a sample: how much processor time some turns had, of how much time they took.
+
+        `in_progress` is how many requests are: without any, the time went into other work.
+        """
+        if turns_ms <= 0.0:
+            return
+        weight = min(1.0, turns_ms / SHARE_HORIZON_MS)
+        share = min(1.0, processor_ms / turns_ms)
+        self.processor_share = max(MIN_SHARE, (1.0 - weight) * self.processor_share + weight * share)
+        count = self._admitted + REFUSAL_COST * self._refused
+        self._admitted = self._refused = 0
+        if count or in_progress:
+            self._record_cost(processor_ms, count)
+
+    def _record_cost(self, processor_ms: float, count: float) -> None:
+        kept = max(0.0, 1.0 - count / COST_HORIZON)
+        self._cost_sum_ms = kept * self._cost_sum_ms + processor_ms
+        self._cost_count = kept * self._cost_count + count
+
+    def time_ms(self, requests: int) -> float:
+        """Return how long this process takes for so many requests that are in progress together."""
+        return requests * self.request_cost_ms / self.processor_share
