Know the connection that is idle for longest instead of searching all for it at each dial

Cause: at its limit of connections each dial, and each connection that came up while requests waited, searched all pools for the connection idle for longest. Change: connections are kept in the order in which they became idle; data plane and HTTP/2 use the same table.

--- a/wickspring/connections/pool_table.py
+++ b/wickspring/connections/pool_table.py
@@ -23,6 +23,9 @@
         self.pools: dict[api.ServerId, ServerPool] = {}
         # Pools with a queue that connections may be dialed for, in the order of their turns.
         self.waiting: dict[ServerPool, None] = {}
+        # Connections that are up and carry nothing, the one idle for longest first. A process that is short
+        # of descriptors asks for it at each dial, so it must not be searched for among all.
+        self.idle: dict[PooledConnection, None] = {}
         self.connection_count = 0
         self.counters: Counter[str] = Counter()
         self.actions: list[Action] = []
@@ -47,9 +50,17 @@
             return
         connection.state = ConnectionState.CLOSED
         connection.capacity = 0
+        self.idle.pop(connection, None)
         connection.pool.connections.remove(connection)
         self.connection_count -= 1
 
+    def became_idle(self, connection: PooledConnection, now: float) -> None:
+        """Record that a connection carries nothing from now on."""
+        connection.idle_since = now
+        self.idle.pop(connection, None)
+        if connection.is_idle:
+            self.idle[connection] = None
+
     def close(self, connection: PooledConnection, reason: str) -> None:
         """Remove a connection and have it closed."""
         self.counters[f"ended[{reason}]"] += 1
@@ -66,14 +77,7 @@
 
     def longest_idle(self, other_than: ServerPool | None = None) -> PooledConnection | None:
         """Return the connection idle for longest, leaving out one pool; None where none is idle."""
-        idle = (
-            connection
-            for pool in self.pools.values()
-            if pool is not other_than
-            for connection in pool.connections
-            if connection.is_idle
-        )
-        return min(idle, key=lambda connection: connection.idle_since, default=None)
+        return next((connection for connection in self.idle if connection.pool is not other_than), None)
 
     def close_longest_idle(self, reason: str, other_than: ServerPool | None = None) -> bool:
         """Close the connection idle for longest, leaving out one pool; False where none is idle."""
--- a/wickspring/connections/pools.py
+++ b/wickspring/connections/pools.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from random import Random
 
 from wickspring import interface as api
@@ -70,6 +71,11 @@
         """How many connections are being dialed."""
         return self._dialer.in_progress
 
+    @property
+    def idle_connections(self) -> Iterable[PooledConnection]:
+        """The connections that are up and carry nothing, the one idle for longest first."""
+        return self._table.idle
+
     @property
     def has_waiting_requests(self) -> bool:
         """Whether a request waits for a connection."""
@@ -107,7 +113,7 @@
                 pool.latest_answered_at = max(pool.latest_answered_at, request.assigned_at)
         connection.in_flight -= 1
         if not connection.in_flight:
-            connection.idle_since = now
+            self._table.became_idle(connection, now)
         if connection.state is not ConnectionState.UP:
             return []
         if pool is None or pool is not connection.pool:  # replaced meanwhile, or gone
@@ -167,7 +173,7 @@
         pool = self._dialer.dial_ended(connection)
         connection.state = ConnectionState.UP
         connection.capacity = capacity
-        connection.idle_since = now
+        self._table.became_idle(connection, now)
         retirement.schedule_retirement(connection, now, self.settings.limits, self._random)
         if pool is None or capacity <= 0:
             self._table.close(connection, "moved")
@@ -337,6 +343,7 @@
         request.connection = connection
         self._losses.assigned(now, connection, request)
         self.counters["reuses" if connection.requests_assigned else "firsts"] += 1
+        self._table.idle.pop(connection, None)
         connection.in_flight += 1
         connection.requests_assigned += 1
         self._table.actions.append(AssignConnection(request, connection))
