Judge overlapping attempts by when the kernel saw the close of the one that came first

Change: the time of the close is read from the kernel (tcpi_last_ack_recv of a connection in CLOSE_WAIT), in either order of reading; where it is unknown, as after a reset, that case says 'at once' again as before.

--- a/tests/lab/test_overlapping_attempts.py
+++ b/tests/lab/test_overlapping_attempts.py
@@ -18,9 +18,62 @@
 import pytest
 import trio
 
+from wickspring.lab.emulation.ticket_connections import reset
 from wickspring.lab.emulation.ticket_servers import _overlap
 from wickspring.lab.reports.record import Arrival, InFlightAttempt
 
+GAP_MS = 100.0  # between the arrivals of two attempts
+
+
+class TwoAttempts:
+    """Two attempts of one request on connections of TCP; the first came `GAP_MS` before the second."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        pairs = [self._connect(listener) for _ in range(2)]
+        self.far = [far for _, far in pairs]
+        self.attempts = [
+            InFlightAttempt(
+                Arrival(f"s-{number}", 0, "one", GAP_MS * number, GAP_MS * number, reused=False),
+                trio.socket.from_stdlib_socket(near),
+            )
+            for number, (near, _) in enumerate(pairs)
+        ]
+
+    def _connect(self, listener: socket.socket) -> tuple[socket.socket, socket.socket]:
+        far = socket.create_connection(listener.getsockname())
+        near, _ = listener.accept()
+        return near, far
+
+    def overlap(self, read_in_order: bool, now: float) -> bool:
+        """Judge them at a time, by which of them is read last."""
+        first, second = self.attempts
+        return _overlap(first, second, now) if read_in_order else _overlap(second, first, now)
+
+    def close(self) -> None:
+        for far, attempt in zip(self.far, self.attempts, strict=True):
+            far.close()
+            attempt.sock.close()
+
+
+def judge(is_open: tuple[bool, bool], read_in_order: bool, closed_at: float, resets: bool = False) -> bool:
+    """Close what is not open at a time (ms), and judge both attempts a little later."""
+
+    async def main() -> bool:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            two = TwoAttempts(listener)
+            for stays_open, far in zip(is_open, two.far, strict=True):
+                if not stays_open:
+                    if resets:
+                        reset(far)
+                    far.close()
+            await trio.sleep(0.02)
+            try:
+                return two.overlap(read_in_order, closed_at + 20.0)
+            finally:
+                two.close()
+
+    return trio.run(main)
+
 
 @pytest.mark.parametrize(
     ("first_open", "second_open", "read_in_order", "expected"),
@@ -37,23 +90,19 @@
 def test_attempts_overlap_only_where_both_were_open(
     first_open: bool, second_open: bool, read_in_order: bool, expected: bool
 ) -> None:
-    """`first` is the one that came first; where not read in order, the second was read before it."""
-
-    async def main() -> None:
-        pairs = [socket.socketpair() for _ in range(2)]
-        attempts = []
-        for number, (near, _) in enumerate(pairs):
-            arrived_at = 100.0 * number
-            arrival = Arrival(f"s-{number}", 0, "one", arrived_at, arrived_at, reused=False)
-            attempts.append(InFlightAttempt(arrival, trio.socket.from_stdlib_socket(near)))
-        for is_open, (_, far) in zip((first_open, second_open), pairs, strict=True):
-            if not is_open:
-                far.close()
-        first, second = attempts
-        read_before, read_now = (first, second) if read_in_order else (second, first)
-        assert _overlap(read_before, read_now) is expected
-        for near, far in pairs:
-            near.close()
-            far.close()
+    """What is closed was closed before the second came; where not read in order, that was read before it."""
+    assert judge((first_open, second_open), read_in_order, GAP_MS / 2.0) is expected
+
+
+@pytest.mark.parametrize("read_in_order", [True, False])
+@pytest.mark.parametrize("second_open", [True, False])
+def test_an_attempt_closed_after_the_next_had_come_overlaps_it(
+    second_open: bool, read_in_order: bool
+) -> None:
+    """Guards against a check that took any close for an earlier one (since 08ed9ba)."""
+    assert judge((False, second_open), read_in_order, 3.0 * GAP_MS)
+
 
-    trio.run(main)
+@pytest.mark.parametrize("closed_at", [GAP_MS / 2.0, 3.0 * GAP_MS])
+def test_an_attempt_that_was_reset_at_an_unknown_time_and_is_read_last_overlaps(closed_at: float) -> None:
+    assert judge((False, True), read_in_order=False, closed_at=closed_at, resets=True)
--- a/wickspring/lab/emulation/ticket_servers.py
+++ b/wickspring/lab/emulation/ticket_servers.py
@@ -25,7 +25,7 @@
 from wickspring.lab.reports.record import Arrival, ColdLoad, InFlightAttempt, Record, ServerEvent
 from wickspring.lab.simulation.clock import RunClock
 from wickspring.lab.traffic.schedule import ScheduledRequest
-from wickspring.net.tcp_info import unread_ms
+from wickspring.net.tcp_info import peer_closed_ms, unread_ms
 
 KERNEL_CLOCK_STEP_MS = 10.0  # or less, in which times of arrival are told
 LOAD_REPORT_PATHS = ("/metrics/load", "/alive")
@@ -212,7 +212,8 @@
         )
         in_flight = self.record.in_flight.setdefault(call_id, [])
         arrival.overlaps = any(
-            _overlap(other, InFlightAttempt(arrival, connection.sock)) for other in in_flight
+            _overlap(other, InFlightAttempt(arrival, connection.sock), self.clock.now())
+            for other in in_flight
         )
         if call_id not in self.requests:
             self._record_unknown(connection, request)
@@ -301,16 +302,24 @@
     return f"{host}:{port}"
 
 
-def _overlap(one: InFlightAttempt, other: InFlightAttempt) -> bool:
+def _overlap(read_before: InFlightAttempt, read_now: InFlightAttempt, now: float) -> bool:
     """Tell whether two attempts of one request are, or have been, in flight at once.
 
-    They are where the one that came first is open still. A server that is late may read it last, when its
-    ingress has closed it and gone on to the other.
+    They are where the one that came first is open still, or was closed after the other had come. A server
+    that is late may read it last, when its ingress has closed it and gone on to the other; where the kernel
+    does not tell when it was closed, the other's being open then counts as at once.
     """
-    first, second = sorted((one, other), key=lambda attempt: attempt.arrival.received_at)
+    first, second = sorted((read_before, read_now), key=lambda attempt: attempt.arrival.received_at)
     if second.arrival.received_at - first.arrival.received_at < KERNEL_CLOCK_STEP_MS:
-        return _is_open(one) and _is_open(other)  # which came first is not certain
-    return _is_open(first)
+        return _is_open(first) and _is_open(second)  # which came first is not certain
+    if _is_open(first):
+        return True
+    if first.arrival.answered:
+        return False
+    closed_ms = peer_closed_ms(first.sock)
+    if closed_ms is None:
+        return first is read_now and _is_open(second)
+    return now - closed_ms > second.arrival.received_at + KERNEL_CLOCK_STEP_MS
 
 
 def _is_open(attempt: InFlightAttempt) -> bool:
