Begin what the processor can do in the client's time, instead of cutting a count by the delay

Callers saw: refusals that nobody needed. Cause: a mean delay above a twentieth of the clients' time, from one burst or a few late turns, cut a count of requests to 0.7 of what was in progress and then by 0.8 each window, whatever the process could have done; it grew by a tenth. Evidence: refused_with_time_left, the least limit (38 to 58) and at least 0.15 of a processor at that time. Change: while requests lie unread for long, one more is begun where what is in progress, at its measured cost and share of a processor, takes 0.35 of the client's time; in a shortage that stays that part falls to 0.1, as more in progress only wait longer. Why it works: it refuses what would not be answered, and is indifferent to late turns.

--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -39,7 +39,6 @@
 DRAINING_RETRY_MS = 50.0  # after which a request refused by a process that ends may come again, to another
 FULL_SHARE = 0.9  # of the client connections: with so many requests in progress, further ones are refused
 OVERLOAD_RETRY_MS = 100.0  # after which a request refused by a process without room may come again
-ANSWERED_SHARE = 0.5  # of a client's time: what is estimated to take less would have been answered in time
 CLOSE_AT_ONCE = 8  # idle connections closed at a time, so that a new client is accepted at once
 
 
@@ -115,8 +114,8 @@
         self.drain_ends_at = math.inf  # ms
         self.closed_counts: Counter[str] = Counter()  # client connections closed by this side, by reason
         self.unanswered = UnansweredRequests(self.clock)
-        self.overload = OverloadLimiter()
         self.work = WorkEstimate()
+        self.overload = OverloadLimiter(self.work)
         self.least_processor_share = 1.0
         self.unread_longest_ms = 0.0  # that a request has lain in the kernel
         self.loop_monitor: LoopMonitor | None = None  # where the process times its event loop
@@ -184,21 +183,27 @@
 
         `budget_ms` is how long its client waits; infinity where it does not say.
         """
-        now, in_progress = self.clock.now(), self.requests_in_progress
-        unread_ms = now - request.arrived_at if request.arrived_at is not None else 0.0
-        self.unread_longest_ms = max(self.unread_longest_ms, unread_ms)
-        self.overload.record(now, unread_ms, budget_ms, in_progress)
-        if in_progress >= FULL_SHARE * self.max_connections:
-            self.refuse_early(client, "refused_while_full")
-            return False
-        if not self.overload.admits(in_progress):
-            if self.work.time_ms(in_progress + 1) < ANSWERED_SHARE * (budget_ms - unread_ms):
-                self.closed_counts["refused_with_time_left"] += 1
-            self.refuse_early(client, "refused_while_late")
+        reason = self._refusal_reason(request.arrived_at, budget_ms)
+        if reason is not None:
+            self.refuse_early(client, reason)
             return False
         self.work.count_admitted()
         return True
 
+    def _refusal_reason(self, arrived_at: float | None, budget_ms: float) -> str | None:
+        """Return why a request is not to be begun, by the name of its counter; None where it is."""
+        now, in_progress = self.clock.now(), self.requests_in_progress
+        unread_ms = now - arrived_at if arrived_at is not None else 0.0
+        self.unread_longest_ms = max(self.unread_longest_ms, unread_ms)
+        self.overload.record(now, unread_ms, budget_ms)
+        if in_progress >= FULL_SHARE * self.max_connections:
+            return "refused_while_full"
+        if self.overload.runs_late(now) and self.loop_monitor is not None:
+            self.loop_monitor.sample_present_turn()  # a shortage may have begun with it
+        if not self.overload.admits(now, budget_ms - unread_ms, in_progress):
+            return "refused_while_late"
+        return None
+
     def monitor_loop(self) -> None:
         """Time the event loop that this is called in, and what it gets of a processor."""
         self.loop_monitor = add_loop_monitor(self._on_turns)
@@ -215,16 +220,19 @@
             "processor_share": round(self.work.processor_share, 3),
             "processor_share_least": round(self.least_processor_share, 3),
             "request_cost_ms": round(self.work.request_cost_ms, 3),
-            "overload_cuts": self.overload.cuts,
-            "overload_limit_least": round(self.overload.least_limit, 1),
+            "late_spells": self.overload.late_spells,
+            "refused_at_least": self.overload.least_refused_at or 0,
             **loop,
         }
 
     def refuse_early(self, client: Client, reason: str) -> None:
         """Answer a request of which nothing has been begun: its client may ask again elsewhere at once."""
+        self._count_refusal(reason)
+        client.respond(SERVICE_UNAVAILABLE, retry_after(OVERLOAD_RETRY_MS), b"")
+
+    def _count_refusal(self, reason: str) -> None:
         self.closed_counts[reason] += 1
         self.work.count_refused()
-        client.respond(SERVICE_UNAVAILABLE, retry_after(OVERLOAD_RETRY_MS), b"")
 
     @abstractmethod
     def handle_request(self, client: Client, request: HttpRequest) -> None:
--- a/wickspring/net/overload.py
+++ b/wickspring/net/overload.py
@@ -1,80 +1,74 @@
-"""Overload control: while requests lie unread for too long, fewer may be in progress. No I/O, no clock.
+"""Overload control: a process that runs late begins no more than it can answer in time. No I/O, no clock.
 
 A process that gets less processor time than its requests need takes ever longer turns of its event loop. What
 arrives meanwhile waits in the kernel, and each step of a request waits for a turn of its own, until clients
-give up and all work is for nothing. So requests beyond a limit are refused while they are cheap, by the delay
-that is measured: how long requests lie unread, as a share of the time that their clients wait. The delay is
-averaged over short windows and must stand for a while, as in CoDel (RFC 8289), unless it is very long; the
-limit is cut by a factor and grows by steps.
+give up and all work is for nothing. Once a request has lain unread for long, further ones are begun only
+where those in progress leave them time: admission by the work that can be done, as in Breakwater (Cho et al.,
+2020), reckoned in processor time (`WorkEstimate`). A late turn alone refuses nothing, nor do slow servers:
+while they work, requests are read in time.
 """
 
 from __future__ import annotations
 
 import math
 
-WINDOW_MS = 100.0  # over which the delay is averaged
-TARGET_SHARE = 0.05  # of a client's time: a request has some five steps, and each waits about as long
-URGENT_SHARE = 0.2  # at which the limit is cut at once
-STANDING_MS = 200.0  # for which the delay must have been above the target: one late turn is no overload
-FIRST_CUT = 0.7  # of the requests in progress, when the delay has stood for so long
-FURTHER_CUT = 0.8  # of the limit, for each further window above the target
-GROWTH = 0.1  # of the limit, for each window below the target,
-GROWTH_STEP = 1.0  # and requests
-MIN_LIMIT = 4.0  # requests in progress
+from wickspring.net.work_estimate import WorkEstimate
+
+LATE_SHARE = 0.03  # of a client's time that a request has lain unread: from then on the process runs late
+LATE_FOR_MS = 1000.0  # after the latest request that has lain unread for so long
+# Of the time that a client still has, the part in which begun work is to be done. The rest is for servers,
+# for requests that need more steps than most, and for what lies unread meanwhile. A burst may use that part;
+# in a shortage that stays, more requests in progress only wait longer (a standing queue, RFC 8289).
+BURST_SHARE = 0.35
+STANDING_SHARE = 0.1
+HALVED_EACH_MS = 500.0  # of a time in which requests are refused
+REFUSING_FOR_MS = 1000.0  # after the latest refusal; then the next is of another burst
+MIN_IN_PROGRESS = 4  # requests that may be in progress in any case
 
 
 class OverloadLimiter:
-    """The limit of one process. Times are milliseconds of one clock that does not go back."""
+    """The admission of one process. Times are milliseconds of one clock that does not go back."""
 
-    def __init__(self) -> None:
-        self.limit = math.inf  # requests in progress
-        self.cuts = 0
-        self.least_limit = -1.0  # that there has been; -1: none
-        self.delay_share = 0.0  # of the clients' time, mean of the last window
-        self._window_began_at = -math.inf
-        self._sum = 0.0
-        self._count = 0
-        self._cut_at = -math.inf
-        self._above_since = math.inf  # since when each window has been above the target
+    def __init__(self, work: WorkEstimate) -> None:
+        self._work = work
+        self._late_until = -math.inf
+        self._refusing_since = -math.inf
+        self._refusing_until = -math.inf
+        self.late_spells = 0  # times in which the process ran late, one after another
+        self.least_refused_at: int | None = None  # requests in progress, where one more was refused
 
-    def admits(self, in_progress: int) -> bool:
-        """Tell whether one more request may be in progress."""
-        return in_progress < self.limit
+    def runs_late(self, now: float) -> bool:
+        """Tell whether requests have lain unread for long, now or lately."""
+        return now < self._late_until
 
-    def record(self, now: float, unread_ms: float, budget_ms: float, in_progress: int) -> None:
+    def record(self, now: float, unread_ms: float, budget_ms: float) -> None:
         """Take in how long a request lay unread, of how long its client waits in all.
 
-        `in_progress` is how many other requests are. A budget of infinity is no limit of the client's. What
-        arrived before the last cut says nothing of its effect and is left out.
+        A budget of infinity is no limit of the client's.
         """
-        if now - unread_ms < self._cut_at:
-            return
-        if now >= self._window_began_at + WINDOW_MS:
-            self._end_window(now, in_progress)
-        self._sum += min(1.0, unread_ms / max(1.0, budget_ms))
-        self._count += 1
+        if unread_ms > LATE_SHARE * budget_ms:
+            self.late_spells += not self.runs_late(now)
+            self._late_until = now + LATE_FOR_MS
 
-    def _end_window(self, now: float, in_progress: int) -> None:
-        self.delay_share = self._sum / self._count if self._count else 0.0
-        self._window_began_at = now
-        self._sum, self._count = 0.0, 0
-        if self.delay_share <= TARGET_SHARE:
-            self._above_since = math.inf
-            self._grow(in_progress)
-        else:
-            self._above_since = min(self._above_since, now)
-            if now - self._above_since >= STANDING_MS or self.delay_share >= URGENT_SHARE:
-                self._cut(now, in_progress)
+    def admits(self, now: float, left_ms: float, in_progress: int) -> bool:
+        """Tell whether one more request may be begun, whose client waits for `left_ms` from now on."""
+        if not self.runs_late(now) or in_progress < MIN_IN_PROGRESS:
+            return True
+        if self._work.time_ms(in_progress + 1) <= self._answered_share(now) * left_ms:
+            return True
+        self._note_refusal(now, in_progress)
+        return False
 
-    def _cut(self, now: float, in_progress: int) -> None:
-        self._cut_at = now
-        cut = FIRST_CUT * in_progress if math.isinf(self.limit) else FURTHER_CUT * self.limit
-        self.limit = max(MIN_LIMIT, cut)
-        self.cuts += 1
-        self.least_limit = self.limit if self.least_limit < 0 else min(self.least_limit, self.limit)
+    def _answered_share(self, now: float) -> float:
+        """Return the part of the clients' time in which begun work is to be done."""
+        if now >= self._refusing_until:
+            return BURST_SHARE
+        halvings = (now - self._refusing_since) / HALVED_EACH_MS
+        return max(STANDING_SHARE, BURST_SHARE * math.exp2(-halvings))
 
-    def _grow(self, in_progress: int) -> None:
-        """Raise the limit, and lift it once it binds no more."""
-        self.limit += GROWTH_STEP + GROWTH * self.limit
-        if self.limit > 2.0 * in_progress + MIN_LIMIT:
-            self.limit = math.inf
+    def _note_refusal(self, now: float, in_progress: int) -> None:
+        if now >= self._refusing_until:
+            self._refusing_since = now
+        self._refusing_until = now + REFUSING_FOR_MS
+        known = self.least_refused_at
+        self.least_refused_at = in_progress if known is None else min(known, in_progress)
--- a/wickspring/net/work_estimate.py
+++ b/wickspring/net/work_estimate.py
@@ -8,19 +8,22 @@
 
 from __future__ import annotations
 
-SHARE_HORIZON_MS = 200.0  # of turns, over which the share is averaged: a shortage is known after as long
+# Time of turns over which the share is averaged. A shortage must be known before clients have waited long;
+# that it has ended may be known later.
+FALL_HORIZON_MS = 100.0
+RISE_HORIZON_MS = 400.0
 COST_HORIZON = 200.0  # requests, over which their cost is averaged
 FIRST_COST_MS = 2.0  # taken for the cost until requests have been measured
 MIN_COST_MS, MAX_COST_MS = 0.2, 10.0  # beyond which a cost is no request's: other work, or none, was measured
 MIN_SHARE = 0.01  # of a processor: a lower one would be a guess from a few turns
-REFUSAL_COST = 0.1  # of a request's cost: what refusing one takes
+REFUSAL_COST = 0.07  # of a request's cost: what refusing one takes
 
 
 class WorkEstimate:
     """The estimate of one process, from samples of its event loop."""
 
     def __init__(self) -> None:
-        self.processor_share = 1.0  # of the time of turns
+        self.processor_share = 1.0  # of the time of turns, for requests that are begun
         self._cost_sum_ms = FIRST_COST_MS * COST_HORIZON
         self._cost_count = COST_HORIZON
         self._admitted = 0  # since the latest sample
@@ -46,15 +49,18 @@
         """
         if turns_ms <= 0.0:
             return
-        weight = min(1.0, turns_ms / SHARE_HORIZON_MS)
-        share = min(1.0, processor_ms / turns_ms)
-        self.processor_share = max(MIN_SHARE, (1.0 - weight) * self.processor_share + weight * share)
-        count = self._admitted + REFUSAL_COST * self._refused
+        refusals_ms = REFUSAL_COST * self._refused * self.request_cost_ms
+        self._record_share(min(1.0, max(0.0, processor_ms - refusals_ms) / turns_ms), turns_ms)
+        if self._admitted or self._refused or in_progress:
+            self._record_cost(max(0.0, processor_ms - refusals_ms), self._admitted)
         self._admitted = self._refused = 0
-        if count or in_progress:
-            self._record_cost(processor_ms, count)
 
-    def _record_cost(self, processor_ms: float, count: float) -> None:
+    def _record_share(self, share: float, turns_ms: float) -> None:
+        horizon_ms = FALL_HORIZON_MS if share < self.processor_share else RISE_HORIZON_MS
+        weight = min(1.0, turns_ms / horizon_ms)
+        self.processor_share = max(MIN_SHARE, (1.0 - weight) * self.processor_share + weight * share)
+
+    def _record_cost(self, processor_ms: float, count: int) -> None:
         kept = max(0.0, 1.0 - count / COST_HORIZON)
         self._cost_sum_ms = kept * self._cost_sum_ms + processor_ms
         self._cost_count = kept * self._cost_count + count
