Refuse for a standing shortage only while the event loop has no time to spare

Cause: requests that wait for servers counted as waiting for the processor, so the part of 0.1 kept the processor idle between them. Evidence: the least refused, 11 requests at 0.17 to 0.41 of a processor: at 0.1 s for a server 110 a second, where 180 could be done. Change: the loop's waits for I/O are measured; while they take a tenth of its time or more the larger part holds. A unit test of it failed before.

--- a/tests/common/test_overload.py
+++ b/tests/common/test_overload.py
@@ -30,6 +30,7 @@
     def __init__(self, processor_share: float = 1.0) -> None:
         self.work = WorkEstimate()
         self.work.processor_share = processor_share
+        self.work.idle_share = 0.0
         self.limiter = OverloadLimiter(self.work)
         self.now = 1_000_000.0
         self.in_progress = 50
@@ -87,6 +88,16 @@
     assert requests.come(EVERY_MS, 0.0) == 0  # another burst
 
 
+def test_requests_that_wait_for_servers_do_not_make_a_shortage_stay() -> None:
+    """Guards against a processor that is idle while requests are refused, as with too few in progress."""
+    requests = Requests(processor_share=0.1)
+    requests.come(2000.0, 50.0)
+    requests.in_progress = int(STANDING_SHARE * BUDGET_MS * 0.1 / FIRST_COST_MS) + 1
+    assert requests.come(EVERY_MS, 50.0) == 1
+    requests.work.idle_share = 0.5
+    assert requests.come(2000.0, 50.0) == 0
+
+
 def test_what_has_waited_for_long_needs_to_be_done_sooner() -> None:
     requests = Requests(processor_share=0.5)
     assert requests.come(EVERY_MS, 200.0) == 0  # 204 ms, of 800 that are left
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -19,7 +19,7 @@
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.link import Link
-from wickspring.net.loop_monitor import LoopMonitor, add_loop_monitor
+from wickspring.net.loop_monitor import LoopMonitor, TurnSample, add_loop_monitor
 from wickspring.net.overload import OverloadLimiter
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
@@ -208,8 +208,8 @@
         """Time the event loop that this is called in, and what it gets of a processor."""
         self.loop_monitor = add_loop_monitor(self._on_turns)
 
-    def _on_turns(self, processor_ms: float, turns_ms: float) -> None:
-        self.work.record_turns(processor_ms, turns_ms, self.requests_in_progress)
+    def _on_turns(self, sample: TurnSample) -> None:
+        self.work.record_turns(sample, self.requests_in_progress)
         self.least_processor_share = min(self.least_processor_share, self.work.processor_share)
 
     def delay_figures(self) -> dict[str, object]:
--- a/wickspring/net/loop_monitor.py
+++ b/wickspring/net/loop_monitor.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 import trio
 
@@ -15,8 +16,16 @@
 LONG_TURN_MS = 100.0  # from which a turn is counted as long
 SAMPLE_MS = 20.0  # of turns, after which the processor time that they had is looked at
 
-OnTurns = Callable[[float, float], None]
-"""Takes in a sample: the processor time that some turns had, and how long they took (ms)."""
+
+class TurnSample(NamedTuple):
+    """Some turns of an event loop, in ms."""
+
+    processor_ms: float  # that they had
+    turns_ms: float  # that they took
+    idle_ms: float  # that the loop waited for I/O between them
+
+
+OnTurns = Callable[[TurnSample], None]
 
 
 class LoopMonitor(trio.abc.Instrument):
@@ -24,7 +33,9 @@
 
     def __init__(self, on_turns: OnTurns | None = None) -> None:
         self._on_turns = on_turns
-        self._unsampled_ms = 0.0  # of turns that have ended
+        self._unsampled_ms = 0.0  # of turns
+        self._idle_ms = 0.0  # since the latest sample
+        self._turn_ended_at: float | None = None  # seconds of the monotonic clock
         self._sampled_until: float | None = None  # seconds of the monotonic clock, within the present turn
         self._processor_s = time.process_time()  # at the latest sample
         self.turns = 0
@@ -35,7 +46,9 @@
 
     def after_io_wait(self, timeout: float) -> None:
         """Note that a turn begins."""
-        self._turn_began_at = self._sampled_until = time.monotonic()
+        now = self._turn_began_at = self._sampled_until = time.monotonic()
+        if self._turn_ended_at is not None:
+            self._idle_ms += MS_PER_S * (now - self._turn_ended_at)
 
     def before_io_wait(self, timeout: float) -> None:
         """Take in the turn that ends."""
@@ -47,6 +60,7 @@
         if self._unsampled_ms >= SAMPLE_MS:
             self._sample()
         self._sampled_until = None
+        self._turn_ended_at = now
         self.turns += 1
         self.busy_ms += turn_ms
         self.long_turns += turn_ms >= LONG_TURN_MS
@@ -69,9 +83,10 @@
     def _sample(self) -> None:
         processor_s = time.process_time()
         if self._on_turns is not None:
-            self._on_turns(MS_PER_S * (processor_s - self._processor_s), self._unsampled_ms)
+            processor_ms = MS_PER_S * (processor_s - self._processor_s)
+            self._on_turns(TurnSample(processor_ms, self._unsampled_ms, self._idle_ms))
         self._processor_s = processor_s
-        self._unsampled_ms = 0.0
+        self._unsampled_ms = self._idle_ms = 0.0
 
     def figures(self) -> dict[str, float]:
         """Return the figures of all turns so far, by the names that they have in logs and metrics."""
