Have the laboratory's clients keep to their schedule beside a full machine

Cause: its one process plays all clients and servers; collections of garbage over the whole script and h11 at both ends took it to its limit, so servers and counter answered late too. Change: garbage is collected as rarely as in the programs; the usual request and response are written and read without a parser, anything else by h11 as before. Bounds and load are as they were. Also: a data plane reckons by the route's time where a client states none, so that such requests can be refused too (the same fault as in the ingress's limiter).

--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Mapping
 from random import Random
@@ -140,7 +141,7 @@
 
     def handle_request(self, client: Client, request: HttpRequest) -> None:
         """Handle a request that a front has read from a client connection."""
-        if not self.has_room(client, request, client_deadline_ms(request.headers)):
+        if not self.has_room(client, request, self.client_time_ms(request.target, request.headers)):
             return
         self._handle(
             IncomingRequest(
@@ -154,9 +155,13 @@
             )
         )
 
-    def client_time_ms(self, target: str, headers: Mapping[str, str]) -> float | None:
-        """Return how long the client of a request waits, infinity where it does not say."""
-        return client_deadline_ms(headers)
+    def client_time_ms(self, target: str, headers: Mapping[str, str]) -> float:
+        """Return how long the client of a request waits; where it does not say, how long its route does."""
+        deadline_ms = client_deadline_ms(headers)
+        if math.isfinite(deadline_ms):
+            return deadline_ms
+        route = self.request_context.config.routing_table.route(headers.get("host", ""), target)
+        return deadline_ms if route is None else 1000.0 * route.timeout_s
 
     def _handle(self, incoming: IncomingRequest) -> None:
         context = self.request_context
--- a/wickspring/lab/experiments/socket_run.py
+++ b/wickspring/lab/experiments/socket_run.py
@@ -15,6 +15,7 @@
 from wickspring.lab.experiments.evaluate import evaluate
 from wickspring.lab.experiments.scenario import FaultKind, Scenario
 from wickspring.lab.faults.ingress_faults import IngressFaults
+from wickspring.lab.rare_garbage_collection import rare_garbage_collection
 from wickspring.lab.reports.result import Result
 from wickspring.lab.traffic import schedule as scripts
 from wickspring.lab.traffic.client import Load
@@ -163,7 +164,9 @@
     Raises LabError where the run could not be made.
     """
     try:
-        return trio.run(SocketRun(scenario, seed, program, progress).run)
+        run = SocketRun(scenario, seed, program, progress)
+        with rare_garbage_collection():
+            return trio.run(run.run)
     except BaseExceptionGroup as group:
         own = group.subgroup(LabError)
         if own is None:
--- a/wickspring/lab/simulation/virtual_run.py
+++ b/wickspring/lab/simulation/virtual_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import tempfile
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import ExitStack, contextmanager
@@ -17,10 +16,10 @@
 
 from wickspring.common import reconnecting_client
 from wickspring.common.connection import PeerConnection
-from wickspring.common.lifecycle import GC_THRESHOLDS
 from wickspring.common.messages import Message
 from wickspring.dataplane import process as dataplane_process
 from wickspring.dataplane import state_exchange
+from wickspring.lab.rare_garbage_collection import rare_garbage_collection
 from wickspring.lab.simulation.clock import VirtualClock
 from wickspring.lab.simulation.memory_link import MemoryLink
 from wickspring.lab.simulation.memory_network import DatagramEndpoint, MemoryNetwork
@@ -85,20 +84,6 @@
         yield
 
 
-@contextmanager
-def _rare_garbage_collection() -> Iterator[None]:
-    """Collect garbage as rarely as the programs do; here all processes share one heap."""
-    previous = gc.get_threshold()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    try:
-        yield
-    finally:
-        gc.set_threshold(*previous)
-        gc.unfreeze()
-
-
 def run_virtual(
     scenario: Callable[[VirtualGateway], Awaitable[ResultT]], seed: int = 1, node_count: int = 5
 ) -> ResultT:
@@ -120,7 +105,7 @@
     with (
         tempfile.TemporaryDirectory() as folder,
         _patched_programs(network),
-        _rare_garbage_collection(),
+        rare_garbage_collection(),
         _deterministic_scheduling(seed),
     ):
         return trio.run(main, folder, clock=clock, instruments=[meter])
--- a/wickspring/lab/traffic/client.py
+++ b/wickspring/lab/traffic/client.py
@@ -8,15 +8,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
-import h11
 import trio
 
-from wickspring.lab.emulation.shape import Shape
-from wickspring.lab.emulation.sockets import peek
 from wickspring.lab.experiments.scenario import Scenario
 from wickspring.lab.reports.record import (
     STATUS_SERVED,
@@ -26,95 +22,12 @@
     Record,
 )
 from wickspring.lab.simulation.clock import RunClock
+from wickspring.lab.traffic.client_connection import ClientConnection, Response, encode_request
 from wickspring.lab.traffic.schedule import ScheduledRequest
 from wickspring.net.link import connect
-from wickspring.net.tcp_info import unread_ms
 
 LATE_MS = 400.0  # for which an answer is awaited past the deadline: a late one breaks a rule
 RETRY_SHARE = 0.7  # of the refused or failed requests that are retried, where clients retry
-RECEIVE_BYTES = 65536
-BODY = b"x" * 120  # of requests that are not idempotent
-
-
-@dataclass(slots=True, frozen=True)
-class Response:
-    """A complete response."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    unread_ms: float  # that it lay in the kernel
-
-
-class ClientConnection:
-    """One connection of the front to a gateway."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.http = h11.Connection(h11.CLIENT)
-
-    @property
-    def is_stale(self) -> bool:
-        """Tell whether the gateway has closed it, or sent something without a request."""
-        return peek(self.stream.socket) is not None
-
-    async def exchange(self, data: bytes, on_sent: Callable[[], None]) -> Response | None:
-        """Send a request and read its response; None if the connection ends before that is complete."""
-        try:
-            await self.stream.send_all(data)
-            on_sent()
-            return await self._read_response()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
-            return None
-
-    async def _read_response(self) -> Response | None:
-        status = 0
-        headers: dict[str, str] = {}
-        body = b""
-        lay_unread_ms = 0.0
-        while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
-                if data:
-                    lay_unread_ms = unread_ms(self.stream.socket)
-                self.http.receive_data(data)
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {name.decode(): value.decode() for name, value in event.headers}
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                return Response(status, headers, body, lay_unread_ms)
-            else:
-                return None
-
-    @property
-    def is_reusable(self) -> bool:
-        """Tell whether another request may follow on it."""
-        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-
-    def encode(self, request: ScheduledRequest, shape: Shape) -> bytes:
-        """Return the bytes of a request."""
-        kind, firm = shape.kind[request.kind], request.firm
-        headers = [
-            ("Host", "app.svc"),
-            ("X-Call-Id", request.call_id),
-            ("X-Call-Class", kind.name),
-            ("Api-Plan", shape.plan[firm.plan].name),
-            ("X-Budget-Ms", str(int(request.budget_ms))),
-            ("Api-Terms", f"units={request.units},spread={firm.spread},first={firm.first}"),
-        ]
-        if request.key:
-            headers.append(("Idempotency-Key", request.key))
-        method, body = ("GET", b"") if kind.effect == "repeatable" else ("POST", BODY)
-        if body:
-            headers.append(("Content-Length", str(len(body))))
-        target = f"/api?customer={firm.customer:016x}"
-        data = self.http.send(h11.Request(method=method, target=target, headers=headers)) or b""
-        if body:
-            data += self.http.send(h11.Data(data=body)) or b""
-        return data + (self.http.send(h11.EndOfMessage()) or b"")
 
 
 def _patience_s(scheduled: ScheduledRequest) -> float:
@@ -191,7 +104,7 @@
                 return False
         keep = False
         try:
-            data = connection.encode(request.scheduled, self.scenario.shape)
+            data = encode_request(request.scheduled, self.scenario.shape)
 
             def on_sent() -> None:
                 request.sent_at = self.clock.now()
@@ -205,7 +118,6 @@
             self._record_answer(request, response)
             keep = connection.is_reusable
             if keep:
-                connection.http.start_next_cycle()
                 self.idle[request.ingress].append(connection)
             return True
         finally:
--- a/wickspring/net/overload.py
+++ b/wickspring/net/overload.py
@@ -18,8 +18,8 @@
 LATE_FOR_MS = 1000.0  # after the latest request that has lain unread for so long
 # Of the time that a client still has, the part in which begun work is to be done. The rest is for servers,
 # for requests that need more steps than most, and for what lies unread meanwhile. A burst may use that part,
-# and so may requests that wait for servers. In a shortage that stays, with all waiting for the processor, more
-# in progress only wait longer (a standing queue, RFC 8289).
+# and so may requests that wait for servers. In a shortage that stays, with all waiting for the processor,
+# more in progress only wait longer (a standing queue, RFC 8289).
 BURST_SHARE = 0.35
 STANDING_SHARE = 0.1
 HALVED_EACH_MS = 500.0  # of a time in which requests are refused
