End the laboratory's ingresses with it: orphans sent requests without an id to later runs

Cause: an ingress whose laboratory was killed lived on and dialled the port of its discovery; ports are the kernel's choice, and one of 400 ticket servers of a later run may listen there. Change: the kernel kills an ingress once the main thread of its laboratory has ended, by whatever signal.

--- a/tests/lab/test_gateway_process.py
+++ b/tests/lab/test_gateway_process.py
@@ -12,41 +12,39 @@
 import signal
 from pathlib import Path
 from types import SimpleNamespace
-from typing import Any, cast
+from typing import cast
 
+import pytest
 import trio
 
+from wickspring.lab.emulation import gateway_process
+from wickspring.lab.emulation.child_process import ChildProcess
 from wickspring.lab.emulation.gateway_process import GatewayFiles, GatewayProcess
 
 
-class SlowNursery:
-    """Starts a process only once it is told to."""
+class NoProcessError(Exception):
+    """No process can be started just now."""
 
-    def __init__(self) -> None:
-        self.asked = trio.Event()
-
-    async def start(self, _: object) -> Any:
-        self.asked.set()
-        await trio.sleep_forever()
 
+def test_a_killed_process_that_is_being_replaced_has_not_crashed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = GatewayProcess("n0", GatewayFiles(tmp_path, tmp_path, {}, 64, "", tmp_path / "peers.toml"))
+    gateway.process = cast(ChildProcess, SimpleNamespace(returncode=-signal.SIGKILL, pid=0))
+    gateway.killed = True
+    found: list[str] = []
 
-def test_a_killed_process_that_is_being_replaced_has_not_crashed(tmp_path: Path) -> None:
-    async def main() -> None:
-        files = GatewayFiles(tmp_path, tmp_path, {}, 64, "", tmp_path / "peers.toml")
-        gateway = GatewayProcess("n0", files)
-        gateway.process = cast(trio.Process, SimpleNamespace(returncode=-signal.SIGKILL, pid=0))
-        gateway.killed = True
-        nursery = SlowNursery()
-        async with trio.open_nursery() as tasks:
-            tasks.start_soon(gateway.start, cast(trio.Nursery, nursery))
-            await nursery.asked.wait()
-            assert gateway.crash == ""
-            tasks.cancel_scope.cancel()
+    def start_none(*_: object) -> ChildProcess:
+        found.append(gateway.crash)  # the run may end just now
+        raise NoProcessError
 
-    trio.run(main)
+    monkeypatch.setattr(gateway_process, "ChildProcess", start_none)
+    with pytest.raises(NoProcessError):
+        trio.run(gateway.start)
+    assert [*found, gateway.crash] == ["", ""]
 
 
 def test_a_process_that_ends_by_itself_has_crashed(tmp_path: Path) -> None:
     gateway = GatewayProcess("n0", GatewayFiles(tmp_path, tmp_path, {}, 64, "", tmp_path / "peers.toml"))
-    gateway.process = cast(trio.Process, SimpleNamespace(returncode=1, pid=0))
+    gateway.process = cast(ChildProcess, SimpleNamespace(returncode=1, pid=0))
     assert gateway.crash == "crashed: n0 ended with 1"
--- a/wickspring/lab/emulation/gateway_process.py
+++ b/wickspring/lab/emulation/gateway_process.py
@@ -13,11 +13,11 @@
 import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
-from functools import partial
 from pathlib import Path
 
 import trio
 
+from wickspring.lab.emulation.child_process import ChildProcess
 from wickspring.lab.emulation.site import LabError
 
 READY_TIMEOUT_S = 20.0
@@ -50,7 +50,7 @@
     def __init__(self, name: str, files: GatewayFiles) -> None:
         self.name = name
         self.address = ""  # once it is ready
-        self.process: trio.Process | None = None
+        self.process: ChildProcess | None = None
         self.cpu_ms = 0.0
         self.peak_mb = 0.0
         self.stopping = False  # the run is over
@@ -70,7 +70,7 @@
 
     # Start and end.
 
-    async def start(self, nursery: trio.Nursery) -> None:
+    async def start(self) -> None:
         """Start it and wait until it is ready.
 
         Raises LabError where it ends first, or is not ready after `READY_TIMEOUT_S`.
@@ -79,15 +79,7 @@
         self.starting = True
         log_start = self._log.stat().st_size if self._log.exists() else 0  # behind earlier processes' lines
         with self._log.open("ab") as log:
-            run = partial(
-                trio.run_process,
-                command,
-                cwd=self._files.program,
-                env=self._environment(),
-                stderr=log,
-                check=False,
-            )
-            self.process = await nursery.start(run)
+            self.process = ChildProcess(command, self._files.program, self._environment(), log)
             self.killed = False  # that was the process before
         limits = self._files.max_descriptors, self._files.max_descriptors
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)  # as the platform has it
--- a/wickspring/lab/experiments/socket_run.py
+++ b/wickspring/lab/experiments/socket_run.py
@@ -44,15 +44,15 @@
         """Start everything, play the scenario, stop everything and evaluate what was recorded."""
         with tempfile.TemporaryDirectory(prefix="wickspring-lab-") as name:
             folder = Path(name)
-            async with trio.open_nursery() as nursery, trio.open_nursery() as processes:
+            async with trio.open_nursery() as nursery:
                 peers = PeerIngresses(self.scenario, self.seed, self.site, folder, nursery)
                 await self._start_site(nursery)
                 await self._create_gateways(nursery, peers, folder)
                 try:
                     async with trio.open_nursery() as starting:
                         for gateway in self.gateways:
-                            starting.start_soon(gateway.start, processes)
-                    await self._play(nursery, processes, peers)
+                            starting.start_soon(gateway.start)
+                    await self._play(nursery, peers)
                 finally:
                     await self._stop_gateways()
                 nursery.cancel_scope.cancel()
@@ -100,7 +100,7 @@
 
     # Load and faults.
 
-    async def _play(self, nursery: trio.Nursery, processes: trio.Nursery, peers: PeerIngresses) -> None:
+    async def _play(self, nursery: trio.Nursery, peers: PeerIngresses) -> None:
         """Send the load and inject the faults, until all requests are answered or past their deadlines."""
         site = self.site
         addresses = [gateway.address for gateway in self.gateways]
@@ -115,7 +115,7 @@
         site.start_faults(nursery)
         await peers.faults()
         nursery.start_soon(peers.sample)
-        IngressFaults(self.scenario, site, self.gateways, load, processes).start(nursery)
+        IngressFaults(self.scenario, site, self.gateways, load).start(nursery)
         if self.progress is not None:
             nursery.start_soon(report_progress, self.scenario, site, self.progress)
         await load.run(self.script.requests, nursery)
--- a/wickspring/lab/faults/ingress_faults.py
+++ b/wickspring/lab/faults/ingress_faults.py
@@ -26,13 +26,11 @@
         site: Site,
         gateways: Sequence[GatewayProcess],
         load: Load,
-        processes: trio.Nursery,
     ) -> None:
         self.scenario = scenario
         self.site = site
         self.gateways = gateways
         self.load = load
-        self.processes = processes  # in which killed gateways start again
 
     def start(self, nursery: trio.Nursery) -> None:
         """Bring each fault about at its time."""
@@ -94,7 +92,7 @@
         self.load.closed.update(numbers)
         await trio.sleep(max(0.0, fault.for_s - FRONT_DETECTION_S))
         for number, outage in zip(numbers, outages, strict=True):
-            await self.gateways[number].start(self.processes)
+            await self.gateways[number].start()
             outage.until = self.site.clock.now()
             self.load.addresses[number] = self.gateways[number].address
             self.load.closed.discard(number)
