Say what instances answered where a hall is found below its floor

Cause: a rolling upgrade beside 20 loops had the floor of a hall broken in 15 of 89 samples, and nothing told whether instances were down, refused or answered the probe of 0.5 s late. Change: each sample keeps what was found, and the violation names it.

--- a/wickspring/lab/experiments/fleet.py
+++ b/wickspring/lab/experiments/fleet.py
@@ -133,7 +133,10 @@
             result.rules_broken += 1
     result.hall_floor_broken = fleet.floor_violations
     if fleet.floor_violations:
-        result.violations.append(f"hall floor: broken in {fleet.floor_violations} of {fleet.samples} samples")
+        found = ", ".join(f"{count} {probe}" for probe, count in fleet.floor_probes.items())
+        result.violations.append(
+            f"hall floor: broken in {fleet.floor_violations} of {fleet.samples} samples ({found})"
+        )
         result.rules_broken += fleet.floor_violations
     for command in fleet.command_results:
         last_line = command.output.strip().splitlines()[-1:]
--- a/wickspring/lab/experiments/fleet_site.py
+++ b/wickspring/lab/experiments/fleet_site.py
@@ -11,8 +11,9 @@
 import signal
 import subprocess
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -63,17 +64,27 @@
     write_modified_build(folder, "bad", _NEVER_READY_PROGRAM if fault == "never-ready" else _FAILING_PROGRAM)
 
 
-async def answers_up(address: str) -> bool:
+class ProbeResult(StrEnum):
+    """What an instance says from outside of whether it serves. The values stand in results."""
+
+    SERVES = "serves"
+    ANSWERS_OTHERWISE = "answers otherwise"
+    REFUSED = "refused"
+    TIMED_OUT = "timed out"
+
+
+async def probe_instance(address: str) -> ProbeResult:
     """Ask an instance from outside whether it serves."""
     host, _, port = address.rpartition(":")
     with trio.move_on_after(PROBE_TIMEOUT_S):
         try:
             async with await trio.open_tcp_stream(host, int(port)) as stream:
                 await stream.send_all(b"GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
-                return (await stream.receive_some(4096)).startswith(b"HTTP/1.1 200")
+                answer = await stream.receive_some(4096)
         except (OSError, trio.BrokenResourceError):
-            return False
-    return False
+            return ProbeResult.REFUSED
+        return ProbeResult.SERVES if answer.startswith(b"HTTP/1.1 200") else ProbeResult.ANSWERS_OTHERWISE
+    return ProbeResult.TIMED_OUT
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,6 +120,9 @@
         self.command_results: list[CommandResult] = []
         self.floor_violations = 0  # samples in which too many instances of a hall were down, a hall at a time
         self.samples = 0
+        self.floor_probes: Counter[ProbeResult] = (
+            Counter()
+        )  # of halls below their floor: what was not serving
         self.load: Load | None = None
 
     def hall(self, index: int) -> str:
@@ -255,32 +269,37 @@
     async def sample(self) -> None:
         """Ask every instance again and again whether it serves, and check the floor of each hall."""
         while True:
-            serving = await self._probe_all()
+            probes = await self._probe_all()
+            serving = [probe is ProbeResult.SERVES for probe in probes]
             self.samples += 1
             if self.load is not None:  # as the front does, which asks for /up as well
                 self.load.closed = {index for index, is_up in enumerate(serving) if not is_up}
-            self.floor_violations += self._count_halls_below_floor(serving)
+            self.floor_violations += self._count_halls_below_floor(probes)
             await trio.sleep(SAMPLE_INTERVAL_S)
 
-    async def _probe_all(self) -> list[bool]:
-        serving = [False] * len(self.addresses)
+    async def _probe_all(self) -> list[ProbeResult]:
+        probes = [ProbeResult.TIMED_OUT] * len(self.addresses)
 
         async def probe(index: int) -> None:
-            serving[index] = await answers_up(self.addresses[index])
+            probes[index] = await probe_instance(self.addresses[index])
 
         async with trio.open_nursery() as nursery:
             for index in range(len(self.addresses)):
                 nursery.start_soon(probe, index)
-        return serving
+        return probes
 
-    def _count_halls_below_floor(self, serving: list[bool]) -> int:
-        down = Counter[str]()
+    def _count_halls_below_floor(self, probes: list[ProbeResult]) -> int:
+        down: defaultdict[str, list[ProbeResult]] = defaultdict(list)
         size = Counter[str]()
-        for index, is_up in enumerate(serving):
+        for index, probe in enumerate(probes):
             size[self.hall(index)] += 1
-            down[self.hall(index)] += not is_up
+            if probe is not ProbeResult.SERVES:
+                down[self.hall(index)].append(probe)
         share = self.rules.down_share_hall
-        return sum(down[hall] > max_down(size[hall], share) for hall in size)
+        below = [hall for hall in size if len(down[hall]) > max_down(size[hall], share)]
+        for hall in below:
+            self.floor_probes.update(down[hall])
+        return len(below)
 
     def stop(self) -> None:
         """End agents and instances, those that this run has started."""
