--- a/wickspring/lab/experiments/fleet.py
+++ b/wickspring/lab/experiments/fleet.py
@@ -23,6 +23,7 @@
 from wickspring.lab.experiments.evaluate import evaluate
 from wickspring.lab.experiments.fleet_site import FleetSite
 from wickspring.lab.experiments.scenario import Scenario
+from wickspring.lab.rare_garbage_collection import rare_garbage_collection
 from wickspring.lab.reports.result import Result
 from wickspring.lab.traffic import schedule as scripts
 from wickspring.lab.traffic.client import Load
@@ -156,4 +157,5 @@
 
 def run(scenario: Scenario, seed: int, program: Path, progress: Progress | None = None) -> Result:
     """Run a fleet scenario."""
-    return trio.run(partial(_run, scenario, seed, program, progress))
+    with rare_garbage_collection():
+        return trio.run(partial(_run, scenario, seed, program, progress))
