Keep a new connection for its first request while a process ends

What callers saw: a client that had connected to an ingress or a control plane in the last moments before its listener closed was closed as idle before its first request had come, and found nobody to dial any more.

Cause: close_connections closes whatever is idle, also what was accepted a moment ago. The data plane waited 0.1 s for such first requests, the ingress and the control plane not at all, and a client in a process that runs late needs more.

Each new connection now has up to 1 s for its first request, in all three programs; a process without such connections ends as soon as before, a data plane 0.1 s sooner. That is as long as the kernel holds a silent connection back.

--- a/tests/net/test_connection_drain.py
+++ b/tests/net/test_connection_drain.py
@@ -29,6 +29,7 @@
 LONG = DrainTimes(take_ms=5000.0, answer_ms=5000.0, close_ms=5000.0)
 LATE = DrainTimes(take_ms=-1.0, answer_ms=5000.0, close_ms=5000.0)
 SLOWLY_S = 0.005
+LATE_FIRST_REQUEST_S = 0.3
 GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -221,6 +222,25 @@
     run(main)
 
 
+@pytest.mark.parametrize("http2", [False, True])
+def test_a_first_request_that_comes_late_on_a_new_connection_is_answered(http2: bool) -> None:
+    # Guards against closing a new connection as idle while its first request is on its way.
+    async def main(server: BodyServer) -> None:
+        stream = server.connect(http2)
+        await trio.sleep(0.02)
+        server.begin_drain(LONG)
+        server.nursery.start_soon(close_connections, server)
+        await trio.sleep(LATE_FIRST_REQUEST_S)
+        if http2:
+            http, _ = await ask2(stream)
+            assert await read2(stream, http) == (200, BODY, True)
+        else:
+            await stream.send_all(GET % 0)
+            assert await read1(stream) == [(200, BODY)]
+
+    run(main)
+
+
 def test_requests_sent_ahead_are_all_answered_before_the_connection_ends() -> None:
     async def main(server: BodyServer) -> None:
         stream = server.connect()
--- a/wickspring/dataplane/shutdown.py
+++ b/wickspring/dataplane/shutdown.py
@@ -26,7 +26,6 @@
 CLOSE_SHARE = 0.97  # and the last bytes leave until then
 
 ON_THE_WAY_S = 0.4  # in which connections still come that the platform has passed on before it knew
-FIRST_REQUEST_S = 0.1  # for the first request on a connection that was accepted last
 POLL_S = 0.02
 
 
@@ -62,7 +61,6 @@
         data_plane.begin_drain(drain_times(grace_s))
         logs.log_event("draining", requests_in_flight=len(requests), connections=len(data_plane.connections))
         await self._accept_last(ACCEPT_SHARE * grace_s)
-        await trio.sleep(FIRST_REQUEST_S)
         await close_connections(data_plane)
         logs.log_event("stopped", requests_in_flight=len(requests), connections=len(data_plane.connections))
 
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -17,6 +17,7 @@
     from wickspring.net.http_server import Connection, HttpServer
 
 POLL_S = 0.02  # between two looks at all connections
+FIRST_REQUEST_MS = 1000.0  # for the first request on a new connection; its client may run late
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,22 +35,32 @@
     To be called before the listener closes: a client whose request crosses the close can then come again.
     """
     for connection in list(server.connections):
-        if not connection.is_new and not _goes_to_successor(server, connection):
-            connection.close_if_idle(EndReason.DRAINED)
+        if not connection.is_new:
+            _close_unless_handed_over(server, connection)
 
 
 async def close_connections(server: HttpServer) -> bool:
-    """Close each client connection once it is idle; return False where some are left when time is over."""
+    """Close each client connection once it is idle; return False where some are left when time is over.
+
+    One that has had no request yet is kept for `FIRST_REQUEST_MS`: its client has nobody else to connect to,
+    and a request that crosses the close is lost.
+    """
     left_ms = server.drain_ends_at - server.clock.now()
     with trio.move_on_after(max(0.0, left_ms) / 1000.0):
         while server.connections or server.has_unfinished_work:
             for connection in list(server.connections):
-                if not _goes_to_successor(server, connection):
-                    connection.close_if_idle(EndReason.DRAINED)
+                if not _awaits_first_request(server, connection):
+                    _close_unless_handed_over(server, connection)
             await trio.sleep(POLL_S)
     return not server.connections
 
 
-def _goes_to_successor(server: HttpServer, connection: Connection) -> bool:
-    """Tell whether another process takes a connection over once it is idle."""
-    return server.handing_over and connection.can_be_handed_over
+def _close_unless_handed_over(server: HttpServer, connection: Connection) -> None:
+    """Close a connection where it is idle, unless another process takes it over then."""
+    if not (server.handing_over and connection.can_be_handed_over):
+        connection.close_if_idle(EndReason.DRAINED)
+
+
+def _awaits_first_request(server: HttpServer, connection: Connection) -> bool:
+    """Tell whether the first request on a connection may still be on its way."""
+    return connection.is_new and server.clock.now() < connection.accepted_at + FIRST_REQUEST_MS
--- a/wickspring/net/front_connection.py
+++ b/wickspring/net/front_connection.py
@@ -21,7 +21,7 @@
 
     def __init__(self, link: Link, server: HttpServer) -> None:
         self.link = link
-        self.last_received_at = server.clock.now()
+        self.accepted_at = self.last_received_at = server.clock.now()
         self.arrived_at = self.last_received_at  # when the latest bytes were in the kernel, ms
         self.closing = False  # nothing more is written
         self.end_reason: EndReason | None = None  # why this connection ends, once that is known
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -57,6 +57,7 @@
     """A client connection, of either front."""
 
     can_be_handed_over: bool  # to another process, while it is idle
+    accepted_at: float  # ms
 
     @property
     def is_new(self) -> bool:
