Count accepted connections whose tasks have not begun when a process ends

What callers saw: a request on the connection that was accepted last got no answer, as its process ended at once.

Cause: the connections that take_rest accepts, and those that a predecessor hands over, were known to the server only once their tasks ran. close_connections, called in the same turn, found none and returned, and the tasks were cancelled. Evidence: the new test fails on the code before, where nothing of the request was taken.

Both now count as starting, as connections of the accept loop do already, and close_connections waits for them.

--- a/tests/net/test_connection_drain.py
+++ b/tests/net/test_connection_drain.py
@@ -14,13 +14,14 @@
 import pytest
 import trio
 
-from wickspring.net import delivery
+from wickspring.net import delivery, http1_front
 from wickspring.net.calls import Client
 from wickspring.net.connection_drain import DrainTimes, close_connections
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http2_front import Http2Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
+from wickspring.net.listening import close_listener, listen, take_rest
 from wickspring.net.runtime import Runtime
 from wickspring.net.unanswered import EndReason
 
@@ -241,6 +242,22 @@
     run(main)
 
 
+def test_a_request_on_the_connection_that_was_accepted_last_is_answered() -> None:
+    # Guards against ending while connections have been accepted and their tasks have not run yet.
+    async def main(server: BodyServer) -> None:
+        listener = listen(("127.0.0.1", 0), defer=False)
+        stream = await trio.open_tcp_stream(*listener.getsockname())
+        await stream.send_all(GET % 0)
+        server.begin_drain(LONG)
+        take_rest(listener, server, http1_front.serve)
+        close_listener(listener)
+        await close_connections(server)
+        assert server.taken == ["/0"]
+        assert await read1(stream) == [(200, BODY)]
+
+    run(main)
+
+
 def test_requests_sent_ahead_are_all_answered_before_the_connection_ends() -> None:
     async def main(server: BodyServer) -> None:
         stream = server.connect()
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -47,12 +47,12 @@
     """
     left_ms = server.drain_ends_at - server.clock.now()
     with trio.move_on_after(max(0.0, left_ms) / 1000.0):
-        while server.connections or server.has_unfinished_work:
+        while server.connections or server.starting_connections or server.has_unfinished_work:
             for connection in list(server.connections):
                 if not _awaits_first_request(server, connection):
                     _close_unless_handed_over(server, connection)
             await trio.sleep(POLL_S)
-    return not server.connections
+    return not server.connections and not server.starting_connections
 
 
 def _close_unless_handed_over(server: HttpServer, connection: Connection) -> None:
--- a/wickspring/net/ingress_process.py
+++ b/wickspring/net/ingress_process.py
@@ -5,6 +5,7 @@
 import logging
 import os
 import socket
+from functools import partial
 from pathlib import Path
 
 from wickspring import interface as api
@@ -15,6 +16,7 @@
 from wickspring.net.front_listener import FrontListener
 from wickspring.net.handover import Predecessor, Successor
 from wickspring.net.link import Link
+from wickspring.net.listening import start_serving
 from wickspring.net.runtime import Runtime
 
 log = logging.getLogger(__name__)
@@ -116,7 +118,7 @@
     def adopt_client(self, sock: socket.socket, ahead: bytes) -> None:
         """Serve a client connection that the other process has accepted."""
         link = Link(sock, self.runtime.nursery)
-        self.runtime.nursery.start_soon(http1_front.serve, link, self.runtime, ahead)
+        start_serving(link, self.runtime, partial(http1_front.serve, read_ahead=ahead))
 
     def apply_maintenance(self, server: api.ServerId, included_at: float | None) -> None:
         """Apply a server's removal (None) or return, made at the other process's admin API."""
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -86,8 +86,13 @@
         link = Link(sock, server.nursery)
         if refuse_first is not None:
             refuse_first(link, server)
-        server.starting_connections += 1
-        server.nursery.start_soon(_serve_started, link, server, serve)
+        start_serving(link, server, serve)
+
+
+def start_serving(link: Link, server: AnyServer, serve: Serve[AnyServer]) -> None:
+    """Serve a connection in a task of its own, and count it until that runs."""
+    server.starting_connections += 1
+    server.nursery.start_soon(_serve_started, link, server, serve)
 
 
 async def _serve_started(link: Link, server: AnyServer, serve: Serve[AnyServer]) -> None:
@@ -118,4 +123,4 @@
             sock, _ = listener.accept()
         except OSError:  # none left, most of all
             return
-        server.nursery.start_soon(serve, Link(sock, server.nursery), server)
+        start_serving(Link(sock, server.nursery), server, serve)
