Accept connections that the kernel defers before an ingress closes its listener

The client had connected, its request was reset at once, and the next dial was refused.

Cause: the ingress listens with TCP_DEFER_ACCEPT. A connection is complete to its client and cannot be accepted before its first bytes, so emptying the accept queue does not find it and closing the listener resets it. The window is as long as a client takes from connecting to sending. Data plane and control plane do not defer.

A probe of the kernel alone shows the same: connect, empty the queue, close, send: reset; with the option set to 0 the connection is there to be accepted. The new test, for both protocols, fails on the code before.

A listener that a successor shares goes on deferring, as it stays open.

--- a/tests/net/test_ingress_planned_end.py
+++ b/tests/net/test_ingress_planned_end.py
@@ -7,16 +7,20 @@
 from random import Random
 
 import h11
+import pytest
 import trio
 
 from example.toy import Answer, Seen, ToyServer, echo
 from tests.support.ingress import Client1, Client2, client1, client2, request, site
+from wickspring.net.graceful_shutdown import ACCEPT_ON_S, COME_AGAIN_S
 
 HTTP1_CLIENTS = 12
 HTTP2_CLIENTS = 3
 SERVICE_S = (0.0, 0.0, 0.05, 0.9)
 PAUSE_S = (0.0, 0.3)
 SIGTERM_AFTER_S = 0.4
+DIALS_BEFORE_CLOSE_S = 0.3  # of the listener
+SENDS_AFTER_CLOSE_S = 0.1
 ENDED = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
 
 
@@ -86,3 +90,23 @@
     trio.run(main)
     assert clients.answered > HTTP1_CLIENTS + HTTP2_CLIENTS
     assert not clients.passed_on & set(clients.unanswered)
+
+
+@pytest.mark.parametrize("http2", [False, True])
+def test_a_client_that_connects_before_the_listener_closes_and_sends_after_it_is_answered(
+    http2: bool,
+) -> None:
+    # Guards against resetting connections that are complete to their clients and deferred in the kernel.
+    async def main() -> None:
+        async with site() as here:
+            os.kill(os.getpid(), signal.SIGTERM)
+            await trio.sleep(ACCEPT_ON_S + COME_AGAIN_S - DIALS_BEFORE_CLOSE_S)
+            address = here.http2 if http2 else here.http1
+            stream = await trio.open_tcp_stream(*address)
+            await trio.sleep(DIALS_BEFORE_CLOSE_S + SENDS_AFTER_CLOSE_S)
+            with pytest.raises(OSError, match="all attempts to connect"):
+                await trio.open_tcp_stream(*address)
+            client = Client2(stream) if http2 else Client1(stream)
+            assert (await client.ask(request("ticket-escalate")))[0] == 200
+
+    trio.run(main)
--- a/wickspring/net/graceful_shutdown.py
+++ b/wickspring/net/graceful_shutdown.py
@@ -10,7 +10,7 @@
 from wickspring.net.calls import BODY_MS, HEAD_MS
 from wickspring.net.connection_drain import DrainTimes, close_connections, close_idle_connections
 from wickspring.net.front_listener import FrontListener
-from wickspring.net.listening import close_listener, take_rest
+from wickspring.net.listening import close_listener, stop_deferring, take_rest
 from wickspring.net.runtime import Runtime
 
 log = logging.getLogger(__name__)
@@ -28,6 +28,9 @@
     if runtime.peers is not None:
         runtime.nursery.start_soon(runtime.peers.leave, runtime.handing_over)
     log.info("draining", extra=kv(owed=runtime.pending_responses, handing=runtime.handing_over))
+    if not runtime.handing_over:  # the successor goes on deferring, on the same sockets
+        for front in listeners:
+            stop_deferring(front.listener)
     for connection in list(runtime.connections):
         connection.drain()
     await _stop_accepting(runtime, listeners)
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -18,6 +18,7 @@
 from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
 from wickspring.net.sockets import listen as listen
+from wickspring.net.sockets import stop_deferring as stop_deferring
 
 log = logging.getLogger(__name__)
 
--- a/wickspring/net/sockets.py
+++ b/wickspring/net/sockets.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 
 BACKLOG = 1024
 DEFER_S = 1  # silence after which the kernel hands a new connection over without a word
+NOT_DEFERRED_S = 0
 
 
 def listen(address: tuple[str, int], *, share: bool = False, defer: bool = True) -> socket.socket:
@@ -28,3 +30,14 @@
         sock.close()
         raise
     return sock
+
+
+def stop_deferring(listener: socket.socket) -> None:
+    """Have the kernel hand over each new connection at once, before it carries anything.
+
+    A deferred connection is complete to its client but cannot be accepted before its first bytes: closing the
+    listener resets it. One that is deferred already is handed over with its first bytes, or after `DEFER_S`.
+    """
+    if hasattr(socket, "TCP_DEFER_ACCEPT"):
+        with suppress(OSError):  # a platform without the option defers nothing
+            listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, NOT_DEFERRED_S)
