Judge the laboratory's probes of instances by when the answer reached the kernel

The probe's time-out of 0.5 s fired before the answer that lay in the kernel had been read.

An answer now counts by its arrival in the kernel (TCP_INFO), as those of clients do; the request is sent in the same turn as the dial. The bound of 0.5 s from the dial and all that is asserted of the floor stay as they were: an answer that arrives later, or of which the kernel does not say when, has timed out. The new tests block the event loop while an instance answers after 0.1 and 0.8 s; on the code before, the answers after 0.1 s count as timed out.

--- a/wickspring/lab/experiments/fleet_site.py
+++ b/wickspring/lab/experiments/fleet_site.py
@@ -13,7 +13,6 @@
 import sys
 from collections import Counter, defaultdict
 from dataclasses import dataclass
-from enum import StrEnum
 from pathlib import Path
 
 import msgspec
@@ -30,6 +29,7 @@
     limits_text,
     write_modified_build,
 )
+from wickspring.lab.experiments.instance_probe import ProbeResult, probe_instance
 from wickspring.lab.experiments.scenario import AgentFault, Command, InstanceFault, Scenario
 from wickspring.lab.traffic import schedule as scripts
 from wickspring.lab.traffic.client import Load
@@ -37,7 +37,6 @@
 
 START_TIMEOUT_S = 40.0
 START_POLL_S = 0.1
-PROBE_TIMEOUT_S = 0.5
 SAMPLE_INTERVAL_S = 0.2
 AGENT_STOP_TIMEOUT_S = 3.0
 LOG_TAIL_CHARS = 600
@@ -64,29 +63,6 @@
     write_modified_build(folder, "bad", _NEVER_READY_PROGRAM if fault == "never-ready" else _FAILING_PROGRAM)
 
 
-class ProbeResult(StrEnum):
-    """What an instance says from outside of whether it serves. The values stand in results."""
-
-    SERVES = "serves"
-    ANSWERS_OTHERWISE = "answers otherwise"
-    REFUSED = "refused"
-    TIMED_OUT = "timed out"
-
-
-async def probe_instance(address: str) -> ProbeResult:
-    """Ask an instance from outside whether it serves."""
-    host, _, port = address.rpartition(":")
-    with trio.move_on_after(PROBE_TIMEOUT_S):
-        try:
-            async with await trio.open_tcp_stream(host, int(port)) as stream:
-                await stream.send_all(b"GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
-                answer = await stream.receive_some(4096)
-        except (OSError, trio.BrokenResourceError):
-            return ProbeResult.REFUSED
-        return ProbeResult.SERVES if answer.startswith(b"HTTP/1.1 200") else ProbeResult.ANSWERS_OTHERWISE
-    return ProbeResult.TIMED_OUT
-
-
 @dataclass(slots=True, frozen=True)
 class CommandResult:
     """An operator's command that has ended."""
