End the laboratory's samples of a fleet before the run stops it

What was seen: "hall floor: broken in 3 of 32 samples (6 refused)" in a play of conflicting-drains and "3 of 90 samples (12 refused)" in one of rolling-upgrade, all instances of the fleet in one sample.

Cause: the run samples the instances until its nursery is cancelled, and before that it stops agents and instances in a thread. A sample that falls between finds nobody.

Sampling now ends once the last answers and the agents' last view are in, before the fleet is stopped. What is sampled while the run lasts, and the check, are the same.

--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import msgspec
@@ -9,6 +10,7 @@
 
 from tests.lab.short_scenarios import assert_rules_kept
 from wickspring.lab.experiments import scenario
+from wickspring.lab.experiments.fleet_site import FleetSite
 from wickspring.lab.experiments.run import run
 from wickspring.lab.reports.result import Result
 
@@ -26,6 +28,9 @@
     )
 
 
+STOPPED_S = 1.0  # from the end of the fleet to the end of the run; several samples
+
+
 def ends(result: Result, word: str) -> list[str]:
     return [text for name, text in result.operations.items() if name.startswith(word)]
 
@@ -64,6 +69,18 @@
     assert codes == ["exit 0", "exit 3"]
 
 
+def test_a_fleet_that_its_run_has_stopped_is_not_sampled(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against reporting a hall as below its floor because the run itself has ended the instances.
+    stop = FleetSite.stop
+
+    def stop_and_wait(site: FleetSite) -> None:
+        stop(site)
+        time.sleep(STOPPED_S)
+
+    monkeypatch.setattr(FleetSite, "stop", stop_and_wait)
+    assert run(fleet("conflicting-drains", 1.0), 1).hall_floor_broken == 0
+
+
 @pytest.mark.parametrize(("name", "reason"), [("bad-build", "answers failed"), ("never-ready", "not ready")])
 def test_a_failing_build_is_rolled_back_automatically(name: str, reason: str) -> None:
     result = run(fleet(name, 10.0, hold_s=2.0), 1)
--- a/wickspring/lab/experiments/fleet.py
+++ b/wickspring/lab/experiments/fleet.py
@@ -78,14 +78,16 @@
     site.record.dials.clear()
     site.clock.start(in_s=LOAD_DELAY_S)
     site.start_faults(nursery)
-    nursery.start_soon(fleet.sample)
     if progress is not None:
         nursery.start_soon(report_progress, scenario, site, progress)
-    await _play(fleet, load, script, nursery)
-    with trio.move_on_after(scenario.shape.deadline_ms / 1000.0 + FINISH_MARGIN_S):
-        while load.ended < load.begun:
-            await trio.sleep(FINISH_POLL_S)
-    view = await _final_view(fleet)
+    async with trio.open_nursery() as sampling:  # it ends before the fleet is stopped
+        sampling.start_soon(fleet.sample)
+        await _play(fleet, load, script, nursery)
+        with trio.move_on_after(scenario.shape.deadline_ms / 1000.0 + FINISH_MARGIN_S):
+            while load.ended < load.begun:
+                await trio.sleep(FINISH_POLL_S)
+        view = await _final_view(fleet)
+        sampling.cancel_scope.cancel()
     await load.close()
     return view
 
