Keep new connections at a planned end for as long as in service

What callers saw: a client that connects before the listener closes and sends its first request more than a second later is reset, and nobody is there to connect to.

Evidence: the test with a first request after 1.5 s fails on the code before, for both protocols.

A new connection now has FIRST_BYTE_MS in both.

--- a/tests/net/test_connection_drain.py
+++ b/tests/net/test_connection_drain.py
@@ -30,7 +30,7 @@
 LONG = DrainTimes(take_ms=5000.0, answer_ms=5000.0, close_ms=5000.0)
 LATE = DrainTimes(take_ms=-1.0, answer_ms=5000.0, close_ms=5000.0)
 SLOWLY_S = 0.005
-LATE_FIRST_REQUEST_S = 0.3
+LATE_FIRST_REQUEST_S = (0.3, 1.5)  # of clients that run a little late, and later than a second
 GET = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
@@ -223,15 +223,16 @@
     run(main)
 
 
+@pytest.mark.parametrize("late_s", LATE_FIRST_REQUEST_S)
 @pytest.mark.parametrize("http2", [False, True])
-def test_a_first_request_that_comes_late_on_a_new_connection_is_answered(http2: bool) -> None:
+def test_a_first_request_that_comes_late_on_a_new_connection_is_answered(http2: bool, late_s: float) -> None:
     # Guards against closing a new connection as idle while its first request is on its way.
     async def main(server: BodyServer) -> None:
         stream = server.connect(http2)
         await trio.sleep(0.02)
         server.begin_drain(LONG)
         server.nursery.start_soon(close_connections, server)
-        await trio.sleep(LATE_FIRST_REQUEST_S)
+        await trio.sleep(late_s)
         if http2:
             http, _ = await ask2(stream)
             assert await read2(stream, http) == (200, BODY, True)
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -11,13 +11,13 @@
 
 import trio
 
+from wickspring.net.calls import FIRST_BYTE_MS
 from wickspring.net.unanswered import EndReason
 
 if TYPE_CHECKING:
     from wickspring.net.http_server import Connection, HttpServer
 
 POLL_S = 0.02  # between two looks at all connections
-FIRST_REQUEST_MS = 1000.0  # for the first request on a new connection; its client may run late
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,8 +42,8 @@
 async def close_connections(server: HttpServer) -> bool:
     """Close each client connection once it is idle; return False where some are left when time is over.
 
-    One that has had no request yet is kept for `FIRST_REQUEST_MS`: its client has nobody else to connect to,
-    and a request that crosses the close is lost.
+    One that has had no request yet is kept for `FIRST_BYTE_MS`, as in service: its client may run late, has
+    nobody else to connect to, and a request that crosses the close is lost.
     """
     left_ms = server.drain_ends_at - server.clock.now()
     with trio.move_on_after(max(0.0, left_ms) / 1000.0):
@@ -63,4 +63,4 @@
 
 def _awaits_first_request(server: HttpServer, connection: Connection) -> bool:
     """Tell whether the first request on a connection may still be on its way."""
-    return connection.is_new and server.clock.now() < connection.accepted_at + FIRST_REQUEST_MS
+    return connection.is_new and server.clock.now() < connection.accepted_at + FIRST_BYTE_MS
