Let the laboratory's clients give up by what has reached the kernel

Cause: writing a request took a turn of the laboratory's event loop. While the loop ran up to 2.9 s late, the time-out fired between the writing and the note of it, and the client was cancelled before it looked for its answer. The new test has the loop stand still at that moment; on the code before its client gives up.

A request is now written and noted in one step. When its time is over a client looks once more: what reached the kernel in time counts, at the time at which it came; what came later does not, also where it is there to be read. That is stricter than before, where such an answer counted; the second new test fails on the code before. A reset says no time and counts as seen. How long clients wait is unchanged.

--- a/tests/lab/test_load_clients.py
+++ b/tests/lab/test_load_clients.py
@@ -33,6 +33,8 @@
 
 BUDGET_MS = 100.0
 ANSWER_AFTER_S = 0.1
+RECEIVED_WITHIN_S = 0.02  # after it has been written
+TOO_LATE_MS = 50.0  # for an answer
 BUSY_S = (BUDGET_MS + LATE_MS) / 1000.0 + 0.3
 SMALL_SCENARIO = scenario.parse(SMALL, "")
 REQUEST = replace(draw_script(SMALL_SCENARIO, 1).requests[0], budget_ms=BUDGET_MS, ingress=0)
@@ -40,7 +42,7 @@
 
 
 @contextmanager
-def answering_server() -> Iterator[str]:
+def answering_server(received: threading.Event | None = None) -> Iterator[str]:
     """Answer one request after `ANSWER_AFTER_S`, in a thread; yield the address."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
 
@@ -48,6 +50,8 @@
             sock, _ = listener.accept()
             with sock:
                 sock.recv(65536)
+                if received is not None:
+                    received.set()
                 time.sleep(ANSWER_AFTER_S)
                 sock.sendall(ANSWER)
                 sock.recv(1)  # until the client closes
@@ -89,3 +93,43 @@
         trio.run(play, replace(REQUEST, at_ms=-5000.0), record, address, 0.0)
     (client,) = record.requests
     assert [answer.status for answer in client.answers] == [200]
+
+
+class StandStill(trio.abc.Instrument):
+    """Has the event loop stand still once, at the end of the turn in which a request is written."""
+
+    def __init__(self, received: threading.Event) -> None:
+        self._received = received
+        self._has_stood = False
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Stand still where the server has received the request."""
+        if not self._has_stood and self._received.wait(RECEIVED_WITHIN_S):
+            self._has_stood = True
+            time.sleep(BUSY_S)
+
+
+def test_an_answer_counts_though_the_loop_stands_still_in_the_turn_of_the_sending() -> None:
+    # Guards against giving up a request whose answer lies in the kernel while the laboratory runs late.
+    record = Record()
+    received = threading.Event()
+
+    async def main(address: str) -> None:
+        trio.lowlevel.add_instrument(StandStill(received))
+        await play(replace(REQUEST, at_ms=0.0), record, address, 0.0)
+
+    with answering_server(received) as address:
+        trio.run(main, address)
+    (client,) = record.requests
+    assert [answer.status for answer in client.answers] == [200]
+    assert client.answers[0].at - client.sent_at < BUDGET_MS + LATE_MS
+
+
+def test_an_answer_that_came_too_late_does_not_count_though_it_is_there_when_the_client_looks() -> None:
+    # Guards against taking the lateness of the laboratory for patience of its clients.
+    record = Record()
+    with answering_server() as address:
+        request = replace(REQUEST, at_ms=0.0, budget_ms=1000.0 * ANSWER_AFTER_S - LATE_MS - TOO_LATE_MS)
+        trio.run(play, request, record, address, BUSY_S)
+    (client,) = record.requests
+    assert client.sent_at >= 0 and not client.answers
--- a/wickspring/lab/traffic/client.py
+++ b/wickspring/lab/traffic/client.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from contextlib import suppress
 from dataclasses import replace
 from random import Random
 
@@ -22,7 +23,13 @@
     Record,
 )
 from wickspring.lab.simulation.clock import RunClock
-from wickspring.lab.traffic.client_connection import ClientConnection, Response, encode_request
+from wickspring.lab.traffic.client_connection import (
+    MS_PER_S,
+    ClientConnection,
+    GaveUpError,
+    Response,
+    encode_request,
+)
 from wickspring.lab.traffic.schedule import ScheduledRequest
 from wickspring.net.link import connect
 
@@ -32,7 +39,7 @@
 
 def _patience_s(scheduled: ScheduledRequest) -> float:
     """Return how many seconds a client waits: its budget, and `LATE_MS`."""
-    return (scheduled.budget_ms + LATE_MS) / 1000.0
+    return (scheduled.budget_ms + LATE_MS) / MS_PER_S
 
 
 class Load:
@@ -77,10 +84,10 @@
         """Send a request, twice if its connection ended without an answer; then retry as clients do."""
         scheduled = request.scheduled
         request.ingress = self._choose_ingress(scheduled)
-        with trio.move_on_after(_patience_s(scheduled)) as patience:
-            if not await self._exchange(request, patience, fresh=False):
+        with suppress(GaveUpError):
+            if not await self._exchange(request, fresh=False):
                 request.broken_at = -1.0
-                await self._exchange(request, patience, fresh=True)
+                await self._exchange(request, fresh=True)
         self.ended += 1
         self._retry(request, nursery)
 
@@ -91,15 +98,19 @@
         others = [number for number in range(len(self.addresses)) if number not in self.closed]
         return others[scheduled.number % len(others)] if others else scheduled.ingress
 
-    async def _exchange(self, request: ClientRequest, patience: trio.CancelScope, *, fresh: bool) -> bool:
+    async def _exchange(self, request: ClientRequest, *, fresh: bool) -> bool:
         """Send a request on one connection; tell whether an answer came.
 
-        The request states its whole budget, and `patience` begins anew with it: a client waits for as long
-        as it says, also where this process is busy and sends it behind the schedule.
+        The request states its whole budget: its client waits for as long as it says from the sending on, also
+        where this process is busy and sends it behind the schedule.
+
+        Raises:
+            GaveUpError: the client has waited for as long as it does.
         """
-        connection = None if fresh else await self._take_idle(request.ingress)
+        patience_s = _patience_s(request.scheduled)
+        connection = None if fresh else self._take_idle(request.ingress)
         if connection is None:
-            connection = await self._dial(self.addresses[request.ingress])
+            connection = await self._dial(self.addresses[request.ingress], patience_s)
             if connection is None:
                 return False
         keep = False
@@ -108,10 +119,8 @@
 
             def on_sent() -> None:
                 request.sent_at = self.clock.now()
-                self._prolong(patience, request.scheduled)
 
-            self._prolong(patience, request.scheduled)  # writing takes a turn of the event loop as well
-            response = await connection.exchange(data, on_sent)
+            response = await connection.exchange(data, patience_s, on_sent)
             if response is None:
                 request.broken_at = self.clock.now()
                 return False
@@ -122,28 +131,22 @@
             return True
         finally:
             if not keep:
-                await trio.aclose_forcefully(connection.stream)
-
-    def _prolong(self, patience: trio.CancelScope, scheduled: ScheduledRequest) -> None:
-        """Have a client wait from now on for as long as it says."""
-        patience.deadline = max(patience.deadline, trio.current_time() + _patience_s(scheduled))
+                connection.close()
 
-    async def _dial(self, address: str) -> ClientConnection | None:
-        """Open a connection; None where that fails. The caller's patience bounds it."""
+    async def _dial(self, address: str, patience_s: float) -> ClientConnection | None:
+        """Open a connection; None where that fails or takes too long."""
         host, _, port = address.rpartition(":")
-        sock = await connect((host, int(port)), math.inf)
-        if sock is None:
-            return None
-        return ClientConnection(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+        sock = await connect((host, int(port)), MS_PER_S * patience_s)
+        return None if sock is None else ClientConnection(sock)
 
-    async def _take_idle(self, ingress: int) -> ClientConnection | None:
+    def _take_idle(self, ingress: int) -> ClientConnection | None:
         """Take an idle connection that is still open; None if there is none."""
         pool = self.idle[ingress]
         while pool:
             connection = pool.pop()
             if not connection.is_stale:
                 return connection
-            await trio.aclose_forcefully(connection.stream)
+            connection.close()
         return None
 
     def _record_answer(self, request: ClientRequest, response: Response) -> None:
@@ -185,4 +188,4 @@
         """Close all idle connections."""
         for pool in self.idle:
             for connection in pool:
-                await trio.aclose_forcefully(connection.stream)
+                connection.close()
--- a/wickspring/lab/traffic/client_connection.py
+++ b/wickspring/lab/traffic/client_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,10 +15,10 @@
 import trio
 
 from wickspring.lab.emulation.shape import Shape
-from wickspring.lab.emulation.sockets import peek
 from wickspring.lab.traffic.schedule import ScheduledRequest
-from wickspring.net.tcp_info import unread_ms
+from wickspring.net.tcp_info import peer_closed_ms, unread_ms
 
+MS_PER_S = 1000.0
 RECEIVE_BYTES = 65536
 BODY = b"x" * 120  # of requests that are not idempotent
 _USUAL_RESPONSE = re.compile(
@@ -71,35 +72,84 @@
     return f"{head}Content-Length: {len(BODY)}\r\n\r\n".encode() + BODY
 
 
+class GaveUpError(Exception):
+    """A client has waited for as long as it says, and no answer has come."""
+
+
 class ClientConnection:
-    """One connection of the front to a gateway."""
+    """One connection of the front to a gateway.
+
+    How long a client waits is judged by when something reached the kernel, not by when this process reads it:
+    while its event loop runs late, an answer may lie there beyond its client's time.
+    """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
         self.is_reusable = False  # another request may follow on it
 
     @property
     def is_stale(self) -> bool:
         """Tell whether the gateway has closed it, or sent something without a request."""
-        return peek(self.stream.socket) is not None
-
-    async def exchange(self, data: bytes, on_sent: Callable[[], None]) -> Response | None:
-        """Send a request and read its response; None if the connection ends before that is complete."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+    def close(self) -> None:
+        """Close it at once."""
+        self._sock.close()
+
+    async def exchange(self, data: bytes, patience_s: float, on_sent: Callable[[], None]) -> Response | None:
+        """Send a request and read its response; None if the connection ends before that is complete.
+
+        Raises:
+            GaveUpError: neither had come within `patience_s` of the sending.
+        """
         self.is_reusable = False
+        deadline = trio.current_time() + patience_s
         try:
-            await self.stream.send_all(data)
+            await self._send(data, deadline)
             on_sent()
-            received = await self.stream.receive_some(RECEIVE_BYTES)
-            lay_unread_ms = unread_ms(self.stream.socket) if received else 0.0
+            received, lay_unread_ms = await self._receive(deadline)
             response = read_usual_response(received, lay_unread_ms)
             if response is None:
-                return await self._parse_response(data, received, lay_unread_ms)
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+                return await self._parse_response(data, received, lay_unread_ms, deadline)
+        except (OSError, h11.RemoteProtocolError):
             return None
         self.is_reusable = True
         return response
 
-    async def _parse_response(self, request: bytes, received: bytes, lay_unread_ms: float) -> Response | None:
+    async def _send(self, data: bytes, deadline: float) -> None:
+        """Write a request, at once where the kernel takes it."""
+        while data:
+            try:
+                data = data[self._sock.send(data) :]
+            except BlockingIOError:
+                with trio.move_on_at(deadline) as scope:
+                    await trio.lowlevel.wait_writable(self._sock)
+                if scope.cancelled_caught:
+                    raise GaveUpError from None
+
+    async def _receive(self, deadline: float) -> tuple[bytes, float]:
+        """Return what comes next, b"" at the end, and for how long (ms) it had lain in the kernel."""
+        with trio.move_on_at(deadline):
+            await trio.lowlevel.wait_readable(self._sock)
+        try:
+            received = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            raise GaveUpError from None
+        lay_unread_ms = unread_ms(self._sock) if received else peer_closed_ms(self._sock) or 0.0
+        if trio.current_time() - lay_unread_ms / MS_PER_S > deadline:
+            raise GaveUpError
+        return received, lay_unread_ms
+
+    async def _parse_response(
+        self, request: bytes, received: bytes, lay_unread_ms: float, deadline: float
+    ) -> Response | None:
         """Parse a response to a request whose first bytes have been received."""
         http = h11.Connection(h11.CLIENT)
         _note_request(http, request)
@@ -110,10 +160,8 @@
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
-                if data:
-                    lay_unread_ms = unread_ms(self.stream.socket)
-                http.receive_data(data)
+                received, lay_unread_ms = await self._receive(deadline)
+                http.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {name.decode(): value.decode() for name, value in event.headers}
