Let silent connections end within the last second of a control plane

What was seen: test_a_call_in_progress_is_answered_before_the_process_ends hung for its 20 s. The test is unchanged.

A silent connection was not closed in that second, but cut with the process.

A control plane gives a new connection half a second of that second.

--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -46,6 +46,7 @@
 DRAIN_SHARE = 0.85  # of the grace period: the longest wait for other nodes to take over; calls are taken
 CLOSE_SHARE = 0.97  # of the grace period: the longest wait for calls in progress
 LAST_CALLS_S = 1.0  # for calls in progress, once other nodes have taken over
+FIRST_CALL_MS = 500.0  # for the first call on a connection that was accepted last
 DRAIN_POLL_S = 0.05
 
 
@@ -157,7 +158,7 @@
         take_rest(listener, api_server, serve_http)
         close_listener(listener)
     with trio.move_on_after(LAST_CALLS_S):
-        await close_connections(api_server)
+        await close_connections(api_server, FIRST_CALL_MS)
 
 
 async def run(started: Bootstrap, seed: int, ended: trio.Event) -> None:
--- a/wickspring/net/connection_drain.py
+++ b/wickspring/net/connection_drain.py
@@ -39,17 +39,17 @@
             _close_unless_handed_over(server, connection)
 
 
-async def close_connections(server: HttpServer) -> bool:
+async def close_connections(server: HttpServer, first_request_ms: float = FIRST_BYTE_MS) -> bool:
     """Close each client connection once it is idle; return False where some are left when time is over.
 
-    One that has had no request yet is kept for `FIRST_BYTE_MS`, as in service: its client may run late, has
-    nobody else to connect to, and a request that crosses the close is lost.
+    One that has had no request yet is kept for `first_request_ms`, by default as long as in service: its
+    client may run late, has nobody else to connect to, and a request that crosses the close is lost.
     """
     left_ms = server.drain_ends_at - server.clock.now()
     with trio.move_on_after(max(0.0, left_ms) / 1000.0):
         while server.connections or server.starting_connections or server.has_unfinished_work:
             for connection in list(server.connections):
-                if not _awaits_first_request(server, connection):
+                if not _awaits_first_request(server, connection, first_request_ms):
                     _close_unless_handed_over(server, connection)
             await trio.sleep(POLL_S)
     return not server.connections and not server.starting_connections
@@ -61,6 +61,6 @@
         connection.close_if_idle(EndReason.DRAINED)
 
 
-def _awaits_first_request(server: HttpServer, connection: Connection) -> bool:
+def _awaits_first_request(server: HttpServer, connection: Connection, first_request_ms: float) -> bool:
     """Tell whether the first request on a connection may still be on its way."""
-    return connection.is_new and server.clock.now() < connection.accepted_at + FIRST_BYTE_MS
+    return connection.is_new and server.clock.now() < connection.accepted_at + first_request_ms
