Split reading of HTTP/1.1 requests from responses; empty and close listeners in one place

Three programs emptied the accept queue and closed the listener each for itself, which is where one of them went wrong; stop_accepting does it for all.

--- a/tests/net/test_connection_drain.py
+++ b/tests/net/test_connection_drain.py
@@ -21,7 +21,7 @@
 from wickspring.net.http2_front import Http2Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
-from wickspring.net.listening import close_listener, listen, take_rest
+from wickspring.net.listening import listen, stop_accepting
 from wickspring.net.runtime import Runtime
 from wickspring.net.unanswered import EndReason
 
@@ -250,8 +250,7 @@
         stream = await trio.open_tcp_stream(*listener.getsockname())
         await stream.send_all(GET % 0)
         server.begin_drain(LONG)
-        take_rest(listener, server, http1_front.serve)
-        close_listener(listener)
+        stop_accepting(listener, server, http1_front.serve)
         await close_connections(server)
         assert server.taken == ["/0"]
         assert await read1(stream) == [(200, BODY)]
--- a/wickspring/controlplane/process.py
+++ b/wickspring/controlplane/process.py
@@ -41,7 +41,7 @@
 from wickspring.controlplane.view_announcements import ViewAnnouncer
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes, close_connections
-from wickspring.net.listening import accept, close_listener, take_rest
+from wickspring.net.listening import accept, stop_accepting
 
 DRAIN_SHARE = 0.85  # of the grace period: the longest wait for other nodes to take over; calls are taken
 CLOSE_SHARE = 0.97  # of the grace period: the longest wait for calls in progress
@@ -155,8 +155,7 @@
 async def finish_calls(api_server: ApiServer, listener: socket.socket | None) -> None:
     """Take no more connections, and answer the calls in progress."""
     if listener is not None:
-        take_rest(listener, api_server, serve_http)
-        close_listener(listener)
+        stop_accepting(listener, api_server, serve_http)
     with trio.move_on_after(LAST_CALLS_S):
         await close_connections(api_server, FIRST_CALL_MS)
 
--- a/wickspring/dataplane/shutdown.py
+++ b/wickspring/dataplane/shutdown.py
@@ -17,7 +17,7 @@
 from wickspring.common import logs
 from wickspring.dataplane.process import DataPlane
 from wickspring.net.connection_drain import DrainTimes, close_connections, close_idle_connections
-from wickspring.net.listening import Serve, close_listener, take_rest
+from wickspring.net.listening import Serve, stop_accepting
 
 # Shares of the grace period, between SIGTERM and SIGKILL.
 ACCEPT_SHARE = 0.4  # new connections are accepted until then at the latest
@@ -71,5 +71,4 @@
                 await trio.sleep(POLL_S)
             close_idle_connections(self._data_plane)
             await trio.sleep(ON_THE_WAY_S)
-        take_rest(self._listener, self._data_plane, self._serve)
-        close_listener(self._listener)
+        stop_accepting(self._listener, self._data_plane, self._serve)
--- a/wickspring/net/graceful_shutdown.py
+++ b/wickspring/net/graceful_shutdown.py
@@ -10,7 +10,7 @@
 from wickspring.net.calls import BODY_MS, HEAD_MS
 from wickspring.net.connection_drain import DrainTimes, close_connections, close_idle_connections
 from wickspring.net.front_listener import FrontListener
-from wickspring.net.listening import close_listener, stop_deferring, take_rest
+from wickspring.net.listening import close_listener, stop_accepting, stop_deferring
 from wickspring.net.runtime import Runtime
 
 log = logging.getLogger(__name__)
@@ -56,9 +56,10 @@
         close_idle_connections(runtime)
         await trio.sleep(COME_AGAIN_S)
     for front in listeners:
-        if not runtime.handing_over:
-            take_rest(front.listener, runtime, front.serve)
-        close_listener(front.listener)
+        if runtime.handing_over:
+            close_listener(front.listener)
+        else:
+            stop_accepting(front.listener, runtime, front.serve)
 
 
 async def _hand_connections_over(runtime: Runtime) -> None:
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -1,49 +1,26 @@
-"""The front for HTTP/1.1 (RFC 9112): requests of clients, one at a time on each connection."""
+"""The front for HTTP/1.1 (RFC 9112): client connections, and the responses to their requests."""
 
 from __future__ import annotations
 
 import socket
 
 import h11
-import trio
-
-from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import (
-    DEFER_S,
-    INTERNAL_SERVER_ERROR,
-    MAX_BUFFERED_BODY,
-    CallError,
-    read_head,
-)
-from wickspring.net.early_refusal import REFUSALS, refuses
-from wickspring.net.front_connection import FrontConnection
-from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
-from wickspring.net.http1_syntax import (
-    HeaderPairs,
-    encode_response,
-    has_ambiguous_length,
-    header_pairs,
-    origin_form,
-)
-from wickspring.net.http_server import HttpRequest, HttpServer
+
+from wickspring.net.calls import INTERNAL_SERVER_ERROR
+from wickspring.net.front_limits import DEFAULT_LIMITS, FrontLimits
+from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
+from wickspring.net.http1_reader import Http1RequestReader
+from wickspring.net.http1_syntax import HeaderPairs, encode_response
+from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
-from wickspring.net.request_body import RequestBody
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
-MAX_READ_AHEAD = (
-    MAX_HEAD_BYTES + MAX_BUFFERED_BODY
-)  # bytes of further requests, read while a response is owed
-DISCARD_MS = 100.0  # for a client that sends further requests on a connection that is being closed
-MAX_DISCARDED = 32 << 20  # bytes read and dropped after an early response; who has more to send is cut off
-STREAM_RETRY_S = 1.0  # after which a long request that found no room may come again
-MAX_PIPELINED_AT_ONCE = 8  # requests handled of one connection before others have their turn
 NO_CONTENT_STATUSES = (204, 304)  # RFC 9110, section 6.4.1
 TOO_MANY_REQUESTS = 429
-MAX_LENGTH_STATUSES = (413, 431)  # that h11 gives for what is too long
 RESPONSE_NOT_BEGUN = (h11.IDLE, h11.SEND_RESPONSE)  # states of this side
 
 
-class Http1Connection(FrontConnection):
+class Http1Connection(Http1RequestReader):
     """One client connection, and the place where the response to its present request goes."""
 
     can_be_handed_over = True
@@ -55,199 +32,8 @@
         read_ahead: bytes | None = None,
         limits: FrontLimits = DEFAULT_LIMITS,
     ) -> None:
-        super().__init__(link, server)
-        self.server, self.limits = server, limits
-        self.read_ahead = read_ahead  # by the process before this one; None for a new connection
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
-        self.request: h11.Request | None = None
-        self.headers: dict[str, str] = {}
-        self.body = RequestBody(0.0)
-        self.request_number: int | None = None  # of the request that waits for its response
-        self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
-        self._discards_requests = False  # what still comes is no rest of a request that has been answered
-        self._has_discarded = False
-        self.started_at = self.last_received_at  # of the connection, or of the present request
-        self.has_received_request = read_ahead is not None or link.has_answered
-        self._advancing = False
-        self._handled_at_once = 0  # requests, by the present call of `advance`
+        super().__init__(link, server, read_ahead, limits)
         self._closes_after_stream = False  # the connection, with the streamed response that has begun
-        self._resumed: trio.Event | None = None  # where reading pauses until a response is given
-
-    # Reading.
-
-    async def _read(self) -> None:
-        self._begin_reading()
-        discarded = 0
-        while discarded < MAX_DISCARDED and not self.link.broken:
-            if self._must_pause():
-                await self._pause()
-                continue
-            data = await self.link.receive()
-            if not data:
-                await self._on_read_end(data)
-                break
-            if self.closing:
-                discarded += len(data)  # read, so that closing does not reset the response
-                self._on_discarded()
-                continue
-            self._note_arrival(self.server.clock)
-            if not self._receive(data):
-                self._set_end_reason(EndReason.CLIENT_ERROR)
-                break
-        self.closing = True
-
-    def _on_discarded(self) -> None:
-        """Close soon where a further request comes on a connection that is being closed.
-
-        Its client must learn at once that nobody will answer it; yet a reset before it has read its last
-        response could destroy that.
-        """
-        if self._discards_requests and not self._has_discarded:
-            self._has_discarded = True
-            self.server.call_later(DISCARD_MS, self.link.close)
-
-    def _begin_reading(self) -> None:
-        if self.read_ahead:
-            self._receive(self.read_ahead)
-        elif not self.has_received_request and self.link.peek() is None:  # silent since it connected
-            self.last_received_at = self.started_at = self.started_at - 1000.0 * DEFER_S
-
-    def _must_pause(self) -> bool:
-        """Tell whether the client is not to be read for now."""
-        if self.body.stream is not None:
-            return self.body.stream.is_full
-        return self.request_number is not None and len(self.http.trailing_data[0]) > MAX_READ_AHEAD
-
-    async def _pause(self) -> None:
-        """Wait until the client may be read again."""
-        body = self.body
-        if body.stream is None:
-            self._resumed = trio.Event()
-            await self._resumed.wait()
-            return
-        paused_at = self.server.clock.now()
-        await body.stream.wait_writable()
-        body.started_at += self.server.clock.now() - paused_at  # no fault of the client's
-
-    def _receive(self, data: bytes) -> bool:
-        """Process bytes; False where the connection is to be closed at once."""
-        self.last_received_at = self.server.clock.now()
-        if self.has_received_request and self.is_idle():
-            self.started_at = self.last_received_at
-        if self._refuse_unparsed(data):
-            return True
-        self.http.receive_data(data)
-        if self.request_number is None or self.body.stream is not None:
-            self.advance()
-        size = len(self.http.trailing_data[0])
-        if self.request is not None:
-            size += len(self.body.buffered)
-        if not self.server.record_buffered(self, size) and not self.closing:
-            if self.request_number is not None:
-                return False
-            self.respond(503, "", b"too much is being sent at once\n")
-        return True
-
-    def _refuse_unparsed(self, data: bytes) -> bool:
-        """Refuse a request before it costs a parser's work, where this process is late; tell whether.
-
-        A process that is short of processor time must be able to refuse all that comes.
-        """
-        awaits_request = self._awaits_request and not self.http.trailing_data[0]
-        if not awaits_request or not refuses(self.server, data, self.arrived_at):
-            return False
-        self.has_received_request = True
-        closes = self._closes_connection()
-        self.link.send(REFUSALS[closes])
-        self.started_at = self.last_received_at
-        if closes:
-            self.finish()
-        return True
-
-    def advance(self) -> None:
-        """Process what has been read, up to the end of one request; a request that follows waits."""
-        self._advancing = True
-        self._handled_at_once = 0
-        try:
-            while not self.closing and (self.request_number is None or self.body.stream is not None):
-                read = self.http.trailing_data[0] if self.request is None else b""
-                event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                if isinstance(event, h11.Request):
-                    self._on_head(event, read)
-                elif isinstance(event, h11.Data):
-                    self._on_body(event.data)
-                elif isinstance(event, h11.EndOfMessage) and not self._on_end():
-                    return
-        except CallError as error:  # the connection ends: where the next request begins is not certain
-            self.respond(error.status, "", f"bad {error}\n".encode())
-        except h11.RemoteProtocolError as error:
-            code = error.error_status_hint
-            self.respond(code if code in MAX_LENGTH_STATUSES else 400, "", f"{error}\n".encode())
-        finally:
-            self._advancing = False
-
-    def _on_head(self, request: h11.Request, read: bytes) -> None:
-        """Take a request's head; `read` is what had been read before it was parsed."""
-        self.request, self.body = request, RequestBody(self.server.clock.now())
-        if has_ambiguous_length(read[: len(read) - len(self.http.trailing_data[0])]):
-            raise CallError("content-length")
-        self.headers = read_head(header_pairs(request))
-        if self.http.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self.link.send(self.http.send(go_on) or b"")
-
-    def _on_body(self, data: bytes) -> None:
-        body = self.body
-        if body.stream is not None and body.size + len(data) > self.limits.max_body_bytes:
-            self.cancel_requests()
-            self.respond(413, "", b"body too large\n")
-            return
-        body.receive(data)
-        if body.exceeds_buffer and self.request is not None:
-            self._start_streaming(self.request)
-
-    def _on_end(self) -> bool:
-        """Take a request's end; False where no further request is to be processed now."""
-        if self.body.end_stream():
-            self.request = None
-            return False
-        if self.request is None:
-            return True
-        self._handle(self.request)
-        self._handled_at_once += 1
-        if self._handled_at_once == MAX_PIPELINED_AT_ONCE and self.http.trailing_data[0]:
-            self.server.call_later(0.0, self.advance)  # the turn of other connections comes first
-            return False
-        return True
-
-    def _handle(self, request: h11.Request, body_stream: BodyStream | None = None) -> None:
-        """Pass a request on with what is buffered of its body; a stream brings the rest."""
-        method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
-        self.has_received_request = True
-        self.request_read_at = self.server.clock.now()
-        body = bytes(self.body.buffered)
-        self.server.take_request(
-            self, HttpRequest(method, target, self.headers, body, body_stream, self.arrived_at)
-        )
-
-    def _start_streaming(self, request: h11.Request) -> None:
-        """Pass a request on whose body is longer than what is buffered."""
-        if not self.server.can_stream:
-            self.server.closed_counts["no_room_to_flow"] += 1
-            self.respond(503, f"{STREAM_RETRY_S:.3f}", b"too many long requests at once\n")
-            return
-        length = self.headers.get("content-length")
-        body = self.body
-        self._handle(request, body.start_stream(int(length) if length is not None else None))
-        body.buffered = bytearray()
-        if self.request_number is None:  # answered at once
-            body.stream = None
-
-    def pairs(self) -> list[tuple[str, str]]:
-        """Return the headers of the present request, in order, their names in lower case."""
-        return [] if self.request is None else header_pairs(self.request)
 
     # The connection.
 
@@ -272,11 +58,6 @@
     def _has_request(self) -> bool:
         return self.request_number is not None
 
-    @property
-    def _awaits_request(self) -> bool:
-        """Whether no request is arriving, and none waits for its response."""
-        return self.request_number is None and self.request is None
-
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the request that waits for its response, or whose response has not left whole."""
         reason = self.end_reason or EndReason.CLIENT_RESET
@@ -294,10 +75,6 @@
         if number is not None:
             self.server.client_disconnected(number)
 
-    def is_idle(self) -> bool:
-        """Tell whether no request has come or is coming, and all responses have left."""
-        return self._awaits_request and not self.http.trailing_data[0] and self.link.flushed
-
     def idle_since(self) -> float | None:
         """Return when bytes were last received (ms); None while a response is owed or has not left."""
         return self.last_received_at if self.request_number is None and self.link.flushed else None
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -121,7 +121,7 @@
         self.least_processor_share = 1.0
         self.unread_longest_ms = 0.0  # that a request has lain in the kernel
         self.loop_monitor: LoopMonitor | None = None  # where the process times its event loop
-        self._buffered_bytes: dict[Connection, int] = {}  # of incomplete requests
+        self._buffered_bytes: dict[object, int] = {}  # of incomplete requests
         self._total_buffered_bytes = 0
 
     @property
@@ -341,7 +341,7 @@
                 self.closed_counts["for_room"] += 1
                 connection.close_if_unread(EndReason.FOR_ROOM)
 
-    def record_buffered(self, connection: Connection, size: int) -> bool:
+    def record_buffered(self, connection: object, size: int) -> bool:
         """Record the bytes of incomplete requests that a connection holds; False where it must be closed.
 
         Each alone is bounded, but hundreds of them at their bounds would be more than a small process has.
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -117,8 +117,14 @@
     listener.close()
 
 
+def stop_accepting(listener: socket.socket, server: AnyServer, serve: Serve[AnyServer]) -> None:
+    """Accept what waits in the kernel's queue, and close the listener, which would reset it."""
+    take_rest(listener, server, serve)
+    close_listener(listener)
+
+
 def take_rest(listener: socket.socket, server: AnyServer, serve: Serve[AnyServer]) -> None:
-    """Accept what waits in the kernel's line: closing the listener would reset it."""
+    """Accept what waits in the kernel's queue."""
     while True:
         try:
             sock, _ = listener.accept()
