--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""What the scripts of this review share."""
