Contain a fault of the program in the message that it is met in

Cause: an exception belonged to whoever stood at the top of a chain of callbacks. The cleanup of one server connection ended its exchange, which began the next attempt, which raised again, now in the main nursery.

Why it works: each message has one supervisor (net/fault_isolation.py; docs/ARCHITECTURE.md, "Faults") that logs, counts and ends it.

--- a/wickspring/common/connection.py
+++ b/wickspring/common/connection.py
@@ -17,6 +17,7 @@
 from wickspring.common.errors import GatewayError
 from wickspring.common.messages.base import Message, MessageDecoder, WireMessage
 from wickspring.net.clock import Clock
+from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 from wickspring.net.link import Link
 
 MAX_MESSAGE_BYTES = 4 << 20  # of one message, and of all that waits to be read
@@ -66,7 +67,7 @@
         """Decode each message and pass it to `on_message`, until the connection ends.
 
         Messages whose name the decoder does not know are ignored. One that raises any of `DECODE_ERRORS`
-        when it is decoded or handled ends the reading.
+        when it is decoded or handled ends the reading, and so does any other fault in handling it.
         """
 
         def decode(wire_message: WireMessage) -> None:
@@ -79,9 +80,13 @@
     async def read_wire_messages(self, on_wire_message: Callable[[WireMessage], None]) -> None:
         """Pass each message, not decoded yet, to `on_wire_message` until the connection ends.
 
-        What is not a message, or raises one of `DECODE_ERRORS` when it is handled, ends the reading; the
-        latter is logged.
+        What is not a message, or raises when it is handled, ends the reading; the latter is logged. A fault
+        of this program ends this connection alone, whose other side connects again.
         """
+        with isolate_faults(FaultStep.PEER_MESSAGE):
+            await self._read_all(on_wire_message)
+
+    async def _read_all(self, on_wire_message: Callable[[WireMessage], None]) -> None:
         while True:
             data = await self.link.receive()
             if not data:
@@ -125,4 +130,5 @@
         except OSError:
             await trio.sleep(ACCEPT_RETRY_S)
         else:
-            nursery.start_soon(serve, PeerConnection(Link(sock, nursery), clock))
+            connection = PeerConnection(Link(sock, nursery), clock)
+            nursery.start_soon(run_isolated, FaultStep.PEER_MESSAGE, serve, connection)
--- a/wickspring/common/errors.py
+++ b/wickspring/common/errors.py
@@ -27,6 +27,7 @@
     TOO_LARGE = "too_large"
     NO_CONFIG = "no_config"
     BAD_SETTINGS = "bad_settings"
+    INTERNAL_FAULT = "internal_fault"  # of this program, in handling the request; it may have run
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,6 +57,7 @@
     ErrorKind.TOO_LARGE: ErrorResponse(413),
     ErrorKind.NO_CONFIG: ErrorResponse(404),
     ErrorKind.BAD_SETTINGS: ErrorResponse(500),
+    ErrorKind.INTERNAL_FAULT: ErrorResponse(500),
 }
 
 
--- a/wickspring/common/reconnecting_client.py
+++ b/wickspring/common/reconnecting_client.py
@@ -16,6 +16,7 @@
 from wickspring.common.connection import RECEIVE_TIMEOUT_MS, PeerConnection
 from wickspring.common.messages.base import Message, MessageDecoder
 from wickspring.net.clock import Clock
+from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.link import Link, connect
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -96,7 +97,7 @@
                 sock = await connect(self.address, CONNECT_TIMEOUT_MS)
                 self.last_attempt_at_ms = self._clock.now()
                 if sock is not None:
-                    await self._use(sock)
+                    await run_isolated(FaultStep.PEER_MESSAGE, self._use, sock)
                 await self._wait_before_reconnecting()
 
     async def _wait_before_reconnecting(self) -> None:
--- a/wickspring/controlplane/api/server.py
+++ b/wickspring/controlplane/api/server.py
@@ -18,6 +18,7 @@
 )
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import Client
+from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
@@ -58,7 +59,9 @@
         self._last_call_number += 1
         client.request_accepted(self._last_call_number, 0.0)
         call = ApiRequest(request.method, path, request.body, parts)
-        self.nursery.start_soon(self._answer, client, handler, call, request.body_stream)
+        self.nursery.start_soon(
+            run_isolated, FaultStep.API_CALL, self._answer, client, handler, call, request.body_stream
+        )
 
     async def _answer(
         self, client: Client, handler: ApiHandler, request: ApiRequest, body_stream: BodyStream | None
--- a/wickspring/controlplane/replication/node.py
+++ b/wickspring/controlplane/replication/node.py
@@ -40,6 +40,7 @@
 from wickspring.controlplane.replication.view import Member
 from wickspring.controlplane.storage import ReplicaStore
 from wickspring.net.clock import Clock
+from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 
 HEARTBEAT_MS = 200.0
 HEARTBEAT_JITTER = 0.15  # share of the interval by which it varies
@@ -104,7 +105,10 @@
 
     def submit_in_background(self, update: Update) -> None:
         """Submit an update without waiting for its outcome."""
-        self._nursery.start_soon(self.submit, update)
+        self._nursery.start_soon(run_isolated, FaultStep.PEER_MESSAGE, self._submit, update)
+
+    async def _submit(self, update: Update) -> None:
+        await self.submit(update)
 
     def submit_to_chain(self, ticket: int, update: Update) -> None:
         """Hand an update to this node's chain."""
@@ -194,10 +198,14 @@
         events = self._events
         self._events = []
         for event in events:
-            try:
-                event()
-            except (*DECODE_ERRORS, AssertionError) as error:
-                logs.log_event("replication_message_invalid", reason=error)
+            with isolate_faults(FaultStep.PEER_MESSAGE):
+                self._handle_event(event)
+
+    def _handle_event(self, event: Callable[[], None]) -> None:
+        try:
+            event()
+        except (*DECODE_ERRORS, AssertionError) as error:
+            logs.log_event("replication_message_invalid", reason=error)
 
     def _announce_view(self) -> None:
         view = self.chain.view
--- a/wickspring/dataplane/gossip.py
+++ b/wickspring/dataplane/gossip.py
@@ -43,6 +43,7 @@
 from wickspring.membership.swim import Membership
 from wickspring.net.clock import Clock
 from wickspring.net.datagrams import Datagrams
+from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 
 PROBE_INTERVAL_S = 1.0
 PROBE_INTERVAL_JITTER = (0.8, 1.2)
@@ -105,12 +106,16 @@
         self.nursery.start_soon(self._receive)
         while True:
             await trio.sleep(PROBE_INTERVAL_S * self.random.uniform(*PROBE_INTERVAL_JITTER))
-            for name in self.members.tick(self.clock.now() / 1000.0):
-                logs.log_event("data_plane_lost", data_plane=name, remaining=self.members.size)
-            self.members.update_own(MemberInfo(self.ip), heartbeat=False)
-            target = self.members.next_probe_target()
-            if target is not None:
-                self.nursery.start_soon(self._probe, target)
+            with isolate_faults(FaultStep.DATAGRAM):
+                self._run_round()
+
+    def _run_round(self) -> None:
+        for name in self.members.tick(self.clock.now() / 1000.0):
+            logs.log_event("data_plane_lost", data_plane=name, remaining=self.members.size)
+        self.members.update_own(MemberInfo(self.ip), heartbeat=False)
+        target = self.members.next_probe_target()
+        if target is not None:
+            self.nursery.start_soon(run_isolated, FaultStep.DATAGRAM, self._probe, target)
 
     async def _probe(self, ip: str) -> None:
         """Probe a member directly, then through others, and record whether it was reached."""
@@ -165,12 +170,16 @@
     async def _receive(self) -> None:
         while True:
             data, ip = await self.datagrams.receive()
-            try:
-                message = DATAGRAMS.decode(msgpack.unpackb(data))
-                if message is not None and message.sender == ip:
-                    self.on_datagram(message)
-            except DECODE_ERRORS:
-                continue  # not of this system, or damaged
+            with isolate_faults(FaultStep.DATAGRAM):
+                self._on_data(data, ip)
+
+    def _on_data(self, data: bytes, ip: str) -> None:
+        try:
+            message = DATAGRAMS.decode(msgpack.unpackb(data))
+            if message is not None and message.sender == ip:
+                self.on_datagram(message)
+        except DECODE_ERRORS:
+            return  # not of this system, or damaged
 
     def on_datagram(self, message: Datagram) -> None:
         """Handle a datagram whose sender has been compared with its source address."""
@@ -180,7 +189,7 @@
             case GossipAck():
                 self._on_probe_ack(message)
             case ProbeRequest():
-                self.nursery.start_soon(self._probe_for, message.sender, message.probe_number, message.target)
+                self._start_probe_for(message)
             case ProbeRequestAck():
                 self._on_ack(message.probe_number)
             case GossipedEndpoints():
@@ -190,6 +199,16 @@
             case _:
                 assert_never(message)
 
+    def _start_probe_for(self, request: ProbeRequest) -> None:
+        self.nursery.start_soon(
+            run_isolated,
+            FaultStep.DATAGRAM,
+            self._probe_for,
+            request.sender,
+            request.probe_number,
+            request.target,
+        )
+
     def _on_probe(self, probe: GossipProbe) -> None:
         """Answer a probe, then learn from it."""
         ip = probe.sender
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -42,6 +42,7 @@
 from wickspring.net.calls import Client
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.datagrams import Udp
+from wickspring.net.fault_isolation import fault_figures
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.upstream.manager import UpstreamManager
@@ -82,7 +83,7 @@
         self.responder = Responder(self.request_context)
         self.forwarder = Forwarder(self.request_context, self.responder)
         self.admission = Admission(self.request_context, self.forwarder, self.responder)
-        self.startup_queue = StartupQueue(self.request_context, self.responder, self._handle)
+        self.startup_queue = StartupQueue(self.request_context, self.responder, self._handle_waiting)
 
     def _build_upstream(self) -> UpstreamManager:
         return UpstreamManager(self, ConnectionDefaults(self.random.getrandbits(32)), self.limits)
@@ -171,6 +172,11 @@
         else:
             self.startup_queue.enqueue(incoming)
 
+    def _handle_waiting(self, incoming: IncomingRequest) -> None:
+        """Handle a request that has waited for the start; a fault in it is contained as in `take_request`."""
+        with self.contain_faults(incoming.client):
+            self._handle(incoming)
+
     def client_disconnected(self, request_number: int) -> None:
         """Note that a client has disconnected."""
         self.startup_queue.on_client_disconnected(request_number)
@@ -255,6 +261,7 @@
             **self.request_context.event_counts,
             **{f"connections_closed[{reason}]": count for reason, count in self.closed_counts.items()},
             **self.unanswered.figures(),
+            **fault_figures(),
             **self.delay_figures(),
             **self.upstream.report(),
         }
--- a/wickspring/dataplane/request/admission.py
+++ b/wickspring/dataplane/request/admission.py
@@ -40,9 +40,10 @@
         except RequestRefusedError as refusal:
             self._responder.refuse(incoming.client, refusal.kind, self._context.retry_after_ms())
             return
-        self._register(request, incoming)
-        self._request_advice(request)
-        self._quota_checker.check(request)
+        with self._responder.contain_faults(request):
+            self._register(request, incoming)
+            self._request_advice(request)
+            self._quota_checker.check(request)
 
     def _register(self, request: Request, incoming: IncomingRequest) -> None:
         context = self._context
@@ -71,10 +72,12 @@
         accepting = self._context.endpoints.accepting.get(request.attempts.service, ())
         is_complete = advice.known_endpoints >= MIN_ADVISED_SHARE * len(accepting)
         request.advice = advice.offers if is_complete else []
-        self._forwarder.send_if_ready(request)
+        with self._responder.contain_faults(request):
+            self._forwarder.send_if_ready(request)
 
     def _on_advice_timeout(self, request: Request, number: int) -> None:
         self._context.load_client.cancel(number)
         self._context.event_counts["endpoint_selected_locally"] += 1
         request.advice = []
-        self._forwarder.send_if_ready(request)
+        with self._responder.contain_faults(request):
+            self._forwarder.send_if_ready(request)
--- a/wickspring/dataplane/request/forwarding.py
+++ b/wickspring/dataplane/request/forwarding.py
@@ -4,6 +4,7 @@
 
 from functools import partial
 
+from wickspring.common.errors import ErrorKind
 from wickspring.common.settings import parse_address
 from wickspring.dataplane.endpoint_table import KnownEndpoint
 from wickspring.dataplane.policy.attempts import FINAL_RESPONSE_MARGIN_MS, AttemptOutcome
@@ -14,7 +15,7 @@
 from wickspring.dataplane.request.retry_budgets import RetryBudgets
 from wickspring.dataplane.upstream import BufferedResponse, Exchange
 from wickspring.interface import Status
-from wickspring.net.upstream.exchange import ExchangeResult
+from wickspring.net.upstream.exchange import ExchangeResult, FailedExchange
 
 KEEP_ALIVE_SHARE = 0.9  # of the time that an endpoint keeps an idle connection, by its Keep-Alive header
 MAX_ATTEMPTS_PER_REQUEST = 16  # spacing of the numbers of attempts
@@ -33,6 +34,7 @@
     Status.FULL: AttemptResult.REJECTED,
     Status.TIMEOUT: AttemptResult.TIMEOUT,
     Status.CANCELLED: AttemptResult.CANCELLED,
+    Status.MOOT: AttemptResult.CANCELLED,  # the endpoint was not asked
 }
 
 
@@ -43,7 +45,7 @@
         self._context = context
         self._responder = responder
         self._budgets = RetryBudgets(context)
-        self._hedger = Hedger(context, self._budgets, self.send)
+        self._hedger = Hedger(context, responder, self._budgets, self.send)
 
     def send_if_ready(self, request: Request) -> None:
         """Send the first attempt once quota is granted and advice on endpoints is received or timed out."""
@@ -120,6 +122,18 @@
         self, request: Request, candidate: KnownEndpoint, number: int, load_owner: str, reply: ExchangeResult
     ) -> None:
         """Record how an attempt ended, and go on from there."""
+        with self._responder.contain_faults(request):
+            outcome = self._record_end(request, candidate, number, load_owner, reply)
+            if request.attempts.ended:
+                return
+            if not request.streaming_attempt:
+                self._continue(request, outcome, reply, self._context.clock.now())
+            elif request.streaming_attempt == number:  # else another attempt's response ends by itself
+                self._responder.end_stream(request, outcome is AttemptOutcome.ANSWERED)
+
+    def _record_end(
+        self, request: Request, candidate: KnownEndpoint, number: int, load_owner: str, reply: ExchangeResult
+    ) -> AttemptOutcome:
         context = self._context
         attempts = request.attempts
         request.exchanges.pop(number, None)
@@ -131,16 +145,15 @@
         if load_owner:
             context.load_client.request_finished(load_owner, candidate.endpoint.id, ratio)
         context.event_counts[f"attempts[{outcome.value}]"] += 1
-        if attempts.ended:
-            return
-        if not request.streaming_attempt:
-            self._continue(request, outcome, reply, now)
-        elif request.streaming_attempt == number:  # else another attempt's response ends by itself
-            self._responder.end_stream(request, outcome is AttemptOutcome.ANSWERED)
+        return outcome
 
     def _continue(self, request: Request, outcome: AttemptOutcome, reply: ExchangeResult, now: float) -> None:
         """Deliver a response, try again, or give up."""
         attempts = request.attempts
+        if isinstance(reply, FailedExchange):  # a further attempt would fail as well
+            if attempts.in_flight == 0:
+                self._responder.fail(request, ErrorKind.INTERNAL_FAULT)
+            return
         if isinstance(reply, BufferedResponse) and outcome is AttemptOutcome.ANSWERED:
             if reply.code < 500 or not attempts.may_send(now):
                 self._responder.deliver(request, reply)
--- a/wickspring/dataplane/request/hedging.py
+++ b/wickspring/dataplane/request/hedging.py
@@ -13,6 +13,7 @@
 
 from wickspring.dataplane.policy.attempts import HEDGE_BUDGET_RESERVE
 from wickspring.dataplane.request.model import Request, RequestContext
+from wickspring.dataplane.request.response import Responder
 from wickspring.dataplane.request.retry_budgets import RetryBudgets
 
 
@@ -20,9 +21,14 @@
     """Sends slow requests to a second endpoint as well."""
 
     def __init__(
-        self, context: RequestContext, budgets: RetryBudgets, send: Callable[[Request], None]
+        self,
+        context: RequestContext,
+        responder: Responder,
+        budgets: RetryBudgets,
+        send: Callable[[Request], None],
     ) -> None:
         self._context = context
+        self._responder = responder
         self._budgets = budgets
         self._send = send
 
@@ -46,4 +52,5 @@
         other = context.endpoint_selector.pick(now, attempts.service, attempts.route.name, attempts.tried)
         if available >= HEDGE_BUDGET_RESERVE and other is not None:
             context.event_counts["hedged"] += 1
-            self._send(request)
+            with self._responder.contain_faults(request):
+                self._send(request)
--- a/wickspring/dataplane/request/quota_check.py
+++ b/wickspring/dataplane/request/quota_check.py
@@ -40,11 +40,12 @@
         """Carry out a decision on a request that has not ended meanwhile."""
         if request.attempts.ended:
             return
-        if decision.allowed:
-            self._grant(request)
-            return
-        retry_after_ms = decision.retry_after_ms * self._context.random.uniform(*RETRY_AFTER_JITTER)
-        self._responder.fail(request, ErrorKind.OVER_QUOTA, retry_after_ms)
+        with self._responder.contain_faults(request):
+            if decision.allowed:
+                self._grant(request)
+                return
+            retry_after_ms = decision.retry_after_ms * self._context.random.uniform(*RETRY_AFTER_JITTER)
+            self._responder.fail(request, ErrorKind.OVER_QUOTA, retry_after_ms)
 
     def _grant(self, request: Request) -> None:
         request.quota_granted = True
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from contextlib import AbstractContextManager
 from functools import partial
 
 from wickspring.common.errors import ERROR_RESPONSES, ErrorKind
@@ -14,6 +15,7 @@
 from wickspring.dataplane.request.model import Request, RequestContext
 from wickspring.dataplane.upstream import SIGNATURE_HEADER, BufferedResponse, ResponseHead, end_to_end_headers
 from wickspring.net.calls import Client, retry_after
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.upstream.exchange import ResponseSink
 
@@ -132,8 +134,10 @@
     def on_deadline(self, request: Request) -> None:
         """End a request whose time is over, unless its response is being streamed."""
         attempts = request.attempts
-        if not attempts.ended and not request.streaming_attempt:
-            attempts.timed_out = True
+        if attempts.ended or request.streaming_attempt:
+            return
+        attempts.timed_out = True
+        with self.contain_faults(request):
             self.fail(request, attempts.final_error, self._context.retry_after_ms())
 
     def fail(self, request: Request, kind: ErrorKind, retry_after_ms: float = 0.0) -> None:
@@ -154,6 +158,25 @@
         response = ERROR_RESPONSES[kind]
         client.respond(response.status, retry_after(retry_after_ms) if response.has_retry_after else "", b"")
 
+    # Faults of this program.
+
+    def contain_faults(self, request: Request) -> AbstractContextManager[None]:
+        """Contain a fault in a step of a request's handling: it ends the request, with an answer."""
+        return isolate_faults(FaultStep.HANDLE_REQUEST, partial(self.abort, request))
+
+    def abort(self, request: Request) -> None:
+        """End a request in whose handling this program has failed.
+
+        Its client gets 500, or a reset where its response has begun.
+        """
+        client = request.waiting_client()
+        with isolate_faults(FaultStep.HANDLE_REQUEST):
+            self._finish(request)
+            self._cancel_attempts(request)
+        self._context.event_counts[f"rejected[{ErrorKind.INTERNAL_FAULT.value}]"] += 1
+        if client is not None:
+            client.fail_request()
+
     # Ends.
 
     def on_client_disconnected(self, number: int) -> None:
--- a/wickspring/dataplane/state_exchange.py
+++ b/wickspring/dataplane/state_exchange.py
@@ -22,6 +22,7 @@
     StateDigest,
 )
 from wickspring.net.clock import Clock
+from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.link import Link, connect
 
 FETCH_TIMEOUT_S = 1.5
@@ -65,7 +66,7 @@
         if self._is_fetching or not self._is_wanted(theirs):
             return
         self._is_fetching = True
-        self._nursery.start_soon(self._fetch_once, ip)
+        self._nursery.start_soon(run_isolated, FaultStep.PEER_MESSAGE, self._fetch_once, ip)
 
     def _is_wanted(self, theirs: StateDigest) -> bool:
         own = self.local_state.digest()
--- a/wickspring/lab/simulation/request_path/environment.py
+++ b/wickspring/lab/simulation/request_path/environment.py
@@ -13,6 +13,7 @@
 from wickspring.dataplane import process
 from wickspring.lab.simulation.clock import VirtualClock
 from wickspring.lab.simulation.invariants import InvariantBrokenError
+from wickspring.lab.simulation.request_path.raised_faults import RaisedFaultError
 from wickspring.net import http_server
 
 
@@ -40,9 +41,9 @@
         self.errors = errors
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Collect one; a broken invariant is raised elsewhere."""
+        """Collect one; a broken invariant is raised elsewhere, and a raised fault was asked for."""
         error = record.exc_info[1] if record.exc_info else None
-        if not isinstance(error, InvariantBrokenError):
+        if not isinstance(error, InvariantBrokenError | RaisedFaultError):
             self.errors.append(f"{record.getMessage()} {error!r}")
 
 
--- a/wickspring/lab/simulation/request_path/simulation.py
+++ b/wickspring/lab/simulation/request_path/simulation.py
@@ -26,6 +26,7 @@
 from wickspring.lab.simulation.request_path.faulty_server import FaultyServer
 from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX, Ledger, request_body
 from wickspring.lab.simulation.request_path.memory_connection import DataPlaneEnd, PeerEnd
+from wickspring.lab.simulation.request_path.raised_faults import STEP_LABELS, FaultRaiser
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.link import Link
 
@@ -84,6 +85,8 @@
     effectful_share: float = 0.5  # of requests, that may be executed only once
     timeout_s: float = 2.0  # of the routes
     drains: bool = False  # the data plane is told to end during the run
+    raise_share: float = 0.0  # of the calls of `raised_steps`, which raise
+    raised_steps: tuple[str, ...] = STEP_LABELS
 
     def __post_init__(self) -> None:
         """Create the servers and the ledger."""
@@ -94,6 +97,7 @@
             for n in range(2 * self.server_pairs)
         }
         self.errors: list[str] = []
+        self.fault_raiser = FaultRaiser(Random(self.seed), self.raise_share, self.raised_steps)
 
     def run(self) -> Ledger:
         """Run in virtual time; raise InvariantBrokenError, or an error of the data plane's own."""
@@ -102,6 +106,7 @@
         with (
             mock.patch.object(run, "_ALLOW_DETERMINISTIC_SCHEDULING", True),
             simulated_environment(self.errors),
+            self.fault_raiser.installed(),
         ):
             try:
                 trio.run(self._main, clock=trio.testing.MockClock(autojump_threshold=0))
@@ -111,6 +116,7 @@
         if self.errors:
             self.ledger.fail("an error of the data plane's own", self.errors[0])
         self.ledger.check_end(MAX_ATTEMPTS)
+        self.ledger.seen.update(self.fault_raiser.raised)
         return self.ledger
 
     async def _main(self) -> None:
--- /dev/null
+++ b/wickspring/net/fault_isolation.py
@@ -0,0 +1,79 @@
+"""Containment of faults of this program: the handling of one message fails, and nothing else does.
+
+A task that serves one connection, exchange or call runs within `run_isolated`, and a step in the handling
+of one message within `isolate_faults`. What they raise is logged, counted and ends there; the owner of the
+message gives it its final answer. `docs/ARCHITECTURE.md`, "Faults", tells where each supervisor stands.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from enum import StrEnum
+from typing import TypeVarTuple, Unpack
+
+from wickspring.logs import kv
+
+log = logging.getLogger(__name__)
+
+Arguments = TypeVarTuple("Arguments")
+
+
+class FaultStep(StrEnum):
+    """What failed. The values are part of the names of counters in logs and metrics."""
+
+    HANDLE_REQUEST = "handle_request"
+    SEND_REQUEST = "send_request"  # to a server
+    UPLOAD = "upload"  # of the rest of a long body to a server
+    SERVER_CONNECTION = "server_connection"  # reading from a server
+    CLOSE_SERVER_CONNECTION = "close_server_connection"
+    END_EXCHANGE = "end_exchange"  # telling the owner of an exchange how it ended
+    WRITE_RESPONSE = "write_response"  # to a client
+    CLIENT_CONNECTION = "client_connection"
+    CLOSE_CLIENT_CONNECTION = "close_client_connection"
+    API_CALL = "api_call"
+    PEER_MESSAGE = "peer_message"  # of another process of the system
+    DATAGRAM = "datagram"
+
+
+fault_counts: Counter[FaultStep] = Counter()
+"""How often each step has failed in this process."""
+
+
+def count_fault(step: FaultStep) -> None:
+    """Count a fault that has been contained and logged where it was met."""
+    fault_counts[step] += 1
+
+
+def fault_figures() -> dict[str, int]:
+    """Return the counts by the names that they have in logs and metrics."""
+    return {f"faults_contained[{step.value}]": count for step, count in fault_counts.items()}
+
+
+def _do_nothing() -> None: ...
+
+
+@contextmanager
+def isolate_faults(step: FaultStep, on_fault: Callable[[], None] = _do_nothing) -> Iterator[None]:
+    """Contain what is raised inside of the `with` block, and go on after it.
+
+    `on_fault` is called then, to end what the block has left unfinished; what it raises is contained as well.
+    """
+    try:
+        yield
+    except Exception as error:
+        log.exception("fault_contained", extra=kv(step=step.value, reason=repr(error)))
+        count_fault(step)
+        if on_fault is not _do_nothing:
+            with isolate_faults(step):
+                on_fault()
+
+
+async def run_isolated(
+    step: FaultStep, task: Callable[[Unpack[Arguments]], Awaitable[None]], *arguments: *Arguments
+) -> None:
+    """Run a task of one message; a fault ends this task, and not the nursery that it runs in."""
+    with isolate_faults(step):
+        await task(*arguments)
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -7,6 +7,7 @@
 import h11
 
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_limits import DEFAULT_LIMITS, FrontLimits
 from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
 from wickspring.net.http1_reader import Http1RequestReader
@@ -17,6 +18,9 @@
 
 NO_CONTENT_STATUSES = (204, 304)  # RFC 9110, section 6.4.1
 TOO_MANY_REQUESTS = 429
+INTERNAL_ERROR_RESPONSE = (
+    b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 RESPONSE_NOT_BEGUN = (h11.IDLE, h11.SEND_RESPONSE)  # states of this side
 
 
@@ -174,7 +178,7 @@
         if self._resumed is not None:
             self._resumed.set()
         self.request_number = self.request = self.body.stream = None
-        if self.http.our_state is self.http.their_state is h11.DONE and not closes:
+        if not closes and self.http.our_state is self.http.their_state is h11.DONE:
             has_read_ahead = bool(self.http.trailing_data[0])
             self.http.start_next_cycle()
             # The time of a request that has been read ahead runs from its turn.
@@ -186,14 +190,25 @@
 
     def fail_request(self) -> None:
         """Withdraw the request that has been read and answer it 500, unless it has its response already."""
-        if self.request is None:
+        if self.request is None and self.request_number is None:
             return
-        self.cancel_requests()
+        with isolate_faults(FaultStep.CLOSE_CLIENT_CONNECTION):
+            self.cancel_requests()
         if self.http.our_state in RESPONSE_NOT_BEGUN:
             self.respond(INTERNAL_SERVER_ERROR, "", b"")
         else:
             self.end_response(False)
 
+    def fail_reading(self) -> None:
+        """Answer 500 to what is being read, where a response can be begun, and close the connection."""
+        with isolate_faults(FaultStep.CLOSE_CLIENT_CONNECTION):
+            self.cancel_requests()
+        if self.http.our_state not in RESPONSE_NOT_BEGUN:
+            self.end_response(False)
+            return
+        self.link.send(INTERNAL_ERROR_RESPONSE)
+        self._response_ended(closes=True)
+
     def begin_response(self, length: int | None, status: int = 200, extra_headers: HeaderPairs = ()) -> None:
         """Begin a response that is passed on as it arrives."""
         headers = [*extra_headers]
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -13,6 +13,7 @@
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import DEFER_S, MAX_BUFFERED_BODY, CallError, read_head
 from wickspring.net.early_refusal import REFUSALS, refuses
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
 from wickspring.net.http1_syntax import HeaderPairs, has_ambiguous_length, header_pairs, origin_form
@@ -148,9 +149,19 @@
         return True
 
     def advance(self) -> None:
-        """Process what has been read, up to the end of one request; a request that follows waits."""
+        """Process what has been read, up to the end of one request; a request that follows waits.
+
+        A fault of this program in it ends this connection, and not whatever has called this.
+        """
         self._advancing = True
         self._handled_at_once = 0
+        try:
+            with isolate_faults(FaultStep.CLIENT_CONNECTION, self.fail_reading):
+                self._process_events()
+        finally:
+            self._advancing = False
+
+    def _process_events(self) -> None:
         try:
             while not self.closing and (self.request_number is None or self.body.stream is not None):
                 read = self.http.trailing_data[0] if self.request is None else b""
@@ -168,8 +179,6 @@
         except h11.RemoteProtocolError as error:
             code = error.error_status_hint
             self.respond(code if code in MAX_LENGTH_STATUSES else 400, "", f"{error}\n".encode())
-        finally:
-            self._advancing = False
 
     def _on_head(self, request: h11.Request, read: bytes) -> None:
         """Take a request's head; `read` is what had been read before it was parsed."""
@@ -255,6 +264,10 @@
     def fail_request(self) -> None:
         """Withdraw the request that has been read and answer it 500, unless it has its response already."""
 
+    @abstractmethod
+    def fail_reading(self) -> None:
+        """Answer 500 to what is being read, where a response can be begun, and close the connection."""
+
     @abstractmethod
     def begin_response(self, length: int | None, status: int = 200, extra_headers: HeaderPairs = ()) -> None:
         """Begin a response that is passed on as it arrives."""
--- a/wickspring/net/http2_stream.py
+++ b/wickspring/net/http2_stream.py
@@ -7,6 +7,7 @@
 import trio
 
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.link import Link
 
 
@@ -86,7 +87,8 @@
         """Withdraw the request and answer it 500, unless it has its response already."""
         if not self.is_open:
             return
-        self.connection.withdraw(self)
+        with isolate_faults(FaultStep.CLOSE_CLIENT_CONNECTION):
+            self.connection.withdraw(self)
         if self.outgoing is None:
             self.respond(INTERNAL_SERVER_ERROR, "", b"")
         else:
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -7,7 +7,8 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from typing import Protocol
 
 import msgspec
@@ -18,6 +19,7 @@
 from wickspring.net.calls import MIN_IDLE_MS, SERVICE_UNAVAILABLE, Client, retry_after
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
+from wickspring.net.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.net.link import Link
 from wickspring.net.loop_monitor import LoopMonitor, TurnSample, add_loop_monitor
 from wickspring.net.overload import OverloadLimiter
@@ -167,17 +169,27 @@
     def take_request(self, client: Client, request: HttpRequest) -> None:
         """Have a request handled that a front has read; refuse it where this process ends too soon.
 
-        A fault of this program in its handling is logged and answered 500: it may have been passed on.
+        A fault of this program in its handling is contained.
         """
         if self.clock.now() > self.takes_until:
             self.closed_counts["refused_while_draining"] += 1
             client.respond(SERVICE_UNAVAILABLE, retry_after(DRAINING_RETRY_MS), b"")
             return
-        try:
+        with self.contain_faults(client):
             self.handle_request(client, request)
+
+    @contextmanager
+    def contain_faults(self, client: Client) -> Iterator[None]:
+        """Contain a fault of this program in the handling of one request.
+
+        It is logged and answered 500: the request may have been passed on.
+        """
+        try:
+            yield
         except Exception as error:
             log.exception("request_handling_failed", extra=kv(reason=error))
             self.closed_counts["request_handling_failed"] += 1
+            count_fault(FaultStep.HANDLE_REQUEST)
             client.fail_request()
 
     def has_room(self, client: Client, request: HttpRequest, budget_ms: float) -> bool:
@@ -278,10 +290,13 @@
             await connection.run()
         except Exception as error:
             log.exception("client_connection_failed", extra=kv(reason=error))
+            count_fault(FaultStep.CLIENT_CONNECTION)
         finally:
-            for request in connection.unanswered():
-                self.record_unanswered(request)
-            connection.cancel_requests()
+            with isolate_faults(FaultStep.CLOSE_CLIENT_CONNECTION):
+                for request in connection.unanswered():
+                    self.record_unanswered(request)
+            with isolate_faults(FaultStep.CLOSE_CLIENT_CONNECTION):
+                connection.cancel_requests()
             self.record_buffered(connection, 0)
             link.close()
             self.connections.discard(connection)
@@ -359,4 +374,5 @@
         self.call_later(EXPIRE_EVERY_MS, self.expire_connections)
         now = self.clock.now()
         for connection in list(self.connections):
-            connection.expire(now)
+            with isolate_faults(FaultStep.CLIENT_CONNECTION):
+                connection.expire(now)
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -15,6 +15,7 @@
 import trio
 
 from wickspring.logs import kv
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
 from wickspring.net.sockets import listen as listen
@@ -86,7 +87,8 @@
         sock, _ = listener.accept()
         link = Link(sock, server.nursery)
         if refuse_first is not None:
-            refuse_first(link, server)
+            with isolate_faults(FaultStep.CLIENT_CONNECTION):
+                refuse_first(link, server)
         start_serving(link, server, serve)
 
 
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -23,6 +23,7 @@
 from wickspring.net.calls import CALL_PATH, READY_PATH, CallError, CallReader, Client
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory, Discovery, WatchPauses
+from wickspring.net.fault_isolation import fault_figures
 from wickspring.net.http_server import EXPIRE_EVERY_MS, HttpRequest, HttpServer
 from wickspring.net.open_requests import OpenRequest, OpenRequests
 from wickspring.net.upstream.exchange import ServerConnection
@@ -291,6 +292,7 @@
             **self.reducer.counters,
             **{f"let_go[{reason}]": times for reason, times in self.closed_counts.items()},
             **self.unanswered.figures(),
+            **fault_figures(),
             **{f"broken[{name.replace(' ', '_')}]": times for name, times in broken.items()},
         }
 
--- a/wickspring/net/upstream/exchange.py
+++ b/wickspring/net/upstream/exchange.py
@@ -13,6 +13,7 @@
 from wickspring.connections.model import ConnectionRequest
 from wickspring.interface import Status
 from wickspring.net.body_stream import BodyStream
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.timers import Timer
 
 MAX_BUFFERED_RESPONSE = 64 * 1024  # bytes of a response body; a longer one is passed on as it arrives
@@ -40,6 +41,10 @@
     fleet_use: int = 0
 
 
+class FailedExchange(ExchangeResult):
+    """An exchange that a fault of this program has ended: a further attempt would meet it again."""
+
+
 def _no_streaming() -> bool:
     return False
 
@@ -71,10 +76,14 @@
     ended: bool = False
 
     def finish(self, result: ExchangeResult) -> None:
-        """End the exchange and report its result, once."""
+        """End the exchange and report its result, once.
+
+        A fault of the owner in taking the result is contained here: the caller has a connection to see to.
+        """
         if not self.ended:
             self.discard()
-            self.on_end(result)
+            with isolate_faults(FaultStep.END_EXCHANGE):
+                self.on_end(result)
 
     def cancel_deadline(self) -> None:
         """Wait without a limit: bytes flow, and the side that stops them ends the exchange."""
@@ -97,9 +106,15 @@
     def cancel(self, exchange: ServerExchange) -> None:
         """Stop waiting for an exchange, whose result has been reported or is not to be."""
 
+    def fail(self, exchange: ServerExchange) -> None:
+        """End an exchange as a `FailedExchange`, where a fault of this program has kept it from going on."""
+
     def has_received(self, exchange: ServerExchange) -> bool:
         """Tell whether any byte has arrived on the connection since the exchange began."""
 
+    def fail_all(self) -> None:
+        """End all exchanges on it as `FailedExchange`, after a fault in closing it."""
+
     def is_stale(self) -> bool:
         """Tell whether the peer has closed it, or may be about to."""
 
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 
 import h11
 import trio
@@ -10,9 +11,10 @@
 from wickspring.connections.model import ClosedBy, PooledConnection
 from wickspring.interface import Status
 from wickspring.net.body_stream import BodyStream
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.link import Link
-from wickspring.net.upstream.exchange import ExchangeResult, ResponseSink, ServerExchange
-from wickspring.net.upstream.manager import LostExchange, UpstreamManager
+from wickspring.net.upstream.exchange import ExchangeResult, FailedExchange, ResponseSink, ServerExchange
+from wickspring.net.upstream.manager import LostExchange, UpstreamManager, finish_lost
 from wickspring.net.upstream.response_reader import Response, ResponseReader
 from wickspring.net.upstream.responses import read_result
 
@@ -65,6 +67,11 @@
             self.upstream.nursery.start_soon(self._upload, exchange, exchange.body_stream, link)
 
     async def _upload(self, exchange: ServerExchange, body_stream: BodyStream, link: Link) -> None:
+        """Write the rest of a long body; a fault of this program ends its exchange alone."""
+        with isolate_faults(FaultStep.UPLOAD, partial(self.fail, exchange)):
+            await self._write_body(exchange, body_stream, link)
+
+    async def _write_body(self, exchange: ServerExchange, body_stream: BodyStream, link: Link) -> None:
         """Write the rest of a long body as it arrives and as the server reads it."""
         while True:
             with trio.move_on_after(STALL_S) as stalled:
@@ -153,6 +160,16 @@
         exchange, self.exchange = self.exchange, None
         self.sent, self._sink = False, None
         if exchange is not None:
+            self._finish(exchange, result)
+
+    def _finish(self, exchange: ServerExchange, result: ExchangeResult) -> None:
+        """End an exchange on a connection that goes on; after a fault in that the connection is closed."""
+
+        def close_after_fault() -> None:
+            exchange.finish(result)
+            self.close()
+
+        with isolate_faults(FaultStep.SERVER_CONNECTION, close_after_fault):
             self.upstream.finish(exchange, result)
 
     def cancel(self, exchange: ServerExchange) -> None:
@@ -161,6 +178,19 @@
             self.exchange = None
             self.close()
 
+    def fail(self, exchange: ServerExchange) -> None:
+        """End an exchange that a fault of this program has stopped, with its connection."""
+        may_have_run = self.may_have_run()
+        try:
+            self.cancel(exchange)
+        finally:
+            exchange.finish(FailedExchange(Status.RESET if may_have_run else Status.MOOT))
+
+    def fail_all(self) -> None:
+        """End the present exchange, if any, after a fault in closing the connection."""
+        if self.exchange is not None:
+            self.fail(self.exchange)
+
     def may_have_run(self) -> bool:
         """Tell whether the server may have run the present request: its last byte was written."""
         return self.sent and self._request_complete and self.link is not None and self.link.flushed
@@ -176,4 +206,7 @@
         if exchange is not None:
             result = ExchangeResult(Status.RESET if may_have_run else Status.CONNECT_FAILED)
             lost.append(LostExchange(exchange, result, self._has_received))
-        self.upstream.connection_closed(self.connection, closed_by, lost)
+        try:
+            self.upstream.connection_closed(self.connection, closed_by, lost)
+        finally:
+            finish_lost(lost)
--- a/wickspring/net/upstream/http2.py
+++ b/wickspring/net/upstream/http2.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 
 import h2.config
 import h2.connection
@@ -12,10 +13,16 @@
 
 from wickspring.connections.model import ClosedBy, PooledConnection
 from wickspring.interface import Status
+from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http2_wire import Frames, GoAway, pump, settings
 from wickspring.net.link import Link
-from wickspring.net.upstream.exchange import MAX_BUFFERED_RESPONSE, ExchangeResult, ServerExchange
-from wickspring.net.upstream.manager import LostExchange, UpstreamManager
+from wickspring.net.upstream.exchange import (
+    MAX_BUFFERED_RESPONSE,
+    ExchangeResult,
+    FailedExchange,
+    ServerExchange,
+)
+from wickspring.net.upstream.manager import LostExchange, UpstreamManager, finish_lost
 from wickspring.net.upstream.responses import read_result
 
 WINDOW_BYTES = 1 << 20  # of response bodies that a connection may have in flight
@@ -163,7 +170,16 @@
                 self._on_goaway(part)
                 continue
             for event in self.http.receive_data(part):
-                self._on_event(event)
+                self._on_isolated_event(event)
+
+    def _on_isolated_event(self, event: h2.events.Event) -> None:
+        """Handle an event; a fault of this program ends the exchange on its stream, and no other."""
+        stream = self.streams.get(getattr(event, "stream_id", None) or 0)
+        if stream is None:
+            self._on_event(event)
+            return
+        with isolate_faults(FaultStep.SERVER_CONNECTION, partial(self.fail, stream.exchange)):
+            self._on_event(event)
 
     def _close_unless_up(self) -> None:
         if not self.up:
@@ -248,7 +264,8 @@
     def _end(self, stream_id: int, result: ExchangeResult) -> None:
         stream = self.streams.pop(stream_id, None)
         if stream is not None:
-            self.upstream.finish(stream.exchange, result)
+            with isolate_faults(FaultStep.SERVER_CONNECTION, partial(stream.exchange.finish, result)):
+                self.upstream.finish(stream.exchange, result)
 
     def _reset(self, stream_id: int) -> None:
         try:
@@ -269,6 +286,20 @@
                 self.upstream.release(exchange)
         self._close_if_done()
 
+    def fail(self, exchange: ServerExchange) -> None:
+        """End an exchange that a fault of this program has stopped; the others on the connection go on."""
+        stream = next((stream for stream in self.streams.values() if stream.exchange is exchange), None)
+        may_have_run = stream is not None and stream.result_of_loss(self._taken()).status is Status.RESET
+        try:
+            self.cancel(exchange)
+        finally:
+            exchange.finish(FailedExchange(Status.RESET if may_have_run else Status.MOOT))
+
+    def fail_all(self) -> None:
+        """End all exchanges on the connection after a fault in closing it."""
+        for stream in list(self.streams.values()):
+            self.fail(stream.exchange)
+
     def _close_if_done(self) -> None:
         if self.up and not self.capacity() and not self.streams:
             self.close()
@@ -288,4 +319,7 @@
             )
             for stream in streams
         ]
-        self.upstream.connection_closed(self.connection, closed_by, lost)
+        try:
+            self.upstream.connection_closed(self.connection, closed_by, lost)
+        finally:
+            finish_lost(lost)
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -26,6 +26,7 @@
 from wickspring.interface import Readiness, Status
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
+from wickspring.net.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.net.link import DialError, DialFailure, Link, dial
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.exchange import ExchangeResult, ServerConnection, ServerExchange
@@ -106,6 +107,12 @@
     received_bytes: bool  # since the exchange began
 
 
+def finish_lost(lost: list[LostExchange]) -> None:
+    """End exchanges that ended with their connection."""
+    for exchange, result, _ in lost:
+        exchange.finish(result)
+
+
 class UpstreamManager:
     """Starts and stops exchanges; owns the connections to servers."""
 
@@ -246,14 +253,12 @@
     def connection_closed(
         self, connection: PooledConnection, closed_by: ClosedBy, lost: list[LostExchange]
     ) -> None:
-        """Remove a connection that has ended, and the exchanges that ended with it."""
+        """Remove a connection that has ended; its caller ends the exchanges that were lost with it."""
         self._connections.pop(connection, None)
         for exchange, result, received_bytes in lost:
             if result.status is Status.RESET:
                 self.pools.request_lost(self.clock.now(), exchange, received_bytes)
         self._perform(self.pools.connection_closed(self.clock.now(), connection, closed_by))
-        for exchange, result, _ in lost:
-            exchange.finish(result)
 
     def close_idle_from_now_on(self) -> None:
         """Close what is idle, now and from now on: another process of this gateway opens its own."""
@@ -275,18 +280,22 @@
         if not actions and not self.pools.has_waiting_requests:
             return  # as after nearly every response
         for action in actions:
-            if isinstance(action, AssignConnection):
-                self._assign(action)
-            elif isinstance(action, OpenConnection):
-                self._open(action.connection)
-            elif isinstance(action, CloseConnection):
-                closing = self._connections.pop(action.connection, None)
-                if closing is not None:
-                    closing.close()
-            elif isinstance(action.request, ServerExchange):
-                action.request.finish(ExchangeResult(Status.CONNECT_FAILED))
+            with isolate_faults(FaultStep.SERVER_CONNECTION):  # each is of another request or connection
+                self._perform_one(action)
         self._schedule_retry()
 
+    def _perform_one(self, action: Action) -> None:
+        if isinstance(action, AssignConnection):
+            self._assign(action)
+        elif isinstance(action, OpenConnection):
+            self._open(action.connection)
+        elif isinstance(action, CloseConnection):
+            closing = self._connections.pop(action.connection, None)
+            if closing is not None:
+                closing.close()
+        elif isinstance(action.request, ServerExchange):
+            action.request.finish(ExchangeResult(Status.CONNECT_FAILED))
+
     def _open(self, connection: PooledConnection) -> None:
         server_connection = self._owner.make_server_connection(self, connection)
         self._connections[connection] = server_connection
@@ -308,15 +317,18 @@
             self._perform(actions)
         else:
             exchange.server_connection = server_connection
-            server_connection.begin(exchange)
+            with isolate_faults(FaultStep.SEND_REQUEST, partial(server_connection.fail, exchange)):
+                server_connection.begin(exchange)
 
     async def _run(self, server_connection: ServerConnection) -> None:
         try:
             await server_connection.run()
         except Exception as error:  # one server's oddity must not end the process
             log.exception("server_connection_failed", extra=kv(reason=error))
+            count_fault(FaultStep.SERVER_CONNECTION)
         finally:
-            server_connection.close()
+            with isolate_faults(FaultStep.CLOSE_SERVER_CONNECTION, server_connection.fail_all):
+                server_connection.close()
 
     # Maintenance.
 
