Carry header fields octet by octet, and names as their UTF-8

One octet from 0x80 on in any header that is passed on did the same; over HTTP/2 it ended a connection with all its streams.

Cause: octets were decoded as Latin-1 (HTTP/1.1) or UTF-8 (HTTP/2) in several places and kept as str, which h11 encodes as ASCII. What one side reads, the other could not write.

Why it works: net/octets.py is the one place where octets become text and octets again (RFC 9110, section 5.5), for both protocols, both directions, clients and servers, with a type of its own.

--- /dev/null
+++ b/tests/controlplane/test_config_names.py
@@ -0,0 +1,38 @@
+"""Names in a configuration that a header has to carry: refused with their place where none can."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wickspring.controlplane.api.config_validation import validate_config
+from wickspring.lab.emulation.local_gateway import gateway_config
+from wickspring.net.octets import is_field_value
+
+PRINTABLE = st.text(st.characters(exclude_categories=("Cc", "Cs")), min_size=1)
+
+
+def config_with(**changes: Any) -> bytes:
+    """Return a configuration whose second tenant has other fields."""
+    document = msgspec.json.decode(gateway_config(1))
+    document["tenants"].append({"name": "other", "api_keys": ["other-key"], **changes})
+    return msgspec.json.encode(document)
+
+
+@pytest.mark.parametrize("name", ["Tintas do Porto ", " a", "a\nb", "a\r\nX-Key: b", "a\0", "\t", "a\x7f"])
+def test_a_tenants_name_that_no_header_can_carry_is_refused_with_its_place(name: str) -> None:
+    """Guards against an acknowledged name with which no request can be sent on."""
+    result = validate_config(config_with(name=name))
+    assert result.is_error()
+    assert result.error.reason.startswith("{'tenants': {1: {'name': ")
+
+
+@given(PRINTABLE.filter(lambda name: name.strip(" \t") == name and name != "toy"))
+def test_any_other_name_is_taken(name: str) -> None:
+    """Guards against refusing names that a header can carry, whatever their script."""
+    assert is_field_value(name)
+    assert validate_config(config_with(name=name)).is_ok()
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -22,6 +22,7 @@
 from wickspring.net import server
 from wickspring.net.http2_wire import Frames, GoAway
 from wickspring.net.http2_wire import settings as http2_settings
+from wickspring.net.octets import header
 from wickspring.net.reload import ReadInstance
 from wickspring.net.runtime import Runtime
 from wickspring.net.upstream.exchange import ServerExchange
@@ -39,7 +40,7 @@
 
 def exchange(method: str, target: str, body: bytes = b"") -> ServerExchange:
     """Make an exchange for a reader of answers alone."""
-    headers = [("X-Call-Id", "1")]
+    headers = [header("X-Call-Id", "1")]
     place = ("127.0.0.1", 1)
     return ServerExchange(
         b"s",
--- a/wickspring/common/routing_table.py
+++ b/wickspring/common/routing_table.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from wickspring.net.octets import OctetText, field_value
+
 _IDEMPOTENT = "pure"  # the value of `route_kind`, whose words are those of the document
 
 # A part of the document. The control plane's validation is lenient (numbers may be texts, fields unknown), so
@@ -42,6 +44,11 @@
     rate: float  # requests per second
     burst: float  # requests beyond the rate
 
+    @property
+    def header_value(self) -> OctetText:
+        """Its name, as endpoints read it in `X-Tenant`."""
+        return field_value(self.name)
+
 
 @dataclass(slots=True, frozen=True)
 class Service:
--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -15,6 +15,7 @@
 
 from wickspring.common.errors import ErrorDetail, ErrorKind
 from wickspring.common.routing_table import parse_version
+from wickspring.net.octets import is_field_value
 
 TARGET_MARGIN_S = 60.0  # a target latency that far above its route's timeout is a mistake
 MAX_REASON_CHARACTERS = 300
@@ -90,6 +91,11 @@
         raise ValidationError("too high a version")
 
 
+def _validate_field_value(text: str) -> None:
+    if not is_field_value(text):
+        raise ValidationError("no header can carry it: a control character, or a blank at an end")
+
+
 def _number(required: bool = False, positive: bool = False) -> fields.Float:
     """Return a field for a number from 0 on, or above 0."""
     bounds = validate.Range(min=0, max=MAX_NUMBER, min_inclusive=not positive)
@@ -155,7 +161,7 @@
 
 
 class _Tenant(_OpenSchema):
-    name = fields.String(required=True, validate=validate.Length(min=1))
+    name = fields.String(required=True, validate=[validate.Length(min=1), _validate_field_value])
     api_keys = fields.List(fields.String(validate=validate.Length(min=1)), required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
     rate_per_s = _number()
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -45,6 +45,7 @@
 from wickspring.net.fault_isolation import fault_figures
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
+from wickspring.net.octets import NO_OCTETS, Headers
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
@@ -156,12 +157,12 @@
             )
         )
 
-    def client_time_ms(self, target: str, headers: Mapping[str, str]) -> float:
+    def client_time_ms(self, target: str, headers: Headers) -> float:
         """Return how long the client of a request waits; where it does not say, how long its route does."""
         deadline_ms = client_deadline_ms(headers)
         if math.isfinite(deadline_ms):
             return deadline_ms
-        route = self.request_context.config.routing_table.route(headers.get("host", ""), target)
+        route = self.request_context.config.routing_table.route(headers.get("host", NO_OCTETS), target)
         return deadline_ms if route is None else 1000.0 * route.timeout_s
 
     def _handle(self, incoming: IncomingRequest) -> None:
--- a/wickspring/dataplane/request/forwarding.py
+++ b/wickspring/dataplane/request/forwarding.py
@@ -15,6 +15,7 @@
 from wickspring.dataplane.request.retry_budgets import RetryBudgets
 from wickspring.dataplane.upstream import BufferedResponse, Exchange
 from wickspring.interface import Status
+from wickspring.net.octets import Headers, field_value, header
 from wickspring.net.upstream.exchange import ExchangeResult, FailedExchange
 
 KEEP_ALIVE_SHARE = 0.9  # of the time that an endpoint keeps an idle connection, by its Keep-Alive header
@@ -84,7 +85,8 @@
         context.endpoint_selector.attempt_started(now, candidate, number)
         load_owner = context.load_client.request_started(attempts.service, endpoint.id)
         left_ms = max(1, int(attempts.deadline + FINAL_RESPONSE_MARGIN_MS - now))
-        headers = [*request.headers, ("X-Deadline-Ms", str(left_ms)), ("X-Target-Instance", endpoint.id)]
+        headers = [*request.headers, header("X-Deadline-Ms", str(left_ms))]
+        headers.append(("X-Target-Instance", field_value(endpoint.id)))
         return Exchange(
             endpoint.id.encode(),
             parse_address(endpoint.address),
@@ -109,7 +111,7 @@
         attempts.body_streamed = attempts.body_streamed or not attempts.ended
         return not attempts.ended
 
-    def _on_response_headers(self, headers: dict[str, str]) -> None:
+    def _on_response_headers(self, headers: Headers) -> None:
         """Learn from an endpoint how long it keeps idle connections."""
         _, found, parameter = headers.get("keep-alive", "").partition("timeout=")
         seconds = parameter.split(",")[0].strip() if found else ""
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -23,6 +23,7 @@
 from wickspring.net.calls import Client
 from wickspring.net.clock import Clock
 from wickspring.net.http1_front import Http1Connection
+from wickspring.net.octets import NO_OCTETS, HeaderPairs, Headers
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.manager import UpstreamManager
 
@@ -44,7 +45,7 @@
     client: Client
     method: str
     target: str
-    headers: Mapping[str, str]
+    headers: Headers
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
     arrived_at: float = 0.0  # ms: when its last bytes were in the kernel; its client's time runs from then
@@ -91,8 +92,8 @@
         self.attempts = attempts
         self.exchanges: dict[int, Exchange] = {}  # attempts in flight, by number
         self.wait_ms = 0.0  # that the client waits for a response
-        self.headers: list[tuple[str, str]] = []
-        self.host = ""
+        self.headers: HeaderPairs = []
+        self.host = NO_OCTETS
         self.id = ""
         self.tenant: Tenant | None = None
         self.is_retry = False  # the client has been refused before, to judge by how little time it has left
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
 
 from wickspring.common.errors import ErrorKind
 from wickspring.common.routing_table import Route, RoutingTable, Tenant
@@ -14,8 +13,9 @@
     RequestContext,
     RequestRefusedError,
 )
-from wickspring.dataplane.upstream import ATTEMPT_ID_HEADER, HeaderPairs, end_to_end_headers
+from wickspring.dataplane.upstream import ATTEMPT_ID_HEADER, end_to_end_headers
 from wickspring.net.http1_front import Http1Connection
+from wickspring.net.octets import NO_OCTETS, HeaderPairs, Headers
 
 DEADLINE_HEADER = "x-deadline-ms"
 MAX_DEADLINE_MS = 600_000.0
@@ -25,7 +25,7 @@
 _REPLACED_HEADERS = frozenset({"host", "x-key", "x-tenant", "x-target-instance", DEADLINE_HEADER, "expect"})
 
 
-def client_deadline_ms(headers: Mapping[str, str]) -> float:
+def client_deadline_ms(headers: Headers) -> float:
     """Return how long a client waits for a response; infinity where it does not say, or not in digits."""
     text = headers.get(DEADLINE_HEADER, "")
     return float(text) if text.isdecimal() else math.inf
@@ -48,7 +48,7 @@
         context = self._context
         routing_table = context.config.routing_table
         headers = incoming.headers
-        host = headers.get("host", "")
+        host = headers.get("host", NO_OCTETS)
         route = routing_table.route(host, incoming.target)
         if route is None:
             raise RequestRefusedError(ErrorKind.NO_ROUTE)
@@ -74,7 +74,7 @@
         self, incoming: IncomingRequest, routing_table: RoutingTable, route: Route
     ) -> Tenant | None:
         """Return the tenant of the request's key; None where the route needs none."""
-        tenant = routing_table.tenants_by_key.get(incoming.headers.get("x-key", ""))
+        tenant = routing_table.tenants_by_key.get(incoming.headers.get("x-key", NO_OCTETS))
         if tenant is None and routing_table.requires_key and not route.public:
             raise RequestRefusedError(ErrorKind.NO_KEY)
         return tenant
@@ -125,5 +125,5 @@
 def _forwarded_headers(pairs: HeaderPairs, tenant: Tenant | None) -> HeaderPairs:
     headers = [pair for pair in end_to_end_headers(pairs) if pair[0] not in _REPLACED_HEADERS]
     if tenant is not None:
-        headers.append(("X-Tenant", tenant.name))
+        headers.append(("X-Tenant", tenant.header_value))
     return headers
--- a/wickspring/dataplane/upstream.py
+++ b/wickspring/dataplane/upstream.py
@@ -14,6 +14,7 @@
 
 from wickspring.core.invariants import check_invariant
 from wickspring.interface import Status
+from wickspring.net.octets import HeaderPairs, Headers
 from wickspring.net.upstream.exchange import ExchangeResult, ResponseSink, ServerExchange
 from wickspring.net.upstream.http1 import Http1ServerConnection
 from wickspring.net.upstream.response_reader import Response, ResponseReader
@@ -40,8 +41,6 @@
 _PROTECTED_HEADERS = frozenset({ATTEMPT_ID_HEADER, SIGNATURE_HEADER})  # never options of a connection
 _STATUS_LINE = re.compile(r"HTTP/[0-9.]+ [0-9]{3}")
 
-HeaderPairs = list[tuple[str, str]]
-
 
 class ConnectionDefaults(msgspec.Struct, frozen=True):
     """What the shared connections need to know of endpoints. Times are milliseconds."""
@@ -72,7 +71,7 @@
     length: int | None
 
 
-def _ignore_headers(headers: dict[str, str]) -> None:
+def _ignore_headers(headers: Headers) -> None:
     """Learn nothing from the headers of a response."""
 
 
@@ -85,7 +84,7 @@
     """One attempt at one endpoint."""
 
     id: str
-    on_headers: Callable[[dict[str, str]], None] = _ignore_headers  # of each buffered response
+    on_headers: Callable[[Headers], None] = _ignore_headers  # of each buffered response
     on_stream: Callable[[ResponseHead], ResponseSink | None] = _refuse_stream  # None buffers on
 
 
--- a/wickspring/lab/simulation/stub_endpoints.py
+++ b/wickspring/lab/simulation/stub_endpoints.py
@@ -7,11 +7,12 @@
 from wickspring.dataplane.upstream import BufferedResponse
 from wickspring.interface import Status
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
+from wickspring.net.octets import header
 from wickspring.net.upstream.exchange import ServerExchange
 from wickspring.net.upstream.manager import UpstreamManager
 
 SERVICE_TIME_MS = 50.0
-SEAL = [("x-server-seal", "1.1.1.1.1.1")]  # present in any success of a server
+SEAL = [header("x-server-seal", "1.1.1.1.1.1")]  # present in any success of a server
 
 
 class StubUpstream(UpstreamManager):
--- a/wickspring/lab/simulation/virtual_gateway.py
+++ b/wickspring/lab/simulation/virtual_gateway.py
@@ -23,6 +23,7 @@
 from wickspring.lab.simulation.meter import CORE, INGRESS, PART, REST
 from wickspring.lab.simulation.stub_endpoints import StubCaller
 from wickspring.net.http_server import HttpRequest
+from wickspring.net.octets import OctetText
 
 PORT = 7340
 PORT_COUNT = 16
@@ -271,10 +272,10 @@
             number += 1
             host, prefix = self.random.choice(targets)
             headers = {
-                "host": host,
-                "x-key": self.random.choice(keys),
-                "x-attempt-id": f"{ip}-{number}",
-                "x-deadline-ms": "2000",
+                "host": OctetText(host),
+                "x-key": OctetText(self.random.choice(keys)),
+                "x-attempt-id": OctetText(f"{ip}-{number}"),
+                "x-deadline-ms": OctetText("2000"),
             }
             with self.meter.charge(INGRESS, "requests"):
                 self.data_planes[ip].handle_request(
--- a/wickspring/net/attempts.py
+++ b/wickspring/net/attempts.py
@@ -11,6 +11,7 @@
 from wickspring.net.calls import Client
 from wickspring.net.clock import Clock
 from wickspring.net.discovery import Directory
+from wickspring.net.octets import header
 from wickspring.net.open_requests import OpenRequests
 from wickspring.net.upstream.exchange import ExchangeResult, ServerExchange
 from wickspring.net.upstream.manager import UpstreamManager
@@ -57,9 +58,9 @@
             return
         call = open_request.call
         remaining_ms = max(1, int(start.deadline - self._clock.now()))
-        headers = [("X-Call-Id", call.call_id), ("X-Budget-Ms", str(remaining_ms))]
+        headers = [header("X-Call-Id", call.call_id), header("X-Budget-Ms", str(remaining_ms))]
         if call.key:
-            headers.append(("Idempotency-Key", call.key))
+            headers.append(header("Idempotency-Key", call.key))
         exchange = ServerExchange(
             start.server,
             address,
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -10,6 +10,7 @@
 
 from wickspring import interface as api
 from wickspring.core.effects import ResponseKind
+from wickspring.net.octets import HeaderPair, Headers, OctetText
 from wickspring.net.sockets import DEFER_S as DEFER_S
 from wickspring.tenants import TenantPlans
 
@@ -129,9 +130,9 @@
     return f"{max(milliseconds, 1.0) / 1000.0:.3f}"
 
 
-def read_head(pairs: Iterable[tuple[str, str]]) -> dict[str, str]:
+def read_head(pairs: Iterable[HeaderPair]) -> Headers:
     """Fold the headers of a request, checking all that says where its body ends before any of that comes."""
-    headers: dict[str, str] = {}
+    headers: dict[str, OctetText] = {}
     for name, value in pairs:
         if name in _SINGLE_FIELDS and name in headers:
             raise CallError(name)
--- a/wickspring/net/early_refusal.py
+++ b/wickspring/net/early_refusal.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
 from typing import NamedTuple
 
 import h11
@@ -17,6 +16,7 @@
 from wickspring.net.http1_syntax import encode_response
 from wickspring.net.http_server import OVERLOAD_RETRY_MS, HttpServer
 from wickspring.net.link import Link
+from wickspring.net.octets import Headers, OctetText, header
 
 MAX_LENGTH_DIGITS = 9
 _SIMPLE_REQUEST = re.compile(
@@ -30,7 +30,7 @@
     """A request that came in one piece and ends with it."""
 
     target: str
-    headers: Mapping[str, str]  # names in lower case
+    headers: Headers  # names in lower case
 
 
 def read_simple_request(data: bytes) -> SimpleRequest | None:
@@ -42,7 +42,8 @@
     if match is None:
         return None
     lines = match[2].decode("ascii").split("\r\n")[:-1]
-    headers = {name.lower(): value.strip(" \t") for name, _, value in (line.partition(":") for line in lines)}
+    fields = (line.partition(":") for line in lines)
+    headers = {name.lower(): OctetText(value.strip(" \t")) for name, _, value in fields}
     if (
         len(headers) < len(lines)
         or "host" not in headers
@@ -60,9 +61,9 @@
     http = h11.Connection(h11.SERVER)
     http.receive_data(b"GET / HTTP/1.1\r\nHost: any\r\n\r\n")
     http.next_event()
-    headers = [("Content-Length", "0"), ("Retry-After", retry_after(OVERLOAD_RETRY_MS))]
+    headers = [header("Content-Length", "0"), header("Retry-After", retry_after(OVERLOAD_RETRY_MS))]
     if closes:
-        headers.append(("Connection", "close"))
+        headers.append(header("Connection", "close"))
     return encode_response(http, SERVICE_UNAVAILABLE, headers, b"")
 
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Sequence
 
 import h11
 
@@ -11,9 +12,10 @@
 from wickspring.net.front_limits import DEFAULT_LIMITS, FrontLimits
 from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
 from wickspring.net.http1_reader import Http1RequestReader
-from wickspring.net.http1_syntax import HeaderPairs, encode_response
+from wickspring.net.http1_syntax import encode_head, encode_response
 from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
+from wickspring.net.octets import HeaderPair, header
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
 NO_CONTENT_STATUSES = (204, 304)  # RFC 9110, section 6.4.1
@@ -146,16 +148,18 @@
         """Note that a response is owed."""
         self.request_number = number
 
-    def respond(self, status: int, retry_after: str, body: bytes, extra_headers: HeaderPairs = ()) -> None:
+    def respond(
+        self, status: int, retry_after: str, body: bytes, extra_headers: Sequence[HeaderPair] = ()
+    ) -> None:
         """Write a complete response, and go on to the next request where there may be one."""
         headers = [*extra_headers]
         if status >= 200 and status not in NO_CONTENT_STATUSES:
-            headers.append(("Content-Length", str(len(body))))
+            headers.append(header("Content-Length", str(len(body))))
         if retry_after:
-            headers.append(("Retry-After", retry_after))
+            headers.append(header("Retry-After", retry_after))
         closes = self._closes_connection() or self._is_pipelined_error(status)
         if closes or self.http.their_state is not h11.DONE:
-            headers.append(("Connection", "close"))
+            headers.append(header("Connection", "close"))
         if self.http.our_state in RESPONSE_NOT_BEGUN:
             self.link.send(encode_response(self.http, status, headers, body))
         self._response_ended(closes)
@@ -209,16 +213,18 @@
         self.link.send(INTERNAL_ERROR_RESPONSE)
         self._response_ended(closes=True)
 
-    def begin_response(self, length: int | None, status: int = 200, extra_headers: HeaderPairs = ()) -> None:
+    def begin_response(
+        self, length: int | None, status: int = 200, extra_headers: Sequence[HeaderPair] = ()
+    ) -> None:
         """Begin a response that is passed on as it arrives."""
         headers = [*extra_headers]
         if length is not None:
-            headers.append(("Content-Length", str(length)))
+            headers.append(header("Content-Length", str(length)))
         self._closes_after_stream = self._closes_connection()
         if self._closes_after_stream or self.http.their_state is not h11.DONE:
-            headers.append(("Connection", "close"))
+            headers.append(header("Connection", "close"))
         if self.http.our_state in RESPONSE_NOT_BEGUN:
-            self.link.send(self.http.send(h11.Response(status_code=status, headers=headers)) or b"")
+            self.link.send(encode_head(self.http, status, headers))
 
     def write_body(self, data: bytes) -> None:
         """Pass a piece of the body on."""
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from abc import abstractmethod
+from collections.abc import Sequence
 
 import h11
 import trio
@@ -16,9 +17,10 @@
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
-from wickspring.net.http1_syntax import HeaderPairs, has_ambiguous_length, header_pairs, origin_form
+from wickspring.net.http1_syntax import has_ambiguous_length, origin_form
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
+from wickspring.net.octets import HeaderPair, HeaderPairs, Headers, decode_octets, decode_pairs
 from wickspring.net.request_body import RequestBody
 from wickspring.net.unanswered import EndReason
 
@@ -47,7 +49,7 @@
         self.read_ahead = read_ahead  # by the process before this one; None for a new connection
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
         self.request: h11.Request | None = None
-        self.headers: dict[str, str] = {}
+        self.headers: Headers = {}
         self.body = RequestBody(0.0)
         self.request_number: int | None = None  # of the request that waits for its response
         self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
@@ -185,7 +187,7 @@
         self.request, self.body = request, RequestBody(self.server.clock.now())
         if has_ambiguous_length(read[: len(read) - len(self.http.trailing_data[0])]):
             raise CallError("content-length")
-        self.headers = read_head(header_pairs(request))
+        self.headers = read_head(decode_pairs(request.headers))
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.link.send(self.http.send(go_on) or b"")
@@ -216,7 +218,7 @@
 
     def _handle(self, request: h11.Request, body_stream: BodyStream | None = None) -> None:
         """Pass a request on with what is buffered of its body; a stream brings the rest."""
-        method, target = request.method.decode("latin-1"), origin_form(request.target.decode("latin-1"))
+        method, target = decode_octets(request.method), origin_form(decode_octets(request.target))
         self.has_received_request = True
         self.request_read_at = self.server.clock.now()
         body = bytes(self.body.buffered)
@@ -237,9 +239,9 @@
         if self.request_number is None:  # answered at once
             body.stream = None
 
-    def pairs(self) -> list[tuple[str, str]]:
+    def pairs(self) -> HeaderPairs:
         """Return the headers of the present request, in order, their names in lower case."""
-        return [] if self.request is None else header_pairs(self.request)
+        return [] if self.request is None else decode_pairs(self.request.headers)
 
     @property
     def _awaits_request(self) -> bool:
@@ -257,7 +259,9 @@
         """Note that a response is owed."""
 
     @abstractmethod
-    def respond(self, status: int, retry_after: str, body: bytes, extra_headers: HeaderPairs = ()) -> None:
+    def respond(
+        self, status: int, retry_after: str, body: bytes, extra_headers: Sequence[HeaderPair] = ()
+    ) -> None:
         """Write a complete response, and go on to the next request where there may be one."""
 
     @abstractmethod
@@ -269,7 +273,9 @@
         """Answer 500 to what is being read, where a response can be begun, and close the connection."""
 
     @abstractmethod
-    def begin_response(self, length: int | None, status: int = 200, extra_headers: HeaderPairs = ()) -> None:
+    def begin_response(
+        self, length: int | None, status: int = 200, extra_headers: Sequence[HeaderPair] = ()
+    ) -> None:
         """Begin a response that is passed on as it arrives."""
 
     @abstractmethod
--- a/wickspring/net/http1_syntax.py
+++ b/wickspring/net/http1_syntax.py
@@ -7,7 +7,7 @@
 
 import h11
 
-HeaderPairs = Sequence[tuple[str, str]]
+from wickspring.net.octets import HeaderPair, encode_pairs
 
 _CONTENT_LENGTH = re.compile(rb"^content-length[ \t]*:[ \t]*([^\r\n]*)", re.IGNORECASE | re.MULTILINE)
 _ABSOLUTE_FORM = re.compile(r"https?://[^/?#]*", re.IGNORECASE)
@@ -31,14 +31,14 @@
     return rest if rest.startswith("/") else f"/{rest}"
 
 
-def header_pairs(request: h11.Request) -> list[tuple[str, str]]:
-    """Return the headers of a request, in order, their names in lower case."""
-    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers]
+def encode_head(http: h11.Connection, status: int, headers: Sequence[HeaderPair]) -> bytes:
+    """Return the bytes of a response's head."""
+    return http.send(h11.Response(status_code=status, headers=encode_pairs(headers))) or b""
 
 
-def encode_response(http: h11.Connection, status: int, headers: HeaderPairs, body: bytes) -> bytes:
+def encode_response(http: h11.Connection, status: int, headers: Sequence[HeaderPair], body: bytes) -> bytes:
     """Return the bytes of a complete response."""
-    data = http.send(h11.Response(status_code=status, headers=[*headers])) or b""
+    data = encode_head(http, status, headers)
     if body:
         data += http.send(h11.Data(data=body)) or b""
     return data + (http.send(h11.EndOfMessage()) or b"")
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -27,6 +27,7 @@
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
+from wickspring.net.octets import HeaderPairs, decode_pairs, encode_pairs, header
 from wickspring.net.runtime import Runtime
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
@@ -44,7 +45,7 @@
     def __init__(self, link: Link, server: Runtime) -> None:
         super().__init__(link, server)
         self.server = server
-        config = h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
+        config = h2.config.H2Configuration(client_side=False, header_encoding=None)
         self.http = h2.connection.H2Connection(config)
         self.frames = Frames(PREFACE_SIZE)
         self.streams: dict[int, Stream] = {}
@@ -230,7 +231,7 @@
             self.http.reset_stream(stream_id, ErrorCodes.REFUSED_STREAM)
             return
         self.last_stream_id = max(self.last_stream_id, stream_id)
-        pairs = [(str(name), str(value)) for name, value in event.headers]
+        pairs = decode_pairs(event.headers)
         stream = self.streams[stream_id] = Stream(self, stream_id, self.server.clock.now())
         try:
             stream.headers = read_head(pairs)
@@ -283,9 +284,9 @@
         if not stream.is_open:
             return
         self.reset_count = max(0, self.reset_count - 1)
-        headers = [(":status", str(status)), ("content-length", str(len(body)))]
+        headers = [header(":status", str(status)), header("content-length", str(len(body)))]
         if retry_after:
-            headers.append(("retry-after", retry_after))
+            headers.append(header("retry-after", retry_after))
         if not self._send_headers(stream, headers, end_stream=not body):
             return
         stream.outgoing = bytearray(body)
@@ -298,17 +299,17 @@
         """Begin a response that is passed on as it arrives."""
         if not stream.is_open:
             return
-        headers = [(":status", "200")]
+        headers = [header(":status", "200")]
         if length is not None:
-            headers.append(("content-length", str(length)))
+            headers.append(header("content-length", str(length)))
         if self._send_headers(stream, headers, end_stream=False):
             stream.outgoing = bytearray()
             self.flush()
 
-    def _send_headers(self, stream: Stream, headers: list[tuple[str, str]], end_stream: bool) -> bool:
+    def _send_headers(self, stream: Stream, headers: HeaderPairs, end_stream: bool) -> bool:
         """Write the head of a response; False where the stream has ended and h2 has not told yet."""
         try:
-            self.http.send_headers(stream.id, headers, end_stream=end_stream)
+            self.http.send_headers(stream.id, encode_pairs(headers), end_stream=end_stream)
         except H2Error as error:
             log.info("answer_not_sent", extra=kv(reason=error))
             self.streams.pop(stream.id, None)
--- a/wickspring/net/http2_stream.py
+++ b/wickspring/net/http2_stream.py
@@ -9,6 +9,7 @@
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.link import Link
+from wickspring.net.octets import Headers
 
 
 class StreamConnection(Protocol):
@@ -41,7 +42,7 @@
 
     def __init__(self, connection: StreamConnection, stream_id: int, opened_at: float) -> None:
         self.connection, self.id, self.opened_at = connection, stream_id, opened_at
-        self.headers: dict[str, str] = {}
+        self.headers: Headers = {}
         self.body = bytearray()
         self.request_complete = False  # its last byte has arrived
         self.read_at = 0.0  # when that was
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -22,6 +22,7 @@
 from wickspring.net.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.net.link import Link
 from wickspring.net.loop_monitor import LoopMonitor, TurnSample, add_loop_monitor
+from wickspring.net.octets import Headers
 from wickspring.net.overload import OverloadLimiter
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
@@ -49,7 +50,7 @@
 
     method: str
     target: str
-    headers: Mapping[str, str]  # names in lower case
+    headers: Headers  # names in lower case
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
     arrived_at: float | None = None  # ms: when its last bytes were in the kernel; None: just now
@@ -209,7 +210,7 @@
         """Whether requests may be refused before they have been parsed: while this process runs late."""
         return not self.draining and self.overload.runs_late(self.clock.now())
 
-    def refuses_unparsed(self, target: str, headers: Mapping[str, str], arrived_at: float) -> bool:
+    def refuses_unparsed(self, target: str, headers: Headers, arrived_at: float) -> bool:
         """Tell whether a request is refused before it has been parsed; the refusal is counted then."""
         budget_ms = self.client_time_ms(target, headers)
         if budget_ms is None:
@@ -220,7 +221,7 @@
         self._count_refusal(reason)
         return True
 
-    def client_time_ms(self, target: str, headers: Mapping[str, str]) -> float | None:
+    def client_time_ms(self, target: str, headers: Headers) -> float | None:
         """Return how long the client of a request waits, infinity where it does not say.
 
         None where the request is to be handled whatever happens, as all are unless a subclass says otherwise.
--- a/wickspring/net/upstream/exchange.py
+++ b/wickspring/net/upstream/exchange.py
@@ -14,10 +14,11 @@
 from wickspring.interface import Status
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
+from wickspring.net.octets import HeaderPairs, OctetText
 from wickspring.net.timers import Timer
 
 MAX_BUFFERED_RESPONSE = 64 * 1024  # bytes of a response body; a longer one is passed on as it arrives
-DEFAULT_HOST = "app.svc"
+DEFAULT_HOST = OctetText("app.svc")
 
 
 class ResponseSink(Protocol):
@@ -62,10 +63,10 @@
 
     method: str
     target: str
-    headers: list[tuple[str, str]]
+    headers: HeaderPairs
     body: bytes
     on_end: Callable[[ExchangeResult], None]
-    host: str = DEFAULT_HOST  # of the Host header field
+    host: OctetText = DEFAULT_HOST  # of the Host header field
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
     may_stream_body: Callable[[], bool] = _no_streaming  # asked before a piece of that rest is read
     on_body_sent: Callable[[], None] = _ignore_upload_end  # called when its last byte has been written
--- a/wickspring/net/upstream/http2.py
+++ b/wickspring/net/upstream/http2.py
@@ -16,6 +16,7 @@
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http2_wire import Frames, GoAway, pump, settings
 from wickspring.net.link import Link
+from wickspring.net.octets import OctetText, decode_pairs, encode_pairs, header
 from wickspring.net.upstream.exchange import (
     MAX_BUFFERED_RESPONSE,
     ExchangeResult,
@@ -40,7 +41,7 @@
     written: bool = False  # the request's last byte has been given to the connection,
     ends_at: int = 0  # as this one of all bytes that the connection was given
     code: int = 0
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, OctetText] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
 
     def result_of_loss(self, taken: int) -> ExchangeResult:
@@ -55,7 +56,7 @@
     def __init__(self, upstream: UpstreamManager, connection: PooledConnection) -> None:
         self.upstream = upstream
         self.connection = connection
-        config = h2.config.H2Configuration(client_side=True, header_encoding="utf-8")
+        config = h2.config.H2Configuration(client_side=True, header_encoding=None)
         self.http = h2.connection.H2Connection(config)
         self.frames = Frames()
         self.link: Link | None = None
@@ -101,18 +102,18 @@
     def _open_stream(self, exchange: ServerExchange) -> None:
         stream_id = self.http.get_next_available_stream_id()
         headers = [
-            (":method", exchange.method),
-            (":scheme", "http"),
-            (":authority", AUTHORITY),
-            (":path", exchange.target),
+            header(":method", exchange.method),
+            header(":scheme", "http"),
+            header(":authority", AUTHORITY),
+            header(":path", exchange.target),
             *((name.lower(), value) for name, value in exchange.headers),
         ]
         body = exchange.body
         if body or exchange.method == "POST":
-            headers.append(("content-length", str(len(body))))
+            headers.append(header("content-length", str(len(body))))
         stream = StreamExchange(exchange, bytearray(body), self.upstream.clock.now(), written=not body)
         self.streams[stream_id] = stream
-        self.http.send_headers(stream_id, headers, end_stream=not body)
+        self.http.send_headers(stream_id, encode_pairs(headers), end_stream=not body)
         if stream.written:
             self._completed.append(stream)
         self._pump(stream_id, stream)
@@ -238,7 +239,7 @@
 
     def _on_stream_event(self, stream_id: int, stream: StreamExchange, event: h2.events.Event) -> None:
         if isinstance(event, h2.events.ResponseReceived):
-            stream.headers = {str(name): str(value) for name, value in event.headers}
+            stream.headers = dict(decode_pairs(event.headers))
             code = stream.headers.get(":status", "0")
             stream.code = int(code) if code.isdigit() else 0
         elif isinstance(event, h2.events.StreamEnded):
--- a/wickspring/net/upstream/response_reader.py
+++ b/wickspring/net/upstream/response_reader.py
@@ -7,6 +7,15 @@
 import h11
 
 from wickspring.net.calls import MAX_BODY_BYTES
+from wickspring.net.octets import (
+    HeaderPairs,
+    Headers,
+    OctetText,
+    decode_octets,
+    decode_pairs,
+    encode_pairs,
+    header,
+)
 from wickspring.net.upstream.exchange import MAX_BUFFERED_RESPONSE, ServerExchange
 
 MAX_HEAD_BYTES = 16 * 1024
@@ -19,7 +28,7 @@
     """A complete response."""
 
     code: int
-    headers: dict[str, str]
+    headers: Headers
     body: bytes
 
 
@@ -65,12 +74,13 @@
         headers = [("Host", exchange.host), *exchange.headers]
         body_stream = exchange.body_stream
         if body_stream is not None and body_stream.content_length is None:
-            headers.append(("Transfer-Encoding", "chunked"))
+            headers.append(header("Transfer-Encoding", "chunked"))
         elif body_stream is not None or exchange.body or exchange.method == "POST":
             length = len(exchange.body) if body_stream is None else body_stream.content_length
-            headers.append(("Content-Length", str(length)))
+            headers.append(header("Content-Length", str(length)))
         self._interim_count = 0
-        request = h11.Request(method=exchange.method, target=exchange.target, headers=headers)
+        fields = encode_pairs(headers)
+        request = h11.Request(method=exchange.method, target=exchange.target, headers=fields)
         data = self.http.send(request) or b""
         if exchange.body:
             data += self.http.send(h11.Data(data=exchange.body)) or b""
@@ -97,8 +107,7 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return None
             if isinstance(event, h11.EndOfMessage) and self._head is not None:
-                headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in self._head.headers}
-                return Response(self._head.status_code, headers, bytes(self._body))
+                return Response(self._head.status_code, dict(self.pairs), bytes(self._body))
             self._on_event(event)
 
     def _on_event(self, event: object) -> None:
@@ -140,16 +149,14 @@
         return self._head.status_code if self._head is not None else 0
 
     @property
-    def reason(self) -> str:
+    def reason(self) -> OctetText:
         """The reason phrase of the present response."""
-        return self._head.reason.decode("latin-1") if self._head is not None else ""
+        return decode_octets(self._head.reason if self._head is not None else b"")
 
     @property
-    def pairs(self) -> list[tuple[str, str]]:
+    def pairs(self) -> HeaderPairs:
         """The headers of the present response, in order, their names in lower case."""
-        if self._head is None:
-            return []
-        return [(k.decode("latin-1"), v.decode("latin-1")) for k, v in self._head.headers]
+        return decode_pairs(self._head.headers) if self._head is not None else []
 
     def start_next(self) -> bool:
         """Make ready for the next request; False where the connection cannot be used again."""
