--- a/tests/common/test_decoding.py
+++ b/tests/common/test_decoding.py
@@ -24,6 +24,7 @@
 from wickspring.controlplane.replication.view import Member, View
 from wickspring.controlplane.storage import ReplicaStore
 from wickspring.controlplane.storage_file import FILE
+from wickspring.net.octets import OctetText
 
 SETTINGS = """node_name=edge-a-1
 role=pilot
@@ -91,10 +92,14 @@
     body = json.dumps(document()).encode()
     assert validate_config(body).ok == 7
     routing_table = build_routing_table(body)
-    deep, flat = routing_table.route("h.example", "/a/b/c?x=/a/"), routing_table.route("H.example:80", "/a/c")
+    host = OctetText("h.example")
+    deep, flat = (
+        routing_table.route(host, "/a/b/c?x=/a/"),
+        routing_table.route(OctetText("H.example:80"), "/a/c"),
+    )
     assert deep is not None and deep.name == "r2" and not deep.idempotent and deep.services == (("t", 1.0),)
     assert flat is not None and flat.name == "r1" and flat.services == (("s", 9.0), ("t", 1.0))
-    assert routing_table.route("h.example", "/b/") is None and routing_table.route("other", "/a/") is None
+    assert routing_table.route(host, "/b/") is None and routing_table.route(OctetText("other"), "/a/") is None
     assert (
         routing_table.tenants_by_key["k2"].rate == 63.0
         and routing_table.requires_key
--- a/tests/dataplane/test_policy.py
+++ b/tests/dataplane/test_policy.py
@@ -9,7 +9,8 @@
 from wickspring.common.endpoints import DRAINING, READY, Endpoint
 from wickspring.common.errors import ErrorKind
 from wickspring.common.quota_rule import isolation_ms, quota_ceiling, quota_margin, reservation_ms
-from wickspring.common.routing_table import Route, Tenant
+from wickspring.common.routes import Route
+from wickspring.common.routing_table import Tenant
 from wickspring.controlplane.quota_counter import QuotaCounter
 from wickspring.dataplane.endpoint_table import EndpointTable
 from wickspring.dataplane.policy.attempts import AttemptOutcome, Attempts
--- a/wickspring/common/routing_table.py
+++ b/wickspring/common/routing_table.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wickspring.common.routes import Route, RouteIndex
 from wickspring.net.octets import OctetText, field_value
 
 _IDEMPOTENT = "pure"  # the value of `route_kind`, whose words are those of the document
@@ -20,21 +21,6 @@
 JsonObject: TypeAlias = Mapping[str, Any]
 
 
-@dataclass(slots=True, frozen=True)
-class Route:
-    """How requests under one path prefix are forwarded."""
-
-    name: str
-    prefix: str
-    idempotent: bool  # a request may run more than once (RFC 9110, section 9.2.2)
-    timeout_s: float
-    target_s: float  # latency that is aimed at
-    priority: int
-    public: bool  # no API key is needed
-    max_attempts: int
-    services: tuple[tuple[str, float], ...]  # name, weight
-
-
 @dataclass(slots=True, frozen=True)
 class Tenant:
     """A customer with API keys and a quota. A rate of 0 sets no limit."""
@@ -74,25 +60,16 @@
     """One version of the configuration, indexed."""
 
     version: int = 0
-    routes_by_host: dict[str, list[Route]] = field(default_factory=dict)  # the longest prefix first
+    routes: RouteIndex = field(default_factory=RouteIndex)
     tenants_by_key: dict[str, Tenant] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     tenants: dict[str, Tenant] = field(default_factory=dict)
     requires_key: bool = False  # for all routes that are not public
     client_limits: ClientLimits = ClientLimits()
 
-    def route(self, host: str, target: str) -> Route | None:
-        """Return the route with the longest prefix of the target's path, or None.
-
-        Args:
-            host: the request's `host` header, with a port or without.
-            target: the request's target, with a query or without.
-        """
-        routes = self.routes_by_host.get(host)
-        if routes is None:
-            routes = self.routes_by_host.get(host.partition(":")[0].lower())
-        path = target.partition("?")[0]
-        return next((route for route in routes or () if path.startswith(route.prefix)), None)
+    def route(self, host: OctetText, target: str) -> Route | None:
+        """Return the route of a request by its `Host` header and its target, or None."""
+        return self.routes.find(host, target)
 
 
 def parse_version(text: str) -> int:
@@ -115,10 +92,8 @@
     """
     tree: JsonObject = msgspec.json.decode(document)
     table = RoutingTable(version=parse_version(tree["generation"]))
-    for host in tree["sockets"]:
-        routes = [_route(rule) for rule in host["policy"]]
-        routes.sort(key=lambda route: -len(route.prefix))
-        table.routes_by_host[host["host"].lower()] = routes
+    for entry in tree["sockets"]:
+        table.routes.add(entry["host"], [_route(rule) for rule in entry["policy"]])
     for entry in tree.get("tenants", ()):
         tenant = _tenant(entry)
         table.tenants[tenant.name] = tenant
--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -14,6 +14,7 @@
 from marshmallow import INCLUDE, Schema, ValidationError, fields, validate, validates_schema
 
 from wickspring.common.errors import ErrorDetail, ErrorKind
+from wickspring.common.routes import host_key
 from wickspring.common.routing_table import parse_version
 from wickspring.net.octets import is_field_value
 
@@ -215,7 +216,7 @@
     """Return the host and the path prefix of each route; no two routes may have the same."""
     for socket in sockets:
         for rule in socket["policy"]:
-            yield socket["host"].lower(), rule["pattern"]["path_prefix"]
+            yield host_key(socket["host"]), rule["pattern"]["path_prefix"]
 
 
 def _validate_tenants(tenants: Sequence[TenantDocument]) -> None:
--- a/wickspring/dataplane/policy/attempts.py
+++ b/wickspring/dataplane/policy/attempts.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 from wickspring.common.errors import ErrorKind
-from wickspring.common.routing_table import Route
+from wickspring.common.routes import Route
 from wickspring.core.invariants import check_invariant
 
 FINAL_RESPONSE_MARGIN_MS = 12.0  # before a client's deadline, at which the final response is sent
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -5,7 +5,8 @@
 import math
 
 from wickspring.common.errors import ErrorKind
-from wickspring.common.routing_table import Route, RoutingTable, Tenant
+from wickspring.common.routes import Route
+from wickspring.common.routing_table import RoutingTable, Tenant
 from wickspring.dataplane.policy.attempts import FINAL_RESPONSE_MARGIN_MS, Attempts
 from wickspring.dataplane.request.model import (
     IncomingRequest,
--- a/wickspring/lab/experiments/capacity_steps.py
+++ b/wickspring/lab/experiments/capacity_steps.py
@@ -37,6 +37,7 @@
 from wickspring.dataplane.policy.quota import QuotaPolicy
 from wickspring.lab.simulation.generated_config import ConfigSize, generate_config
 from wickspring.net.link import READ_SIZE, Link
+from wickspring.net.octets import OctetText
 
 REPEATS = 3
 SERVICES_PER_SERVER = 750 / 13_000  # as in the target
@@ -124,7 +125,7 @@
 
     def look_up_all() -> None:
         for host, prefix in requests:
-            routing_table.route(host, prefix + "1")
+            routing_table.route(OctetText(host), prefix + "1")
 
     return took_us(look_up_all) / lookups
 
