Take `public` as true or false only, and read stored texts as they were meant

Cause: validation read the text as false, data planes took any text for true.

Why it works: one closed type in validation, which names the place, and for documents that were acknowledged before the same texts as then.

--- a/wickspring/common/routing_table.py
+++ b/wickspring/common/routing_table.py
@@ -14,6 +14,7 @@
 from wickspring.common.routes import Route, RouteIndex
 from wickspring.net.octets import OctetText, field_value
 
+_TRUE_TEXTS = frozenset({"t", "true", "on", "y", "yes", "1"})  # that earlier versions took for `true`
 _IDEMPOTENT = "pure"  # the value of `route_kind`, whose words are those of the document
 
 # A part of the document. The control plane's validation is lenient (numbers may be texts, fields unknown), so
@@ -116,12 +117,22 @@
         timeout_s=float(effect["timeout_s"]),
         target_s=float(rule["target_s"]),
         priority=int(rule.get("priority", 0)),
-        public=bool(rule.get("public", False)),
+        public=_is_true(rule.get("public", False)),
         max_attempts=int(effect["max_tries"]),
         services=_weighted_services(effect),
     )
 
 
+def _is_true(value: object) -> bool:
+    """Return a truth value of a document.
+
+    Earlier versions took some texts and numbers for one as well, and such documents may be in use.
+    """
+    if isinstance(value, str):
+        return value.lower() in _TRUE_TEXTS
+    return value is True or value == 1
+
+
 def _weighted_services(effect: JsonObject) -> tuple[tuple[str, float], ...]:
     if "weighted" not in effect:
         return ((effect["service"], 1.0),)
--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -103,6 +103,15 @@
     return fields.Float(required=required, allow_nan=False, validate=bounds)
 
 
+class _Flag(fields.Field[bool]):
+    """A truth value: `true` or `false`, and no text or number that one could be read into."""
+
+    def _deserialize(self, value: object, *_: object, **__: object) -> bool:
+        if not isinstance(value, bool):
+            raise ValidationError("neither true nor false")
+        return value
+
+
 class _OpenSchema(Schema):
     """A schema that allows fields it does not know."""
 
@@ -138,7 +147,7 @@
     route_kind = fields.String(required=True, validate=validate.OneOf(("pure", "effectful")))
     target_s = _number(required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
-    public = fields.Boolean()
+    public = _Flag()
     pattern = fields.Nested(_Pattern, required=True)
     effect = fields.Nested(_Effect, required=True)
 
@@ -158,7 +167,7 @@
     health_path = fields.String(validate=validate.Regexp(r"/"))
     max_conns = fields.Integer(validate=validate.Range(min=0))
     protocol = fields.String(validate=validate.OneOf(("h1",)))
-    tls = fields.Boolean(validate=validate.OneOf((False,)))
+    tls = _Flag(validate=validate.OneOf((False,)))
 
 
 class _Tenant(_OpenSchema):
