Compare keys, hosts and path prefixes with requests as octets

What callers saw: an acknowledged key that is not ASCII got 401, and a host or a path prefix that is not ASCII, or has a blank, got 404 for all requests.

Why it works: keys are compared as their UTF-8, prefixes as clients write them (RFC 3987), hosts as labels of ASCII (RFC 5890) or UTF-8, and validation finds two spellings of one place by the same rules. A key that no header can carry is refused with its place.

--- a/tests/common/test_decoding.py
+++ b/tests/common/test_decoding.py
@@ -101,7 +101,7 @@
     assert flat is not None and flat.name == "r1" and flat.services == (("s", 9.0), ("t", 1.0))
     assert routing_table.route(host, "/b/") is None and routing_table.route(OctetText("other"), "/a/") is None
     assert (
-        routing_table.tenants_by_key["k2"].rate == 63.0
+        routing_table.tenants_by_key[OctetText("k2")].rate == 63.0
         and routing_table.requires_key
         and routing_table.client_limits.idle_timeout_s == 9.0
     )
--- a/tests/common/test_routes.py
+++ b/tests/common/test_routes.py
@@ -12,7 +12,7 @@
 from wickspring.common.routing_table import build_routing_table
 from wickspring.controlplane.api.config_validation import validate_config
 from wickspring.lab.emulation.local_gateway import HOST, PURE_SERVICE, gateway_config
-from wickspring.net.octets import OctetText
+from wickspring.net.octets import OctetText, decode_octets
 
 HOSTS = (
     "a.example",
@@ -107,3 +107,52 @@
         assert route is not None and route.services == ((PURE_SERVICE, 1.0),)
     added = table.route(OctetText(f"{HOST}:80"), "/added/1")
     assert added is not None and added.name == "added"
+
+
+@pytest.mark.parametrize(
+    ("prefix", "target"),
+    [
+        ("/são/", "/s%C3%A3o/1"),
+        ("/a b/", "/a%20b/1"),
+        ("/a%20b/", "/a%20b/1"),
+        ("/東京/x/", "/%E6%9D%B1%E4%BA%AC/x/1"),
+        ("/a;b=c,d~!$&'()*+:@/", "/a;b=c,d~!$&'()*+:@/1"),
+    ],
+)
+def test_a_prefix_matches_the_path_as_clients_write_it(prefix: str, target: str) -> None:
+    """Guards against a route with a prefix that no request can have."""
+    body = document([Entry(HOST, (prefix,))])
+    assert validate_config(body).is_ok()
+    assert build_routing_table(body).route(OctetText(HOST), target) is not None
+
+
+@pytest.mark.parametrize(
+    ("host", "requested"),
+    [
+        ("café.example", b"xn--caf-dma.example"),
+        ("CAFÉ.example", b"XN--CAF-DMA.example:80"),
+        ("café.example", "café.example".encode()),
+        ("café.example:80", b"xn--caf-dma.example:80"),
+        ("xn--caf-dma.example", "café.example".encode()),
+    ],
+)
+def test_a_host_that_is_not_ascii_is_found_as_clients_write_it(host: str, requested: bytes) -> None:
+    """Guards against a host of a configuration whose requests all get 404."""
+    body = document([Entry(host, ("/x/",))])
+    assert validate_config(body).is_ok()
+    assert build_routing_table(body).route(decode_octets(requested), "/x/1") is not None
+
+
+@given(st.binary(max_size=12), st.binary(max_size=12))
+def test_any_octets_as_a_host_find_a_route_or_none(configured: bytes, requested: bytes) -> None:
+    """Guards against a `Host` header that makes the look-up raise."""
+    host = configured.decode("utf-8", "ignore") or "a"
+    table = build_routing_table(document([Entry(host, ("/x/",))]))
+    route = table.route(decode_octets(requested), "/x/1")
+    assert route is None or route.prefix == "/x/"
+
+
+def test_two_spellings_of_one_place_are_refused() -> None:
+    """Guards against two routes of which only one can ever be found."""
+    twice = [Entry("café.example", ("/são/",)), Entry("xn--caf-dma.example", ("/s%C3%A3o/",))]
+    assert validate_config(document(twice)).is_error()
--- a/tests/controlplane/test_config_names.py
+++ b/tests/controlplane/test_config_names.py
@@ -9,9 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wickspring.common.routing_table import build_routing_table
 from wickspring.controlplane.api.config_validation import validate_config
 from wickspring.lab.emulation.local_gateway import gateway_config
-from wickspring.net.octets import is_field_value
+from wickspring.net.octets import decode_octets, is_field_value
 
 PRINTABLE = st.text(st.characters(exclude_categories=("Cc", "Cs")), min_size=1)
 
@@ -36,3 +37,21 @@
     """Guards against refusing names that a header can carry, whatever their script."""
     assert is_field_value(name)
     assert validate_config(config_with(name=name)).is_ok()
+
+
+@pytest.mark.parametrize("key", [" key", "key\n", "a\0b"])
+def test_a_key_that_no_header_can_carry_is_refused_with_its_place(key: str) -> None:
+    """Guards against a key that no client can ever present."""
+    result = validate_config(config_with(api_keys=["good", key]))
+    assert result.is_error()
+    assert result.error.reason.startswith("{'tenants': {1: {'api_keys': {1: ")
+
+
+@given(PRINTABLE.filter(is_field_value))
+def test_a_key_is_found_by_the_octets_that_a_client_sends(key: str) -> None:
+    """Guards against a key that is not ASCII, whose requests all got 401."""
+    body = config_with(api_keys=[key])
+    assert validate_config(body).is_ok()
+    tenant = build_routing_table(body).tenants_by_key.get(decode_octets(key.encode()))
+    assert tenant is not None
+    assert tenant.name == "other"
--- a/wickspring/common/routes.py
+++ b/wickspring/common/routes.py
@@ -4,14 +4,22 @@
 in several entries of a configuration; their routes are one set. An entry that names a port is for requests
 that name this port; one without a port is for requests with any port or none. Hosts are compared without
 regard to the case of ASCII letters (RFC 9110, section 4.2.3).
+
+A request has its path in ASCII, and a host that is not ASCII either as labels of ASCII (RFC 5890, section
+2.3.2.1) or as UTF-8. So a prefix is percent-encoded as clients do it (RFC 3987, section 3.1), and a host
+becomes such labels.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from urllib.parse import quote
+
+from wickspring.net.octets import OctetText, encode_octets, lower_ascii, utf8_octets
 
-from wickspring.net.octets import OctetText, lower_ascii, utf8_octets
+MAX_HOST_OCTETS = 255  # of a domain's name (RFC 1035, section 2.3.4)
+_VISIBLE_ASCII = "".join(map(chr, range(0x21, 0x7F)))
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +39,29 @@
 
 def host_key(host: str) -> OctetText:
     """Return what a host of a configuration is known by; two entries with the same key are one host."""
-    return lower_ascii(utf8_octets(host))
+    if host.isascii():
+        return OctetText(host.lower())
+    try:
+        return OctetText(host.encode("idna").decode("ascii").lower())
+    except UnicodeError:  # no name of a domain
+        return lower_ascii(utf8_octets(host))
+
+
+def prefix_key(prefix: str) -> str:
+    """Return a path prefix of a configuration as it stands in requests."""
+    return quote(prefix, safe=_VISIBLE_ASCII)
+
+
+def _requested_host(host: OctetText) -> OctetText:
+    """Return the key of the host that a request names."""
+    if host.isascii():
+        return OctetText(host.lower())
+    if len(host) > MAX_HOST_OCTETS:
+        return lower_ascii(host)
+    try:
+        return host_key(encode_octets(host).decode())
+    except UnicodeDecodeError:
+        return lower_ascii(host)
 
 
 class RouteIndex:
@@ -58,7 +88,7 @@
             target: its target, with a query or without.
         """
         path = target.partition("?")[0]
-        key = lower_ascii(host)
+        key = _requested_host(host)
         with_port = self._longest_match(key, path)
         name = _without_port(key)
         if name == key:
--- a/wickspring/common/routing_table.py
+++ b/wickspring/common/routing_table.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from wickspring.common.routes import Route, RouteIndex
-from wickspring.net.octets import OctetText, field_value
+from wickspring.common.routes import Route, RouteIndex, prefix_key
+from wickspring.net.octets import OctetText, field_value, utf8_octets
 
 _TRUE_TEXTS = frozenset({"t", "true", "on", "y", "yes", "1"})  # that earlier versions took for `true`
 _IDEMPOTENT = "pure"  # the value of `route_kind`, whose words are those of the document
@@ -62,7 +62,7 @@
 
     version: int = 0
     routes: RouteIndex = field(default_factory=RouteIndex)
-    tenants_by_key: dict[str, Tenant] = field(default_factory=dict)
+    tenants_by_key: dict[OctetText, Tenant] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     tenants: dict[str, Tenant] = field(default_factory=dict)
     requires_key: bool = False  # for all routes that are not public
@@ -99,7 +99,7 @@
         tenant = _tenant(entry)
         table.tenants[tenant.name] = tenant
         for key in entry["api_keys"]:
-            table.tenants_by_key[key] = tenant
+            table.tenants_by_key[utf8_octets(key)] = tenant
     table.requires_key = bool(tree.get("tenants"))
     for entry in tree["backends"]:
         service = _service(entry)
@@ -112,7 +112,7 @@
     effect = rule["effect"]
     return Route(
         name=rule["name"],
-        prefix=rule["pattern"]["path_prefix"],
+        prefix=prefix_key(rule["pattern"]["path_prefix"]),
         idempotent=rule["route_kind"] == _IDEMPOTENT,
         timeout_s=float(effect["timeout_s"]),
         target_s=float(rule["target_s"]),
--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -14,7 +14,7 @@
 from marshmallow import INCLUDE, Schema, ValidationError, fields, validate, validates_schema
 
 from wickspring.common.errors import ErrorDetail, ErrorKind
-from wickspring.common.routes import host_key
+from wickspring.common.routes import host_key, prefix_key
 from wickspring.common.routing_table import parse_version
 from wickspring.net.octets import is_field_value
 
@@ -172,7 +172,9 @@
 
 class _Tenant(_OpenSchema):
     name = fields.String(required=True, validate=[validate.Length(min=1), _validate_field_value])
-    api_keys = fields.List(fields.String(validate=validate.Length(min=1)), required=True)
+    api_keys = fields.List(
+        fields.String(validate=[validate.Length(min=1), _validate_field_value]), required=True
+    )
     priority = fields.Integer(validate=validate.Range(min=0))
     rate_per_s = _number()
     burst = _number()
@@ -225,7 +227,7 @@
     """Return the host and the path prefix of each route; no two routes may have the same."""
     for socket in sockets:
         for rule in socket["policy"]:
-            yield host_key(socket["host"]), rule["pattern"]["path_prefix"]
+            yield host_key(socket["host"]), prefix_key(rule["pattern"]["path_prefix"])
 
 
 def _validate_tenants(tenants: Sequence[TenantDocument]) -> None:
