Apply changed limits to connections that are kept

Cause: a connection took the limits once, when it was accepted.

Why it works: a connection asks for the limits as they are before each request and while it is idle; a request under way keeps its own.

--- a/wickspring/controlplane/api/server.py
+++ b/wickspring/controlplane/api/server.py
@@ -91,4 +91,4 @@
 
 async def serve_http(link: Link, server: HttpServer) -> None:
     """Serve one HTTP connection."""
-    await server.serve(Http1Connection(link, server, limits=_CLIENT_LIMITS), link)
+    await server.serve(Http1Connection(link, server, limits=lambda: _CLIENT_LIMITS), link)
--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -26,7 +26,7 @@
 READINESS_PATH = "/readiness"
 PROBE_FDS = 64
 MISSES_UNTIL_OUT = 2  # probes in a row not answered 200, after which the platform sends no more clients
-PROBE_IDLE_MS = 15_000.0
+PROBE_LIMITS = FrontLimits(idle_ms=15_000.0)
 
 
 class StartupCheck:
@@ -108,4 +108,4 @@
 
 async def serve_readiness(link: Link, probe: ReadinessProbe) -> None:
     """Serve one connection of the platform."""
-    await probe.serve(Http1Connection(link, probe, limits=FrontLimits(idle_ms=PROBE_IDLE_MS)), link)
+    await probe.serve(Http1Connection(link, probe, limits=lambda: PROBE_LIMITS), link)
--- a/wickspring/dataplane/server.py
+++ b/wickspring/dataplane/server.py
@@ -18,7 +18,7 @@
 
 async def serve(link: Link, data_plane: DataPlane) -> None:
     """Serve one client's connection."""
-    await data_plane.serve(Http1Connection(link, data_plane, limits=data_plane.front_limits), link)
+    await data_plane.serve(Http1Connection(link, data_plane, limits=lambda: data_plane.front_limits), link)
 
 
 async def run(started: Bootstrap, seed: int, ended: trio.Event) -> None:
--- a/wickspring/lab/simulation/request_path/planned_end.py
+++ b/wickspring/lab/simulation/request_path/planned_end.py
@@ -149,7 +149,7 @@
     def serve_connection(self, near: DataPlaneEnd) -> None:
         """Have the data plane serve a client's connection."""
         link = cast(Link, near)
-        front = Http1Connection(link, self.data_plane, limits=self.data_plane.front_limits)
+        front = Http1Connection(link, self.data_plane, limits=lambda: self.data_plane.front_limits)
         self.nursery.start_soon(self._serve, front, link)
 
     async def _serve(self, front: Http1Connection, link: Link) -> None:
--- a/wickspring/lab/simulation/request_path/simulation.py
+++ b/wickspring/lab/simulation/request_path/simulation.py
@@ -195,7 +195,7 @@
         """Open a client's connection."""
         near = DataPlaneEnd(self.random, math.inf)
         link = cast(Link, near)
-        front = Http1Connection(link, self.data_plane, limits=self.data_plane.front_limits)
+        front = Http1Connection(link, self.data_plane, limits=lambda: self.data_plane.front_limits)
         self.nursery.start_soon(self.data_plane.serve, front, link)
         return near.peer
 
--- a/wickspring/net/calls.py
+++ b/wickspring/net/calls.py
@@ -64,6 +64,12 @@
     status = 413
 
 
+class HeadTooLargeError(CallError):
+    """A head over what any request may bring (RFC 6585, section 5)."""
+
+    status = 431
+
+
 class PlanError(CallError):
     """A customer that asks under another plan than the directory gives it."""
 
@@ -130,8 +136,13 @@
     return f"{max(milliseconds, 1.0) / 1000.0:.3f}"
 
 
-def read_head(pairs: Iterable[HeaderPair]) -> Headers:
-    """Fold the headers of a request, checking all that says where its body ends before any of that comes."""
+def read_head(pairs: Iterable[HeaderPair], max_body_bytes: int = MAX_BODY_BYTES) -> Headers:
+    """Fold the headers of a request, checking all that says where its body ends before any of that comes.
+
+    Raises:
+        CallError: a field that may stand once only is repeated, or the length of the body is not certain.
+        TooLargeError: the body is declared longer than `max_body_bytes`.
+    """
     headers: dict[str, OctetText] = {}
     for name, value in pairs:
         if name in _SINGLE_FIELDS and name in headers:
@@ -142,8 +153,8 @@
         # RFC 9112, section 6.3: with both, one reader sees a request where another still sees a body.
         if "transfer-encoding" in headers or not _LENGTH.fullmatch(length):
             raise CallError("content-length")
-        if int(length) > MAX_BODY_BYTES:
-            raise TooLargeError("content-length: over 64 MiB")
+        if int(length) > max_body_bytes:
+            raise TooLargeError(f"content-length: over {max_body_bytes} bytes")
     return headers
 
 
--- a/wickspring/net/front_limits.py
+++ b/wickspring/net/front_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wickspring.net.calls import BODY_MS, FIRST_BYTE_MS, HEAD_MS, IDLE_MS, MAX_BODY_BYTES
@@ -22,3 +23,11 @@
 
 
 DEFAULT_LIMITS = FrontLimits()
+
+LimitsSource = Callable[[], FrontLimits]
+"""Returns the limits as they are now; a configuration may change them while a connection is kept."""
+
+
+def default_limits() -> FrontLimits:
+    """Return the limits of a program that has no others."""
+    return DEFAULT_LIMITS
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -10,7 +10,7 @@
 
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
-from wickspring.net.front_limits import DEFAULT_LIMITS, FrontLimits
+from wickspring.net.front_limits import LimitsSource, default_limits
 from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
 from wickspring.net.http1_reader import Http1RequestReader
 from wickspring.net.http1_syntax import encode_head, encode_response
@@ -37,7 +37,7 @@
         link: Link,
         server: HttpServer,
         read_ahead: bytes | None = None,
-        limits: FrontLimits = DEFAULT_LIMITS,
+        limits: LimitsSource = default_limits,
     ) -> None:
         super().__init__(link, server, read_ahead, limits)
         self._closes_after_response = False  # the connection, with the present response
@@ -125,6 +125,7 @@
 
     def _expires_at(self) -> float:
         """Return until when the client may take for what it is about."""
+        self._adopt_limits()
         limits = self.limits
         if self.request is not None:
             return self.body.expires_at(limits.body_ms)
@@ -207,6 +208,7 @@
         if not self._closes_after_response and self.http.our_state is self.http.their_state is h11.DONE:
             has_read_ahead = bool(self.http.trailing_data[0])
             self.http.start_next_cycle()
+            self._adopt_limits()
             # The time of a request that has been read ahead runs from its turn.
             self.started_at = self.last_received_at = self.arrived_at = self.server.clock.now()
             if has_read_ahead and not self._advancing:  # else the loop that handled this request goes on
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -12,11 +12,11 @@
 import trio
 
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.calls import DEFER_S, MAX_BUFFERED_BODY, CallError, read_head
+from wickspring.net.calls import DEFER_S, MAX_BUFFERED_BODY, CallError, HeadTooLargeError, read_head
 from wickspring.net.early_refusal import REFUSALS, refuses
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_connection import FrontConnection
-from wickspring.net.front_limits import DEFAULT_LIMITS, MAX_HEAD_BYTES, FrontLimits
+from wickspring.net.front_limits import MAX_HEAD_BYTES, LimitsSource, default_limits
 from wickspring.net.http1_syntax import has_ambiguous_length, origin_form
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
@@ -42,12 +42,14 @@
         link: Link,
         server: HttpServer,
         read_ahead: bytes | None = None,
-        limits: FrontLimits = DEFAULT_LIMITS,
+        limits: LimitsSource = default_limits,
     ) -> None:
         super().__init__(link, server)
-        self.server, self.limits = server, limits
+        self.server = server
+        self._limits_source = limits
+        self.limits = limits()  # of the present request
         self.read_ahead = read_ahead  # by the process before this one; None for a new connection
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes)
         self.request: h11.Request | None = None
         self.headers: Headers = {}
         self.body = RequestBody(0.0)
@@ -122,6 +124,7 @@
             self.started_at = self.last_received_at
         if self._refuse_unparsed(data):
             return True
+        self._adopt_limits()
         self.http.receive_data(data)
         if self.request_number is None or self.body.stream is not None:
             self.advance()
@@ -134,6 +137,20 @@
             self.respond(503, "", b"too much is being sent at once\n")
         return True
 
+    def _adopt_limits(self) -> None:
+        """Have the present limits hold for the next request, unless one is arriving or in progress."""
+        limits = self._limits_source()
+        if limits == self.limits or not self._awaits_request:
+            return
+        if limits.max_head_bytes != self.limits.max_head_bytes:
+            read, closed = self.http.trailing_data
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+            if read:
+                self.http.receive_data(read)
+            if closed:
+                self.http.receive_data(b"")
+        self.limits = limits
+
     def _refuse_unparsed(self, data: bytes) -> bool:
         """Refuse a request before it costs a parser's work, where this process is late; tell whether.
 
@@ -185,16 +202,19 @@
     def _on_head(self, request: h11.Request, read: bytes) -> None:
         """Take a request's head; `read` is what had been read before it was parsed."""
         self.request, self.body = request, RequestBody(self.server.clock.now())
-        if has_ambiguous_length(read[: len(read) - len(self.http.trailing_data[0])]):
+        head = read[: len(read) - len(self.http.trailing_data[0])]
+        if len(head) > self.limits.max_head_bytes:  # h11 bounds only what arrives in pieces
+            raise HeadTooLargeError(f"head: over {self.limits.max_head_bytes} bytes")
+        if has_ambiguous_length(head):
             raise CallError("content-length")
-        self.headers = read_head(decode_pairs(request.headers))
+        self.headers = read_head(decode_pairs(request.headers), self.limits.max_body_bytes)
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.link.send(self.http.send(go_on) or b"")
 
     def _on_body(self, data: bytes) -> None:
         body = self.body
-        if body.stream is not None and body.size + len(data) > self.limits.max_body_bytes:
+        if body.size + len(data) > self.limits.max_body_bytes:
             self.cancel_requests()
             self.respond(413, "", b"body too large\n")
             return
