--- a/tests/controlplane/test_api_server.py
+++ b/tests/controlplane/test_api_server.py
@@ -5,6 +5,7 @@
 import json
 import re
 import socket
+import tracemalloc
 
 import pytest
 import trio
@@ -13,7 +14,7 @@
 from wickspring.common import logs
 from wickspring.common.settings import Limits
 from wickspring.controlplane.api.calls import ApiRequest, ApiResponse, find_handler
-from wickspring.controlplane.api.server import MAX_BODY_BYTES, ApiServer, serve_http
+from wickspring.controlplane.api.server import BODIES_SHARE, MAX_BODY_BYTES, ApiServer, serve_http
 from wickspring.controlplane.process import finish_calls
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.connection_drain import DrainTimes
@@ -172,3 +173,74 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+BROKEN_CALLS = 80
+BROKEN_BODY = 3_500_000  # bytes sent of a longer one
+
+
+async def connect_to(server: ApiServer) -> trio.SocketStream:
+    near, far = socket.socketpair()
+    server.nursery.start_soon(serve_http, Link(near, server.nursery), server)
+    await trio.testing.wait_all_tasks_blocked()
+    return trio.SocketStream(trio.socket.from_stdlib_socket(far))
+
+
+async def send_part(server: ApiServer, size: int) -> trio.SocketStream:
+    """Send a part of a call's body on a new connection."""
+    stream = await connect_to(server)
+    await stream.send_all(b"POST /echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: 4000000\r\n\r\n")
+    with trio.move_on_after(1.0):
+        await stream.send_all(bytes(size))
+    return stream
+
+
+def test_a_call_whose_connection_breaks_leaves_nothing_behind() -> None:
+    """Guards against the memory of broken calls, which a node never gave back: 80 of them took 280 MB."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            server = ApiServer(nursery, Limits())
+            handler = CountingHandler()
+            server.handlers = [handler]
+            tracemalloc.start()
+            for _ in range(BROKEN_CALLS):
+                await (await send_part(server, BROKEN_BODY)).aclose()
+                await trio.testing.wait_all_tasks_blocked()
+            used, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            assert used < 2 * BROKEN_BODY
+            assert not nursery.child_tasks and not server.active_streams
+            assert not handler.calls
+
+    trio.run(main)
+
+
+def test_bodies_that_are_read_at_the_same_time_share_a_memory_limit() -> None:
+    """Guards against calls that are still arriving and together need more memory than a node has."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            server = ApiServer(nursery, Limits(memory_mb=64.0))
+            server.handlers = [EchoHandler()]
+            streams = [await send_part(server, 100_000) for _ in range(6)]
+            assert server.active_streams == 64.0 * BODIES_SHARE * 2**20 // MAX_BODY_BYTES
+            assert b" 503 " in await streams[-1].receive_some(100)
+            for stream in streams:
+                await stream.aclose()
+            await trio.testing.wait_all_tasks_blocked()
+            assert not server.active_streams
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class CountingHandler(EchoHandler):
+    """Counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def call(self, request: ApiRequest) -> ApiResponse:
+        self.calls += 1
+        return await super().call(request)
