Pass long responses of all final statuses on as they arrive

Cause: the reader of responses streamed a plain 200 alone and took any other long one for damaged, as the older gateway wants it.

Why it works: the program says which statuses it streams: the data plane all final ones that go on as they are. A server error may be tried again, and 408, 421, 429 and 503 must not pass; these are answered as before.

--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -14,15 +14,18 @@
 from wickspring.core.invariants import check_invariant
 from wickspring.dataplane.policy.attempts import FINAL_RESPONSE_MARGIN_MS
 from wickspring.dataplane.request.model import Request, RequestContext
-from wickspring.dataplane.upstream import SIGNATURE_HEADER, BufferedResponse, ResponseHead, end_to_end_headers
+from wickspring.dataplane.upstream import (
+    NOT_EXECUTED_STATUSES,
+    SIGNATURE_HEADER,
+    BufferedResponse,
+    ResponseHead,
+    end_to_end_headers,
+)
 from wickspring.net.calls import Client, retry_after
 from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.upstream.exchange import ResponseSink
 
-# Statuses that a client reads as: the request has not been executed and never will be.
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
-
 
 class ErrorMessage(NamedTuple):
     """An error response, as `Client.respond` takes it."""
--- a/wickspring/dataplane/upstream.py
+++ b/wickspring/dataplane/upstream.py
@@ -37,6 +37,8 @@
     }
 )
 MISDIRECTED_REQUEST = 421  # RFC 9110, section 15.5.20: the endpoint is not who the request names
+# Statuses that a client reads as: the request has not been executed and never will be.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 BODILESS_STATUSES = (204, 304)
 _PROTECTED_HEADERS = frozenset({ATTEMPT_ID_HEADER, SIGNATURE_HEADER})  # never options of a connection
 _STATUS_LINE = re.compile(r"HTTP/[0-9.]+ [0-9]{3}")
@@ -130,11 +132,30 @@
     return not (200 <= status < 300) or (any(signatures) and "content-encoding" not in headers)
 
 
+def may_stream(status: int) -> bool:
+    """Return whether a long response is passed on as it arrives, as its status is final and goes on as it is.
+
+    A server error may be followed by another attempt, and a status that clients read as "not executed" is
+    replaced.
+    """
+    return 200 <= status < 500 and status not in NOT_EXECUTED_STATUSES
+
+
+class EndpointResponseReader(ResponseReader):
+    """Reads the responses of an endpoint."""
+
+    may_stream = staticmethod(may_stream)
+
+
 class UpstreamConnection(Http1ServerConnection):
     """A connection to an endpoint of the gateway."""
 
     _taken_before = 0  # bytes that the kernel had taken before the present exchange
 
+    def make_reader(self) -> ResponseReader:
+        """Return what reads the responses."""
+        return EndpointResponseReader()
+
     def begin(self, exchange: ServerExchange) -> None:
         """Write the request; nothing of an earlier response may be unread."""
         check_invariant(not self.reader.http.trailing_data[0], "no bytes of an earlier response are unread")
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -29,13 +29,17 @@
         self.connection = connection
         self.exchange: ServerExchange | None = None
         self.link: Link | None = None
-        self.reader = ResponseReader()
+        self.reader = self.make_reader()
         self.closed = False
         self.sent = False  # bytes of the present request have been written
         self._request_complete = False  # its last byte has been handed to the link
         self._sink: ResponseSink | None = None  # where the streamed response goes that has begun
         self._has_received = False  # bytes have arrived since the present exchange began
 
+    def make_reader(self) -> ResponseReader:
+        """Return what reads the responses."""
+        return ResponseReader()
+
     def is_stale(self) -> bool:
         """Tell whether the peer has closed the connection, or has sent something unasked."""
         return self.link is None or self.link.peek() is not None
--- a/wickspring/net/upstream/response_reader.py
+++ b/wickspring/net/upstream/response_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -49,15 +50,24 @@
     length = framing.get(b"content-length")
     if length is None:
         return None
-    if response.status_code != 200 and int(length) > MAX_BUFFERED_RESPONSE:
-        raise h11.RemoteProtocolError("a refusal over 64 KiB")
     if int(length) > MAX_BODY_BYTES:
         raise h11.RemoteProtocolError("an answer over 64 MiB")
     return int(length)
 
 
+def is_ok(status: int) -> bool:
+    """Tell whether a response is a plain success, of which alone a long one is streamed by default."""
+    return status == 200
+
+
 class ResponseReader:
-    """Reads one response after another from a connection's bytes."""
+    """Reads one response after another from a connection's bytes.
+
+    A response that is longer than what is buffered is streamed where `may_stream` says so of its status;
+    others must not be so long.
+    """
+
+    may_stream: Callable[[int], bool] = staticmethod(is_ok)
 
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -113,9 +123,11 @@
     def _on_event(self, event: object) -> None:
         if isinstance(event, h11.Response):
             self.length = declared_length(event)
-            self.streamed = self.length is not None and self.length > MAX_BUFFERED_RESPONSE
             self._head = event
             self._body = bytearray()
+            self.streamed = False
+            if self.length is not None and self.length > MAX_BUFFERED_RESPONSE:
+                self._begin_streaming()
         elif isinstance(event, h11.Data):
             self._on_body(event.data)
         elif isinstance(event, h11.InformationalResponse):
@@ -128,9 +140,12 @@
     def _on_body(self, data: bytes) -> None:
         self._body += data
         if len(self._body) > MAX_BUFFERED_RESPONSE:
-            if self.code != 200:
-                raise h11.RemoteProtocolError("a refusal over 64 KiB")
-            self.streamed = True
+            self._begin_streaming()
+
+    def _begin_streaming(self) -> None:
+        if not self.may_stream(self.code):
+            raise h11.RemoteProtocolError("a long response of a status that is not streamed")
+        self.streamed = True
 
     @property
     def has_body_bytes(self) -> bool:
