Contain faults of an agent in the message or operation that they are met in

What operators would see: one message of another agent, one command, one report of an instance or one operation that the agent fails on ends the agent, and with it the supervision of all its instances.

Why it works: the agent uses the gateway's module (now wickspring/fault_isolation.py, as the agent does not know net): a message and a command are answered with an error, a report is dropped, an operation is tried again after a pause while the others go on.

--- a/tests/common/test_log_events.py
+++ b/tests/common/test_log_events.py
@@ -12,7 +12,8 @@
 PROGRAMS = ("wickspring.controlplane.process", "wickspring.dataplane.server")
 LIST_SHARED_MODULES = f"""
 import sys, {", ".join(PROGRAMS)}
-print(*(m.__file__ for n, m in sys.modules.items() if n.startswith("wickspring.net.")), sep="\\n")
+shared = ("wickspring.net.", "wickspring.fault_isolation")
+print(*(m.__file__ for n, m in sys.modules.items() if n.startswith(shared)), sep="\\n")
 """
 
 
--- a/wickspring/agent/control.py
+++ b/wickspring/agent/control.py
@@ -15,12 +15,14 @@
 import trio
 
 from wickspring.agent.supervisor import Report
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.tenants import Tenants
 
 MAX_LINE_BYTES = 64 << 20
 READ_SIZE = 65536  # bytes
 ANSWER_TIMEOUT_S = 600.0  # a rolling restart of many instances takes its time
 BACKLOG = 16
+INTERNAL_FAULT = "a fault of the agent, which its log tells"  # in place of a result
 OWNER_ONLY_UMASK = 0o177
 
 
@@ -121,9 +123,19 @@
 async def _handle_line(stream: trio.SocketStream, handler: Handler) -> Result:
     try:
         command = msgspec.json.decode(await read_line(stream), type=Command)
-        return await handler(command)
     except (ControlError, msgspec.DecodeError) as error:
         return Result(error=str(error))
+    return await _carry_out(command, handler)
+
+
+async def _carry_out(command: Command, handler: Handler) -> Result:
+    """Have a command carried out; a fault of the agent in that is a result as well."""
+    with isolate_faults(FaultStep.AGENT_MESSAGE):
+        try:
+            return await handler(command)
+        except ControlError as error:
+            return Result(error=str(error))
+    return Result(error=INTERNAL_FAULT)
 
 
 async def send_command(path: Path, command: Command) -> Result:
--- a/wickspring/agent/gossip.py
+++ b/wickspring/agent/gossip.py
@@ -10,6 +10,7 @@
 from wickspring.agent.local_instances import LocalInstances
 from wickspring.agent.operation_runner import OperationRunner
 from wickspring.agent.peer_client import PeerClient
+from wickspring.fault_isolation import FaultStep, run_isolated
 from wickspring.fleet.views import AgentContent
 from wickspring.wire import WireError
 
@@ -38,7 +39,7 @@
             while True:
                 self.context.view.publish(self._content())
                 for peer in self.context.view.choose_peers():
-                    nursery.start_soon(self._exchange_with, peer)
+                    nursery.start_soon(run_isolated, FaultStep.AGENT_MESSAGE, self._exchange_with, peer)
                 await trio.sleep(self.context.fleet.file.rules.gossip_s)
 
     async def leave(self) -> None:
--- a/wickspring/agent/listeners.py
+++ b/wickspring/agent/listeners.py
@@ -15,6 +15,7 @@
 from wickspring.agent.notifications import parse_notification
 from wickspring.agent.tls import identify_peer
 from wickspring.agent.wire import Peer
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.logs import kv
 from wickspring.settings.address import parse_address
 from wickspring.tls import Certificates
@@ -82,7 +83,8 @@
             await sock.bind(str(path))
             while True:
                 data = await sock.recv(MAX_NOTIFICATION)
-                self.instances.receive_notification(parse_notification(data))
+                with isolate_faults(FaultStep.DATAGRAM):
+                    self.instances.receive_notification(parse_notification(data))
 
     async def serve_tcp(self, stream: trio.SocketStream) -> None:
         """Serve one connection of an agent or operator, known by its certificate."""
--- a/wickspring/agent/operation_runner.py
+++ b/wickspring/agent/operation_runner.py
@@ -16,6 +16,7 @@
 from wickspring.agent.peer_client import PeerClient
 from wickspring.agent.store import StoreChange, StoreError
 from wickspring.agent.wire import Answer
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.fleet import owner_messages
 from wickspring.fleet.model import Kind, Operation
 from wickspring.fleet.rollout import coordinator
@@ -139,6 +140,16 @@
                 await trio.sleep(ADVANCE_INTERVAL_S)
 
     async def _advance(self, operation_id: str) -> None:
+        """Advance one operation; after a fault it is tried again, and the others go on meanwhile."""
+        try:
+            with isolate_faults(FaultStep.OPERATION):
+                await self._advance_once(operation_id)
+                return
+            await trio.sleep(STORE_RETRY_S)
+        finally:
+            self._busy.discard(operation_id)
+
+    async def _advance_once(self, operation_id: str) -> None:
         """Advance one operation, and send its requests."""
         try:
             now = self.context.now()
@@ -151,8 +162,6 @@
         except StoreError as error:
             log.error("not_kept", extra=kv(operation=operation_id, reason=error))
             await trio.sleep(STORE_RETRY_S)
-        finally:
-            self._busy.discard(operation_id)
 
     def _observe(self, now: float) -> FleetObservation:
         fleet, view = self.context.fleet, self.context.view
--- a/wickspring/agent/wire.py
+++ b/wickspring/agent/wire.py
@@ -13,6 +13,7 @@
 import msgspec
 import trio
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.fleet import owner_messages
 from wickspring.fleet.model import InstanceRecord, Kind, Operation
 from wickspring.fleet.views import AgentDelta
@@ -22,6 +23,7 @@
 LOWEST_VERSION, HIGHEST_VERSION = 1, 1
 PROTOCOL_VERSIONS = ProtocolVersions(LOWEST_VERSION, HIGHEST_VERSION, "agent")
 EXCHANGE_TIMEOUT_S = 5.0
+INTERNAL_FAULT = "a fault of the agent, which its log tells"  # in place of an answer
 
 
 class Gossip(msgspec.Struct, frozen=True, tag="gossip"):
@@ -125,11 +127,18 @@
             except msgspec.DecodeError as error:
                 await lines.write(Answer(error=f"cannot be read: {error}"))
                 continue
-            await lines.write(await handle(peer, message))
+            await lines.write(await _answer(peer, message, handle))
     except (WireError, msgspec.DecodeError, trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
         return  # the client has left, or speaks another protocol
 
 
+async def _answer(peer: Peer, message: Message, handle: Handler) -> Answer:
+    """Have a message answered; a fault of the agent in that is an answer as well."""
+    with isolate_faults(FaultStep.AGENT_MESSAGE):
+        return await handle(peer, message)
+    return Answer(error=INTERNAL_FAULT)
+
+
 async def exchange(
     address: str,
     peer: str,
--- a/wickspring/common/connection.py
+++ b/wickspring/common/connection.py
@@ -16,8 +16,8 @@
 from wickspring.common import logs
 from wickspring.common.errors import GatewayError
 from wickspring.common.messages.base import Message, MessageDecoder, WireMessage
+from wickspring.fault_isolation import FaultStep, isolate_faults, run_isolated
 from wickspring.net.clock import Clock
-from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 from wickspring.net.link import Link
 
 MAX_MESSAGE_BYTES = 4 << 20  # of one message, and of all that waits to be read
--- a/wickspring/common/reconnecting_client.py
+++ b/wickspring/common/reconnecting_client.py
@@ -15,8 +15,8 @@
 
 from wickspring.common.connection import RECEIVE_TIMEOUT_MS, PeerConnection
 from wickspring.common.messages.base import Message, MessageDecoder
+from wickspring.fault_isolation import FaultStep, run_isolated
 from wickspring.net.clock import Clock
-from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.link import Link, connect
 
 CONNECT_TIMEOUT_MS = 400.0
--- a/wickspring/controlplane/api/server.py
+++ b/wickspring/controlplane/api/server.py
@@ -17,9 +17,9 @@
     error_response,
     find_handler,
 )
+from wickspring.fault_isolation import FaultStep, run_isolated
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import Client
-from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.http_server import HttpRequest, HttpServer
--- a/wickspring/controlplane/replication/node.py
+++ b/wickspring/controlplane/replication/node.py
@@ -39,8 +39,8 @@
 from wickspring.controlplane.replication.update_submission import UpdateResult, UpdateSubmitter
 from wickspring.controlplane.replication.view import Member
 from wickspring.controlplane.storage import ReplicaStore
+from wickspring.fault_isolation import FaultStep, isolate_faults, run_isolated
 from wickspring.net.clock import Clock
-from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 
 HEARTBEAT_MS = 200.0
 HEARTBEAT_JITTER = 0.15  # share of the interval by which it varies
--- a/wickspring/dataplane/gossip.py
+++ b/wickspring/dataplane/gossip.py
@@ -37,13 +37,13 @@
     ProbeRequestAck,
 )
 from wickspring.dataplane.state_exchange import StateExchange
+from wickspring.fault_isolation import FaultStep, isolate_faults, run_isolated
 from wickspring.membership.anti_entropy import Digest, Entry, EntryVersion
 from wickspring.membership.members import MemberInfo
 from wickspring.membership.suspicions import Suspicion
 from wickspring.membership.swim import Membership
 from wickspring.net.clock import Clock
 from wickspring.net.datagrams import Datagrams
-from wickspring.net.fault_isolation import FaultStep, isolate_faults, run_isolated
 
 PROBE_INTERVAL_S = 1.0
 PROBE_INTERVAL_JITTER = (0.8, 1.2)
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -39,10 +39,10 @@
 from wickspring.dataplane.request.validation import client_deadline_ms
 from wickspring.dataplane.state_exchange import StateExchange
 from wickspring.dataplane.upstream import ConnectionDefaults, UpstreamConnection
+from wickspring.fault_isolation import fault_figures
 from wickspring.net.calls import Client
 from wickspring.net.connection_drain import DrainTimes
 from wickspring.net.datagrams import Udp
-from wickspring.net.fault_isolation import fault_figures
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.octets import NO_OCTETS, Headers
--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -21,8 +21,8 @@
     ResponseHead,
     end_to_end_headers,
 )
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.calls import Client, retry_after
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.upstream.exchange import ResponseSink
 
--- a/wickspring/dataplane/state_exchange.py
+++ b/wickspring/dataplane/state_exchange.py
@@ -21,8 +21,8 @@
     PeerRequest,
     StateDigest,
 )
+from wickspring.fault_isolation import FaultStep, run_isolated
 from wickspring.net.clock import Clock
-from wickspring.net.fault_isolation import FaultStep, run_isolated
 from wickspring.net.link import Link, connect
 
 FETCH_TIMEOUT_S = 1.5
--- a/wickspring/net/fault_isolation.py
+++ b/wickspring/fault_isolation.py
@@ -36,6 +36,8 @@
     API_CALL = "api_call"
     PEER_MESSAGE = "peer_message"  # of another process of the system
     DATAGRAM = "datagram"
+    AGENT_MESSAGE = "agent_message"  # of another agent, or of an operator, to an agent
+    OPERATION = "operation"  # on a fleet
 
 
 fault_counts: Counter[FaultStep] = Counter()
--- a/wickspring/lab/simulation/request_path/raised_faults.py
+++ b/wickspring/lab/simulation/request_path/raised_faults.py
@@ -1,7 +1,7 @@
 """Faults of the program itself in a simulated data plane: steps of its code raise, by a seeded draw.
 
 Each step is a method or function that reads, writes or ends one message or connection. It raises instead of
-what it does, or once it has done it. That must cost the message at work alone (`net.fault_isolation`).
+what it does, or once it has done it. That must cost the message at work alone (`fault_isolation`).
 """
 
 from __future__ import annotations
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -8,8 +8,8 @@
 
 import h11
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_limits import LimitsSource, default_limits
 from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
 from wickspring.net.http1_reader import Http1RequestReader
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -11,10 +11,10 @@
 import h11
 import trio
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import DEFER_S, MAX_BUFFERED_BODY, CallError, HeadTooLargeError, read_head
 from wickspring.net.early_refusal import REFUSALS, refuses
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.front_limits import MAX_HEAD_BYTES, LimitsSource, default_limits
 from wickspring.net.http1_syntax import has_ambiguous_length, origin_form
--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -12,6 +12,7 @@
 from h2.errors import ErrorCodes
 from h2.exceptions import H2Error
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.logs import kv
 from wickspring.net.calls import (
     DEFER_S,
@@ -23,7 +24,6 @@
     read_head,
 )
 from wickspring.net.delivery import LINGER_MS
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.front_connection import FrontConnection
 from wickspring.net.http2_stream import Stream
 from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
--- a/wickspring/net/http2_stream.py
+++ b/wickspring/net/http2_stream.py
@@ -6,8 +6,8 @@
 
 import trio
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.calls import INTERNAL_SERVER_ERROR
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.link import Link
 from wickspring.net.octets import Headers
 
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -14,12 +14,12 @@
 import msgspec
 import trio
 
+from wickspring.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.logs import kv
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import MIN_IDLE_MS, SERVICE_UNAVAILABLE, Client, retry_after
 from wickspring.net.clock import Clock
 from wickspring.net.connection_drain import DrainTimes
-from wickspring.net.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.net.link import Link
 from wickspring.net.loop_monitor import LoopMonitor, TurnSample, add_loop_monitor
 from wickspring.net.octets import Headers
--- a/wickspring/net/listening.py
+++ b/wickspring/net/listening.py
@@ -14,8 +14,8 @@
 
 import trio
 
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.logs import kv
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
 from wickspring.net.sockets import listen as listen
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -18,12 +18,12 @@
 from wickspring.core import effects as core
 from wickspring.core.invariants import broken
 from wickspring.core.reducer import Reducer
+from wickspring.fault_isolation import FaultStep, fault_figures, isolate_faults
 from wickspring.logs import kv
 from wickspring.net.attempts import SWEEP_MS, TRANSIT_MS, AttemptRunner
 from wickspring.net.calls import CALL_PATH, READY_PATH, CallError, CallReader, Client
 from wickspring.net.counter import Counter
 from wickspring.net.discovery import Directory, Discovery, WatchPauses
-from wickspring.net.fault_isolation import FaultStep, fault_figures, isolate_faults
 from wickspring.net.http_server import EXPIRE_EVERY_MS, HttpRequest, HttpServer
 from wickspring.net.open_requests import OpenRequest, OpenRequests
 from wickspring.net.upstream.exchange import ServerConnection
--- a/wickspring/net/upstream/exchange.py
+++ b/wickspring/net/upstream/exchange.py
@@ -11,9 +11,9 @@
 from typing import Protocol
 
 from wickspring.connections.model import ConnectionRequest
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.interface import Status
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.octets import HeaderPairs, OctetText
 from wickspring.net.timers import Timer
 
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -9,9 +9,9 @@
 import trio
 
 from wickspring.connections.model import ClosedBy, PooledConnection
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.interface import Status
 from wickspring.net.body_stream import BodyStream
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.link import Link
 from wickspring.net.upstream.exchange import ExchangeResult, FailedExchange, ResponseSink, ServerExchange
 from wickspring.net.upstream.manager import LostExchange, UpstreamManager, finish_lost
--- a/wickspring/net/upstream/http2.py
+++ b/wickspring/net/upstream/http2.py
@@ -12,8 +12,8 @@
 from h2.exceptions import H2Error
 
 from wickspring.connections.model import ClosedBy, PooledConnection
+from wickspring.fault_isolation import FaultStep, isolate_faults
 from wickspring.interface import Status
-from wickspring.net.fault_isolation import FaultStep, isolate_faults
 from wickspring.net.http2_wire import Frames, GoAway, pump, settings
 from wickspring.net.link import Link
 from wickspring.net.octets import OctetText, decode_pairs, encode_pairs, header
--- a/wickspring/net/upstream/manager.py
+++ b/wickspring/net/upstream/manager.py
@@ -23,10 +23,10 @@
     ServerStatus,
 )
 from wickspring.connections.pools import ConnectionPools
+from wickspring.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.interface import Readiness, Status
 from wickspring.logs import kv
 from wickspring.net.clock import Clock
-from wickspring.net.fault_isolation import FaultStep, count_fault, isolate_faults
 from wickspring.net.link import DialError, DialFailure, Link, dial
 from wickspring.net.timers import Timers
 from wickspring.net.upstream.exchange import ExchangeResult, ServerConnection, ServerExchange
