--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 
 from wickspring.common.errors import ErrorKind
 from wickspring.common.routes import Route
@@ -22,14 +23,15 @@
 MAX_DEADLINE_MS = 600_000.0
 RETRY_DEADLINE_SHARE = 0.97  # of a route's longest deadline; a client that allows less retries
 
+_MILLISECONDS = re.compile(r"[0-9]+(?:\.[0-9]+)?")
 # Headers of the client's that are not passed on: the data plane sets its own, or consumes them.
 _REPLACED_HEADERS = frozenset({"host", "x-key", "x-tenant", "x-target-instance", DEADLINE_HEADER, "expect"})
 
 
 def client_deadline_ms(headers: Headers) -> float:
-    """Return how long a client waits for a response; infinity where it does not say, or not in digits."""
+    """Return how long a client waits for a response; infinity where it does not say, or not as a number."""
     text = headers.get(DEADLINE_HEADER, "")
-    return float(text) if text.isdecimal() else math.inf
+    return float(text) if _MILLISECONDS.fullmatch(text) else math.inf
 
 
 class RequestValidator:
@@ -90,7 +92,7 @@
     def _deadline_ms(self, incoming: IncomingRequest) -> float:
         """Return how long the client waits for a response."""
         text = incoming.headers.get(DEADLINE_HEADER, "")
-        if text and not text.isdecimal():
+        if text and not _MILLISECONDS.fullmatch(text):
             raise RequestRefusedError(ErrorKind.BAD_REQUEST)
         return min(client_deadline_ms(incoming.headers), MAX_DEADLINE_MS)
 
