Have soaks send and echo octets above ASCII, under a tenant whose name has them

A success whose field comes back altered breaks a rule of its own (altered_fields), which has its defect in tests/lab/test_soak.py.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -97,10 +97,15 @@
     seen.not_ready.append("d2")
 
 
+def alter_a_field(seen: Observations) -> None:
+    seen.requests[5].user, seen.requests[5].echoed_user = b"Jos\xe9", b"Jos?"
+
+
 DEFECTS: dict[str, Callable[[Observations], None]] = {
     "executed_twice": run_twice,
     "executed_after_refusal": refuse_an_executed_one,
     "foreign_answers": answer_with_anothers_body,
+    "altered_fields": alter_a_field,
     "over_quota": pass_the_ceiling,
     "went_on": work_on_for_clients_that_have_left,
     "lost": lose_an_answer,
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -28,6 +28,7 @@
 HOST = DEFAULT_HOST
 PURE_PREFIX = "/look/"
 EFFECTFUL_PREFIX = "/do/"
+TENANT = "toy"
 API_KEY = "key-of-toy"
 PURE_SERVICE = "looker"
 EFFECTFUL_SERVICE = "doer"
@@ -42,11 +43,15 @@
 
 
 def gateway_config(
-    version: int, rate: float = 0.0, effectful_prefix: str = EFFECTFUL_PREFIX, timeout_s: float = 2.0
+    version: int,
+    rate: float = 0.0,
+    effectful_prefix: str = EFFECTFUL_PREFIX,
+    timeout_s: float = 2.0,
+    tenant: str = TENANT,
 ) -> bytes:
     """Return the JSON of a configuration with a pure and an effectful route, each to a service of its own.
 
-    `rate` is the tenant's requests a second; 0 is no quota. `timeout_s` is that of the routes.
+    `rate` is the requests a second of the one `tenant`; 0 is no quota. `timeout_s` is that of the routes.
     """
 
     def route(name: str, kind: str, prefix: str, service: str) -> dict[str, object]:
@@ -62,7 +67,7 @@
 
     config = {
         "generation": f"r{version}",
-        "tenants": [{"name": "toy", "api_keys": [API_KEY], "rate_per_s": rate, "burst": rate}],
+        "tenants": [{"name": tenant, "api_keys": [API_KEY], "rate_per_s": rate, "burst": rate}],
         "backends": [
             {"name": service, "health_path": "/health", "max_conns": 64}
             for service in (PURE_SERVICE, EFFECTFUL_SERVICE)
--- a/wickspring/lab/emulation/stand_in_server.py
+++ b/wickspring/lab/emulation/stand_in_server.py
@@ -27,6 +27,7 @@
 DRAIN_S = 2.5  # after an acknowledged drain in which requests may still arrive
 READ_SIZE = 65536
 CUT_BODY_BYTES = 4
+USER_HEADER = "X-User"  # of a request, that is echoed
 LONG_PATH = "long"  # the end of a path whose response is long
 LONG_BODY_BYTES = 300_000
 
@@ -55,7 +56,8 @@
 
     def encode_head(self, http: h11.Connection) -> bytes:
         """Return the status line and the headers."""
-        headers = [*self.headers, ("Content-Length", str(len(self.body)))]
+        fields = [*self.headers, ("Content-Length", str(len(self.body)))]
+        headers = [(name.encode(), value.encode("latin-1")) for name, value in fields]
         return http.send(h11.Response(status_code=self.status, headers=headers)) or b""
 
     def encode(self, http: h11.Connection) -> bytes:
@@ -174,7 +176,7 @@
             body = f"{attempt_id} by {self.id}\n".encode()
             if headers[":path"].endswith(LONG_PATH):
                 body *= LONG_BODY_BYTES // len(body)
-            response = ServerResponse(200, [attempt_header, seal], body)
+            response = ServerResponse(200, [attempt_header, seal, *_echoed_fields(headers)], body)
             if self.random.random() < self.fault_share:
                 fault = self.random.choice(tuple(ResponseFault))
                 return await self._send_faulty(http, stream, fault, response)
@@ -190,7 +192,7 @@
             if event is h11.NEED_DATA:
                 http.receive_data(await stream.receive_some(READ_SIZE))
             elif isinstance(event, h11.Request):
-                headers = {name.decode(): value.decode() for name, value in event.headers}
+                headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
                 headers[":path"] = event.target.decode()
             elif isinstance(event, h11.EndOfMessage):
                 return headers
@@ -237,6 +239,12 @@
         return http.our_state is h11.DONE
 
 
+def _echoed_fields(headers: dict[str, str]) -> list[tuple[str, str]]:
+    """Return the fields of a request that go back to its client, octet by octet."""
+    user = headers.get(USER_HEADER.lower())
+    return [] if user is None else [(USER_HEADER, user)]
+
+
 async def _wait_until_closed(stream: trio.SocketStream) -> None:
     """Wait until the other side has closed a connection on which it owes nothing."""
     await trio.lowlevel.wait_readable(stream.socket)
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -25,6 +25,7 @@
     executed_twice: int = 0  # effectful requests
     executed_after_refusal: int = 0  # requests that were answered by 429 or 503
     foreign_answers: int = 0  # successes with a body that no server sent for the request
+    altered_fields: int = 0  # successes whose echoed field is not the one that was sent
     over_quota: int = 0  # requests above the tenant's ceiling in the worst span
     went_on: int = 0  # runs of repeatable requests that went on after their clients had left
     lost: int = 0  # executed or waited for in vain, though their data plane was in no trouble
@@ -52,6 +53,9 @@
             request.status == 200 and not request.body.startswith(f"{request.id} by ".encode())
             for request in requests
         ),
+        altered_fields=sum(
+            request.status == 200 and request.echoed_user != request.user for request in requests
+        ),
         over_quota=_over_quota(requests, executions, rate),
         went_on=gone if gone > MAX_GONE else 0,
         lost=len(lost_requests(seen)),
--- a/wickspring/lab/experiments/soak/clients.py
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -17,7 +17,7 @@
     HOST,
     PURE_PREFIX,
 )
-from wickspring.lab.emulation.stand_in_server import LONG_PATH
+from wickspring.lab.emulation.stand_in_server import LONG_PATH, USER_HEADER
 from wickspring.lab.experiments.soak.observations import SoakRequest
 
 DEADLINE_S = 5.0
@@ -33,6 +33,8 @@
 SLOW_READ_SIZE = 16384
 SLOW_READ_PAUSE_S = 0.03
 SLOW_SEND_PAUSE_S = (0.0, 1.0)
+ODD_OCTETS_SHARE = 0.2  # of the requests
+ODD_OCTETS = 6
 UPLOAD_BYTES = 150_000  # more than is buffered, so that it is streamed
 BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
 
@@ -110,6 +112,7 @@
         self._sent += 1
         effectful = self._random.random() < EFFECTFUL_SHARE
         request = SoakRequest(f"{self._name}.{self._sent}", effectful, data_plane, trio.current_time())
+        request.user = self._draw_user()
         self._log.append(request)
         return request
 
@@ -131,6 +134,12 @@
             return False
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
+    def _draw_user(self) -> bytes:
+        """Return the value of a header that goes on to the server, at times with octets above ASCII."""
+        if self._random.random() >= ODD_OCTETS_SHARE:
+            return b"user"
+        return bytes(self._random.randint(0x80, 0xFF) for _ in range(ODD_OCTETS))
+
     async def _send(self, stream: trio.SocketStream, data: bytes, shape: RequestShape) -> None:
         if shape is RequestShape.SENT_SLOWLY:
             half = len(data) // 2
@@ -144,13 +153,15 @@
     method, path = ("POST", EFFECTFUL_PREFIX) if request.effectful else ("GET", PURE_PREFIX)
     body = bytes(UPLOAD_BYTES) if shape is RequestShape.UPLOAD else b""
     name = LONG_PATH if shape is RequestShape.LONG_ANSWER else "1"
-    headers = [
-        ("Host", HOST),
-        ("X-Key", API_KEY),
-        ("X-Attempt-Id", request.id),
-        ("X-Deadline-Ms", str(int(1000.0 * DEADLINE_S))),
-        ("Content-Length", str(len(body))),
-    ]
+    fields = {
+        "Host": HOST,
+        "X-Key": API_KEY,
+        "X-Attempt-Id": request.id,
+        "X-Deadline-Ms": str(int(1000.0 * DEADLINE_S)),
+        "Content-Length": str(len(body)),
+    }
+    headers = [(name.encode(), value.encode()) for name, value in fields.items()]
+    headers.append((USER_HEADER.encode(), request.user))
     data = http.send(h11.Request(method=method, target=f"{path}{name}", headers=headers)) or b""
     data += http.send(h11.Data(data=body)) or b""
     return data + (http.send(h11.EndOfMessage()) or b"")
@@ -170,6 +181,7 @@
             http.receive_data(await stream.receive_some(SLOW_READ_SIZE if reads_slowly else READ_SIZE))
         elif isinstance(event, h11.Response):
             status = event.status_code
+            request.echoed_user = dict(event.headers).get(USER_HEADER.lower().encode(), b"")
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
--- a/wickspring/lab/experiments/soak/observations.py
+++ b/wickspring/lab/experiments/soak/observations.py
@@ -23,6 +23,8 @@
     ended_at: float = 0.0
     left_at: float | None = None  # when its client closed the connection, well before its deadline
     timed_out: bool = False  # its client has waited past the deadline
+    user: bytes = b""  # a field that is sent, and that servers echo
+    echoed_user: bytes = b""
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -36,6 +36,7 @@
 EFFECTFUL_SERVICE_TIME_S = 0.01
 SLOW_SHARE = 0.03  # of the requests, which keep a process that ends for a while
 SLOW_SERVICE_TIME_S = 3.5
+SOAK_TENANT = "Tintas São João"
 ROUTE_TIMEOUT_S = 5.0
 CAPACITY = 24  # of a stand-in server
 
@@ -213,7 +214,7 @@
     async def _replace_config(self) -> None:
         self.version += 1
         version = self.version
-        config = gateway_config(version, self.options.rate, timeout_s=ROUTE_TIMEOUT_S)
+        config = gateway_config(version, self.options.rate, timeout_s=ROUTE_TIMEOUT_S, tenant=SOAK_TENANT)
         if await self.gateway.replace_config(config) == 200:
             self.seen.acknowledged_version = max(self.seen.acknowledged_version, version)
 
