Split the responses of HTTP/2 from the reading of its requests

As in HTTP/1.1, responses are a module of their own (net/http2_responses.py) and the front reads requests; methods were moved as they were.

--- a/wickspring/net/http2_front.py
+++ b/wickspring/net/http2_front.py
@@ -23,13 +23,12 @@
     CallError,
     read_head,
 )
-from wickspring.net.delivery import LINGER_MS
-from wickspring.net.front_connection import FrontConnection
+from wickspring.net.http2_responses import Http2ResponseWriter
 from wickspring.net.http2_stream import Stream
-from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, pump, settings
+from wickspring.net.http2_wire import LAST_STREAM, PREFACE_SIZE, Frames, GoAway, goaway, settings
 from wickspring.net.http_server import HttpRequest
 from wickspring.net.link import Link
-from wickspring.net.octets import HeaderPairs, decode_pairs, encode_pairs, header
+from wickspring.net.octets import decode_pairs
 from wickspring.net.runtime import Runtime
 from wickspring.net.unanswered import EndReason, UnansweredRequest
 
@@ -39,21 +38,14 @@
 WINDOW_BYTES = 1 << 20  # of request bodies that a connection may have in flight (RFC 9113, section 6.9)
 
 
-class Http2Connection(FrontConnection):
+class Http2Connection(Http2ResponseWriter):
     """One client connection with many streams."""
 
     can_be_handed_over = False  # the state of the header compression cannot be
 
     def __init__(self, link: Link, server: Runtime) -> None:
         super().__init__(link, server)
-        self.server = server
-        config = h2.config.H2Configuration(client_side=False, header_encoding=None)
-        self.http = h2.connection.H2Connection(config)
         self.frames = Frames(PREFACE_SIZE)
-        self.streams: dict[int, Stream] = {}
-        self.last_stream_id = 0
-        self.reset_count = 0
-        self.going_away = False  # no new streams: the last GOAWAY has been sent
 
     async def _read(self) -> None:
         if self.link.peek() is None:  # handed over without a word: it has been silent since it connected
@@ -101,10 +93,6 @@
     def _has_request(self) -> bool:
         return bool(self.streams)
 
-    def has_stream(self, stream_id: int) -> bool:
-        """Return whether a stream is still open."""
-        return stream_id in self.streams
-
     def unanswered(self) -> list[UnansweredRequest]:
         """Return the requests that wait for a response, or whose response has not left whole."""
         reason = self.end_reason or EndReason.CLIENT_RESET
@@ -115,9 +103,6 @@
             requests.append(UnansweredRequest(reason, self.last_received_at, unsent_bytes=unsent))
         return requests
 
-    def _unanswered_stream(self, stream: Stream, reason: EndReason) -> UnansweredRequest:
-        return UnansweredRequest(reason, stream.read_at, stream.request_number, len(stream.outgoing or b""))
-
     def _shut_out(self) -> None:
         """End a connection that asks too much of this process (RFC 9113, section 7)."""
         self.http.close_connection(ErrorCodes.ENHANCE_YOUR_CALM)
@@ -140,16 +125,6 @@
             self.withdraw(stream)
             stream.wake_writer()
 
-    def withdraw(self, stream: Stream) -> None:
-        """Withdraw the request of a stream, where a response is owed."""
-        number, stream.request_number = stream.request_number, None
-        if number is not None:
-            self.server.client_disconnected(number)
-
-    def flush(self) -> None:
-        """Write what h2 has ready."""
-        self.link.send(self.http.data_to_send())
-
     def idle_since(self) -> float | None:
         """Return when bytes were last received (ms); None while a response is owed or has not left."""
         streams = self.streams.values()
@@ -186,18 +161,6 @@
         if idle:
             self.finish()
 
-    def finish(self) -> None:
-        """Refuse new streams, answer those there are, and close."""
-        if not self.going_away:
-            self.going_away = True
-            self.link.send(goaway(self.last_stream_id))
-        self._close_if_last_has_ended()
-
-    def _close_if_last_has_ended(self) -> None:
-        """Close the connection where no stream is left and none is to come."""
-        if self.going_away and not self.streams:
-            self._close_after_flush()
-
     def detach(self) -> tuple[socket.socket, bytes] | None:
         """Return None: it cannot be handed over."""
         return None
@@ -206,12 +169,6 @@
         """Send GOAWAY (RFC 9113, section 6.8); streams on their way here are still handled."""
         self.link.send(goaway(LAST_STREAM))
 
-    def _close_after_flush(self) -> None:
-        """Close the connection after what has been written."""
-        self._finish_link(self.server)
-
-    # Events of the connection.
-
     def _on_isolated_event(self, event: h2.events.Event) -> None:
         """Handle an event; a fault of this program ends its stream, and no other."""
         on_fault = partial(self._fail_stream, event)
@@ -223,14 +180,6 @@
         if stream is not None:
             self._cut_off(stream)
 
-    def _cut_off(self, stream: Stream) -> None:
-        """End the stream of a request that can be given no whole response any more."""
-        self.server.record_unanswered(self._unanswered_stream(stream, EndReason.INTERNAL_ERROR))
-        self._reset_stream(stream.id, ErrorCodes.INTERNAL_ERROR)
-        self.withdraw(stream)
-        stream.wake_writer()
-        self.flush()
-
     def _on_event(self, event: h2.events.Event) -> None:
         if isinstance(event, h2.events.RequestReceived):
             self._on_request(event)
@@ -298,103 +247,6 @@
             log.warning("client_resets_too_much", extra=kv(resets=self.reset_count))
             self._shut_out()
 
-    # Responses.
-
-    def respond(self, stream: Stream, status: int, retry_after: str, body: bytes) -> None:
-        """Give a complete response on a stream."""
-        if not stream.is_open:
-            return
-        self.reset_count = max(0, self.reset_count - 1)
-        headers = [header(":status", str(status)), header("content-length", str(len(body)))]
-        if retry_after:
-            headers.append(header("retry-after", retry_after))
-        with isolate_faults(FaultStep.WRITE_RESPONSE, partial(self._cut_off, stream)):
-            self._send_whole(stream, headers, body)
-        self._on_response_ended()
-
-    def _send_whole(self, stream: Stream, headers: HeaderPairs, body: bytes) -> None:
-        if not self._send_headers(stream, headers, end_stream=not body):
-            return
-        stream.outgoing = bytearray(body)
-        self._pump(stream)
-        if stream.id in self.streams:  # a window is shut; past the client's time the answer is no use
-            self.server.call_later(max(stream.budget_ms, LINGER_MS), lambda: self._give_up(stream))
-
-    def begin_response(self, stream: Stream, length: int | None) -> None:
-        """Begin a response that is passed on as it arrives."""
-        if not stream.is_open:
-            return
-        headers = [header(":status", "200")]
-        if length is not None:
-            headers.append(header("content-length", str(length)))
-        with isolate_faults(FaultStep.WRITE_RESPONSE, partial(self._cut_off, stream)):
-            if self._send_headers(stream, headers, end_stream=False):
-                stream.outgoing = bytearray()
-                self.flush()
-
-    def _send_headers(self, stream: Stream, headers: HeaderPairs, end_stream: bool) -> bool:
-        """Write the head of a response; False where the stream has ended and h2 has not told yet."""
-        try:
-            self.http.send_headers(stream.id, encode_pairs(headers), end_stream=end_stream)
-        except H2Error as error:
-            log.info("answer_not_sent", extra=kv(reason=error))
-            self.streams.pop(stream.id, None)
-            return False
-        return True
-
-    def _on_response_ended(self) -> None:
-        """Write what is ready, and close where this was the last response."""
-        self.flush()
-        if self.server.near_connection_limit:
-            self.finish()
-        else:
-            self._close_if_last_has_ended()
-
-    def flush_stream(self, stream: Stream) -> None:
-        """Write what the flow-control windows allow."""
-        if stream.is_open:
-            with isolate_faults(FaultStep.WRITE_RESPONSE, partial(self._cut_off, stream)):
-                self._pump(stream)
-                self.flush()
-
-    def end_response(self, stream: Stream, complete: bool) -> None:
-        """End a response that was passed on."""
-        if not stream.is_open:
-            return
-        if complete:
-            self._pump(stream)
-        else:
-            self.server.record_unanswered(self._unanswered_stream(stream, EndReason.TRUNCATED))
-            self._reset_stream(stream.id, ErrorCodes.INTERNAL_ERROR)
-        self._on_response_ended()
-
-    def _pump(self, stream: Stream) -> None:
-        if stream.outgoing is None:
-            return
-        try:
-            whole = pump(self.http, stream.id, stream.outgoing, more=stream.streaming)
-        except H2Error as error:  # the client has reset it, which is told in a moment
-            log.info("answer_not_sent", extra=kv(reason=error))
-            return
-        if whole:
-            self.streams.pop(stream.id, None)
-        if not stream.outgoing:
-            stream.wake_writer()
-
-    def _give_up(self, stream: Stream) -> None:
-        if not self.closing and self.streams.pop(stream.id, None) is not None:
-            self.server.record_unanswered(self._unanswered_stream(stream, EndReason.CLIENT_NOT_READING))
-            self._reset_stream(stream.id, ErrorCodes.CANCEL)
-            self.flush()
-            self._close_if_last_has_ended()
-
-    def _reset_stream(self, stream_id: int, code: ErrorCodes) -> None:
-        self.streams.pop(stream_id, None)
-        try:
-            self.http.reset_stream(stream_id, code)
-        except H2Error as error:
-            log.info("stream_was_gone", extra=kv(reason=error))
-
 
 async def serve(link: Link, server: Runtime) -> None:
     """Serve one client connection."""
