Keep each log event on one line

What operators saw: a value with a line break of another kind than LF (CR, U+0085, which is one octet of a header, U+2028) began a line of its own in the log, which a client could write as it liked. Found while looking at where octets become text. What cannot be seen is written by its code now.

--- a/wickspring/logs.py
+++ b/wickspring/logs.py
@@ -10,11 +10,19 @@
 
 
 def quote(value: object) -> str:
-    """Write a value so that a line can be split at its spaces."""
+    """Write a value so that a line can be split at its spaces, and ends only at its end."""
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
     if text and _PLAIN.issuperset(text):
         return text
-    return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
+    text = text.replace("\\", "\\\\").replace('"', '\\"')
+    if not text.isprintable():
+        text = "".join(map(_escape, text))
+    return f'"{text}"'
+
+
+def _escape(character: str) -> str:
+    """Write a character that ends lines, or cannot be seen, by its code."""
+    return character if character.isprintable() else character.encode("unicode_escape").decode()
 
 
 def format_pairs(pairs: Iterable[tuple[str, object]]) -> str:
