Fail tests in which a fault of the program is contained unasked

A contained fault, a broken invariant among them, would pass for a request that failed. Each test now fails where one was contained, but those that have the program raise (marker raises_faults).

--- a/tests/agent/test_agent_faults.py
+++ b/tests/agent/test_agent_faults.py
@@ -14,6 +14,8 @@
 from wickspring.agent.wire import Answer, Message, Peer
 from wickspring.wire import connect
 
+pytestmark = pytest.mark.raises_faults
+
 
 def test_a_fault_in_a_message_is_answered_and_the_connection_goes_on() -> None:
     """Guards against an agent that ends, with the supervision of all its instances, by one message."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 from tests.support.known_red import mark_known_red, read_known_red
 from tests.support.loopback import reserve_loopback_net
 from tests.support.policy_gateway import Gateway, make_settings
+from wickspring.fault_isolation import fault_counts
 
 TESTS = Path(__file__).parent
 
@@ -44,6 +45,18 @@
         terminalreporter.write_line(f"known red: {entry.test}: {entry.observation} (issue {entry.issue})")
 
 
+@pytest.fixture(autouse=True)
+def no_contained_faults(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Fail a test in which a fault of the program was contained, unless the test asks for faults.
+
+    A broken invariant or an exception that is contained would else pass for a request that failed.
+    """
+    fault_counts.clear()
+    yield
+    if request.node.get_closest_marker("raises_faults") is None:
+        assert not fault_counts, dict(fault_counts)
+
+
 @pytest.fixture
 def gateway() -> Callable[..., Gateway]:
     """Return a function that builds a gateway of changed settings with `servers` listed servers."""
--- a/tests/dataplane/test_fault_isolation.py
+++ b/tests/dataplane/test_fault_isolation.py
@@ -10,6 +10,8 @@
 from wickspring.lab.simulation.request_path.raised_faults import STEP_LABELS
 from wickspring.lab.simulation.request_path.simulation import Simulation
 
+pytestmark = pytest.mark.raises_faults
+
 
 def run_seeds(seeds: range, **how: Any) -> Counter[str]:
     seen: Counter[str] = Counter()
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -259,6 +259,7 @@
 }
 
 
+@pytest.mark.raises_faults
 @pytest.mark.parametrize("name", DEFECTS)
 def test_a_seeded_defect_is_found(name: str) -> None:
     seed, found, changes = DEFECTS[name]
--- a/tests/net/test_internal_faults.py
+++ b/tests/net/test_internal_faults.py
@@ -19,6 +19,8 @@
 from wickspring.net.upstream.manager import UpstreamManager
 from wickspring.net.upstream.response_reader import ResponseReader
 
+pytestmark = pytest.mark.raises_faults
+
 FAILING_TARGET = "/fail"
 
 
