--- a/wickspring/dataplane/request/response.py
+++ b/wickspring/dataplane/request/response.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from contextlib import AbstractContextManager
 from functools import partial
 from typing import NamedTuple
 
@@ -21,7 +20,7 @@
     ResponseHead,
     end_to_end_headers,
 )
-from wickspring.fault_isolation import FaultStep, isolate_faults
+from wickspring.fault_isolation import FaultIsolation, FaultStep, isolate_faults
 from wickspring.net.calls import Client, retry_after
 from wickspring.net.http1_front import Http1Connection
 from wickspring.net.upstream.exchange import ResponseSink
@@ -185,7 +184,7 @@
 
     # Faults of this program.
 
-    def contain_faults(self, request: Request) -> AbstractContextManager[None]:
+    def contain_faults(self, request: Request) -> FaultIsolation:
         """Contain a fault in a step of a request's handling: it ends the request, with an answer."""
         return isolate_faults(FaultStep.HANDLE_REQUEST, partial(self.abort, request))
 
--- a/wickspring/fault_isolation.py
+++ b/wickspring/fault_isolation.py
@@ -9,9 +9,9 @@
 
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
+from types import TracebackType
 from typing import TypeVarTuple, Unpack
 
 from wickspring.logs import kv
@@ -54,32 +54,51 @@
     return {f"faults_contained[{step.value}]": count for step, count in fault_counts.items()}
 
 
-def _do_nothing() -> None: ...
+class FaultIsolation:
+    """Contains what is raised inside of a `with` block, which ends there; what follows the block goes on."""
+
+    __slots__ = ("_on_fault", "_passes", "_step")
+
+    def __init__(
+        self,
+        step: FaultStep,
+        on_fault: Callable[[], None] | None = None,
+        passes: tuple[type[Exception], ...] = (),
+    ) -> None:
+        self._step = step
+        self._on_fault = on_fault
+        self._passes = passes
+
+    def __enter__(self) -> None:
+        """Begin the block."""
+
+    def __exit__(
+        self, _: type[BaseException] | None, error: BaseException | None, __: TracebackType | None
+    ) -> bool:
+        """End the block; tell whether a fault has been contained."""
+        if not isinstance(error, Exception) or isinstance(error, self._passes):
+            return False
+        log.error("fault_contained", exc_info=error, extra=kv(step=self._step.value, reason=repr(error)))
+        count_fault(self._step)
+        if self._on_fault is not None:
+            with FaultIsolation(self._step):
+                self._on_fault()
+        return True
 
 
-@contextmanager
 def isolate_faults(
     step: FaultStep,
-    on_fault: Callable[[], None] = _do_nothing,
+    on_fault: Callable[[], None] | None = None,
     passes: tuple[type[Exception], ...] = (),
-) -> Iterator[None]:
-    """Contain what is raised inside of the `with` block, and go on after it.
+) -> FaultIsolation:
+    """Return what contains the faults of a `with` block.
 
     Args:
         step: what the block does, for the log and the metrics.
-        on_fault: is called then, to end what is left unfinished; what it raises is contained as well.
+        on_fault: is called after a fault, to end what is left unfinished; its own faults are contained too.
         passes: errors that are no fault of this program; they are raised on.
     """
-    try:
-        yield
-    except passes:
-        raise
-    except Exception as error:
-        log.exception("fault_contained", extra=kv(step=step.value, reason=repr(error)))
-        count_fault(step)
-        if on_fault is not _do_nothing:
-            with isolate_faults(step):
-                on_fault()
+    return FaultIsolation(step, on_fault, passes)
 
 
 async def run_isolated(
