Let an API call that has come whole go on whole when its caller leaves

A body that had arrived whole and was not read yet was cut where its caller left at that moment, and the call handled with a part of it. The new test failed before.

--- a/tests/controlplane/test_api_server.py
+++ b/tests/controlplane/test_api_server.py
@@ -244,3 +244,21 @@
     async def call(self, request: ApiRequest) -> ApiResponse:
         self.calls += 1
         return await super().call(request)
+
+
+def test_a_call_that_has_come_whole_goes_on_whole_without_its_caller() -> None:
+    """Guards against a call that is handled with a part of its body, as its caller left after sending it."""
+    body_stream = stream_of(1)
+    handler = CountingHandler()
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            server = ApiServer(nursery, Limits())
+            server.handlers = [handler]
+            client = RecordingClient()
+            server.handle_request(client, HttpRequest("POST", "/echo/i1", {}, b"head", body_stream))
+            server.client_disconnected(client.numbers[0])
+        assert client.answers == [(200, "0.25", f"i1 {4 + PIECE_BYTES}".encode())]
+
+    trio.run(run)
+    assert handler.calls == 1
--- a/wickspring/controlplane/api/server.py
+++ b/wickspring/controlplane/api/server.py
@@ -107,9 +107,9 @@
         client.respond(response.status, response.retry_after, response.body)
 
     def client_disconnected(self, request_number: int) -> None:
-        """End a call whose body will not come whole; one that has been read goes on without its caller."""
-        body_stream = self._body_streams.pop(request_number, None)
-        if body_stream is not None:
+        """End a call whose body will not come whole; one that has come whole goes on without its caller."""
+        body_stream = self._body_streams.get(request_number)
+        if body_stream is not None and not body_stream.ended:
             body_stream.close()
 
 
