Reserve the laboratory's ports against other runs beside it

Two of 15 runs of the conflicting drains, three at a time, failed in one batch: an agent could not listen (its log: Errno 98), and beside it an operation did not end (suspected: both fleets' agents at one address, by the same names). Ports were drawn and looked at, and bound later. The checks of the drains' test are as they were.

--- a/wickspring/lab/emulation/site.py
+++ b/wickspring/lab/emulation/site.py
@@ -86,27 +86,47 @@
     return folder
 
 
-_returned_ports: set[int] = set()
+RESERVATION_ADDRESS = "127.255.255.254"  # at which a port is reserved; nothing else listens there
+FIRST_PORT, END_OF_PORTS = 20_000, 32_000  # below those that the kernel gives outgoing connections
+_reservations: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Return a loopback port that nobody listens at, below those that the kernel gives outgoing connections.
+    """Return a loopback port that nobody listens at, and that no other run of the laboratory is given.
+
+    It is reserved for as long as this process lives, and a process that is killed leaves none reserved.
 
     Raises LabError if none is found.
     """
     for _ in range(1000):
-        port = SystemRandom().randrange(20_000, 32_000)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _returned_ports:
-            _returned_ports.add(port)
+        port = SystemRandom().randrange(FIRST_PORT, END_OF_PORTS)
+        if _is_free(port) and _reserve(port):
             return port
     raise LabError("no port is free")
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def _reserve(port: int) -> bool:
+    """Reserve a port; False where another run has it."""
+    reservation = socket.socket()
+    try:
+        reservation.bind((RESERVATION_ADDRESS, port))
+        reservation.listen()
+    except OSError:
+        reservation.close()
+        return False
+    _reservations.append(reservation)
+    return True
+
+
 async def listen(nursery: trio.Nursery, serve: Callable[[trio.SocketStream], Awaitable[None]]) -> str:
     """Serve on a port of loopback; return the address."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
