Restore and acknowledge again what was acknowledged before a rule was added

Not seen in service; found by reading the change.

Change: rules that were added later hold for new documents, in schemas of their own.

--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -2,6 +2,9 @@
 
 Errors name the place in the document. Fields that are not known here are allowed: the document is
 forwarded unchanged, and data planes of a later version may know them.
+
+Rules that were added after configurations had been acknowledged without them hold for new ones alone, in the
+subclasses of the schemas at the end. What was acknowledged before stays in use, in files and in snapshots.
 """
 
 from __future__ import annotations
@@ -103,7 +106,7 @@
     return fields.Float(required=required, allow_nan=False, validate=bounds)
 
 
-class _Flag(fields.Field[bool]):
+class _Flag(fields.Boolean):
     """A truth value: `true` or `false`, and no text or number that one could be read into."""
 
     def _deserialize(self, value: object, *_: object, **__: object) -> bool:
@@ -147,7 +150,7 @@
     route_kind = fields.String(required=True, validate=validate.OneOf(("pure", "effectful")))
     target_s = _number(required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
-    public = _Flag()
+    public = fields.Boolean()
     pattern = fields.Nested(_Pattern, required=True)
     effect = fields.Nested(_Effect, required=True)
 
@@ -167,14 +170,12 @@
     health_path = fields.String(validate=validate.Regexp(r"/"))
     max_conns = fields.Integer(validate=validate.Range(min=0))
     protocol = fields.String(validate=validate.OneOf(("h1",)))
-    tls = _Flag(validate=validate.OneOf((False,)))
+    tls = fields.Boolean(validate=validate.OneOf((False,)))
 
 
 class _Tenant(_OpenSchema):
-    name = fields.String(required=True, validate=[validate.Length(min=1), _validate_field_value])
-    api_keys = fields.List(
-        fields.String(validate=[validate.Length(min=1), _validate_field_value]), required=True
-    )
+    name = fields.String(required=True, validate=validate.Length(min=1))
+    api_keys = fields.List(fields.String(validate=validate.Length(min=1)), required=True)
     priority = fields.Integer(validate=validate.Range(min=0))
     rate_per_s = _number()
     burst = _number()
@@ -227,7 +228,7 @@
     """Return the host and the path prefix of each route; no two routes may have the same."""
     for socket in sockets:
         for rule in socket["policy"]:
-            yield host_key(socket["host"]), prefix_key(rule["pattern"]["path_prefix"])
+            yield socket["host"].lower(), rule["pattern"]["path_prefix"]
 
 
 def _validate_tenants(tenants: Sequence[TenantDocument]) -> None:
@@ -236,11 +237,52 @@
     _require_unique("tenants", keys, "a key is shared")
 
 
-_CONFIG_SCHEMA = _Config()
+class _NewRule(_Rule):
+    public = _Flag()
+
+
+class _NewSocket(_Socket):
+    policy = fields.List(fields.Nested(_NewRule), required=True)
+
+
+class _NewBackend(_Backend):
+    tls = _Flag(validate=validate.OneOf((False,)))
+
+
+class _NewTenant(_Tenant):
+    name = fields.String(required=True, validate=[validate.Length(min=1), _validate_field_value])
+    api_keys = fields.List(
+        fields.String(validate=[validate.Length(min=1), _validate_field_value]), required=True
+    )
+
+
+class _NewConfig(_Config):
+    tenants = fields.List(fields.Nested(_NewTenant))
+    sockets = fields.List(fields.Nested(_NewSocket), required=True)
+    backends = fields.List(fields.Nested(_NewBackend), required=True)
+
+    @validates_schema
+    def _validate_places(self, config: ConfigDocument, **_: object) -> None:
+        places = _route_places(config["sockets"])
+        keys = [(host_key(host), prefix_key(prefix)) for host, prefix in places]
+        _require_unique("sockets", keys, "two routes have one host and prefix")
+
+
+_STORED_CONFIG_SCHEMA = _Config()
+_NEW_CONFIG_SCHEMA = _NewConfig()
 
 
 def validate_config(body: bytes) -> Result[int, ErrorDetail]:
-    """Validate a whole document; return its version, or the error for its sender."""
+    """Validate a new document; return its version, or the error for its sender."""
+    return _validate(body, _NEW_CONFIG_SCHEMA)
+
+
+def validate_stored_config(body: bytes) -> Result[int, ErrorDetail]:
+    """Validate a document by the rules that every acknowledged one has met."""
+    return _validate(body, _STORED_CONFIG_SCHEMA)
+
+
+def _validate(body: bytes, schema: Schema) -> Result[int, ErrorDetail]:
     try:
         document = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -248,7 +290,7 @@
     if not isinstance(document, dict):
         return _invalid("not an object")
     try:
-        _CONFIG_SCHEMA.load(document)
+        schema.load(document)
     except ValidationError as error:
         return _invalid(str(error.messages)[:MAX_REASON_CHARACTERS])
     except RecursionError:
--- a/wickspring/controlplane/replication/replica.py
+++ b/wickspring/controlplane/replication/replica.py
@@ -107,11 +107,18 @@
         """Return the outcome of an update once this configuration is committed."""
         if version > self.version:
             return CommitOutcome.NOT_YET
-        known = self.digest if version == self.version else dict(self.history).get(version)
+        known = self._digest_of_version(version)
         if not version or known in (None, digest):
             return CommitOutcome.COMMITTED
         return CommitOutcome.CONFLICT
 
+    def holds(self, version: int, digest: bytes) -> bool:
+        """Return whether a document is known to have been committed under a version."""
+        return bool(version) and self._digest_of_version(version) == digest
+
+    def _digest_of_version(self, version: int) -> bytes | None:
+        return self.digest if version == self.version else dict(self.history).get(version)
+
     def successor(self, version: int, document: bytes, epoch: int) -> Config:
         """Return the configuration that an update with a higher version makes."""
         check_invariant(version > self.version, "versions only rise within an epoch")
--- a/wickspring/controlplane/replication/snapshot.py
+++ b/wickspring/controlplane/replication/snapshot.py
@@ -17,7 +17,7 @@
 
 from wickspring.common.digest import DIGEST_SIZE, digest_of
 from wickspring.common.errors import ErrorDetail, ErrorKind
-from wickspring.controlplane.api.config_validation import validate_config
+from wickspring.controlplane.api.config_validation import validate_stored_config
 from wickspring.controlplane.replication.replica import Replica, Update
 
 FORMAT = 2
@@ -131,7 +131,7 @@
     if not config:
         return _invalid(f"r{version} has no text") if version else Ok(Update(departures=departures))
     document = config.encode()
-    validated = validate_config(document)
+    validated = validate_stored_config(document)
     if validated.is_error():
         return _invalid(f"config: {validated.error.reason}")
     if version is not None and validated.ok != version:
