--- a/tests/net/test_http2_octets.py
+++ b/tests/net/test_http2_octets.py
@@ -8,7 +8,7 @@
 import trio
 
 from example.toy import Answer, Seen, ToyServer, echo
-from tests.support.ingress import client1, client2, request, site
+from tests.support.ingress import answer_after, client1, client2, request, site
 
 NOT_UTF8 = b"Jos\xe9"
 
@@ -19,11 +19,7 @@
     async def main() -> None:
         gate = trio.Event()
 
-        async def held(seen: Seen) -> Answer:
-            await gate.wait()
-            return await echo(seen)
-
-        async with site(ToyServer("s0", held)) as here:
+        async with site(ToyServer("s0", answer_after(gate))) as here:
             client = await client2(here.http2)
             first = await client.send(request())
             second = client.http.get_next_available_stream_id()
--- a/tests/net/test_malformed_peers.py
+++ b/tests/net/test_malformed_peers.py
@@ -12,7 +12,7 @@
 
 from example.toy import Answer, Seen, ToyServer, echo
 from tests.net.test_http1 import abort, never
-from tests.support.ingress import BIG_PLAN, IDS, client1, client2, exchange, request, site
+from tests.support.ingress import BIG_PLAN, IDS, answer_after, client1, client2, exchange, request, site
 from wickspring.net import link
 from wickspring.net.http_server import BUFFERED_SHARE
 from wickspring.net.upstream.response_reader import MAX_INTERIM_RESPONSES, ResponseReader
@@ -198,11 +198,7 @@
     async def main() -> None:
         gate = trio.Event()
 
-        async def held(seen: Seen) -> Answer:
-            await gate.wait()
-            return await echo(seen)
-
-        async with site(ToyServer("s0", held)) as here:
+        async with site(ToyServer("s0", answer_after(gate))) as here:
             first, other, second = (
                 await client1(here.http1),
                 await client1(here.http1),
--- a/tests/support/ingress.py
+++ b/tests/support/ingress.py
@@ -38,6 +38,16 @@
 BIG_PLAN = replace(PLAN, name="big", rate=1.0, burst=1000.0)
 
 
+def answer_after(gate: trio.Event) -> toy.Behave:
+    """Return the behaviour of a server that answers once a gate is open."""
+
+    async def behave(seen: toy.Seen) -> toy.Answer:
+        await gate.wait()
+        return await toy.echo(seen)
+
+    return behave
+
+
 def exchange(method: str, target: str, body: bytes = b"") -> ServerExchange:
     """Make an exchange for a reader of answers alone."""
     headers = [header("X-Call-Id", "1")]
--- a/wickspring/common/routes.py
+++ b/wickspring/common/routes.py
@@ -76,10 +76,6 @@
         known.extend(routes)
         known.sort(key=lambda route: -len(route.prefix))
 
-    def hosts(self) -> list[OctetText]:
-        """Return the keys of all hosts."""
-        return list(self._routes)
-
     def find(self, host: OctetText, target: str) -> Route | None:
         """Return the route of a request, or None.
 
--- a/wickspring/controlplane/replication/node.py
+++ b/wickspring/controlplane/replication/node.py
@@ -105,10 +105,7 @@
 
     def submit_in_background(self, update: Update) -> None:
         """Submit an update without waiting for its outcome."""
-        self._nursery.start_soon(run_isolated, FaultStep.PEER_MESSAGE, self._submit, update)
-
-    async def _submit(self, update: Update) -> None:
-        await self.submit(update)
+        self._nursery.start_soon(run_isolated, FaultStep.PEER_MESSAGE, self.submit, update, False)
 
     def submit_to_chain(self, ticket: int, update: Update) -> None:
         """Hand an update to this node's chain."""
--- a/wickspring/dataplane/gossip.py
+++ b/wickspring/dataplane/gossip.py
@@ -106,7 +106,7 @@
         self.nursery.start_soon(self._receive)
         while True:
             await trio.sleep(PROBE_INTERVAL_S * self.random.uniform(*PROBE_INTERVAL_JITTER))
-            with isolate_faults(FaultStep.DATAGRAM):
+            with isolate_faults(FaultStep.GOSSIP_ROUND):
                 self._run_round()
 
     def _run_round(self) -> None:
@@ -115,7 +115,7 @@
         self.members.update_own(MemberInfo(self.ip), heartbeat=False)
         target = self.members.next_probe_target()
         if target is not None:
-            self.nursery.start_soon(run_isolated, FaultStep.DATAGRAM, self._probe, target)
+            self.nursery.start_soon(run_isolated, FaultStep.GOSSIP_ROUND, self._probe, target)
 
     async def _probe(self, ip: str) -> None:
         """Probe a member directly, then through others, and record whether it was reached."""
--- a/wickspring/dataplane/upstream.py
+++ b/wickspring/dataplane/upstream.py
@@ -132,19 +132,16 @@
     return not (200 <= status < 300) or (any(signatures) and "content-encoding" not in headers)
 
 
-def may_stream(status: int) -> bool:
-    """Return whether a long response is passed on as it arrives, as its status is final and goes on as it is.
-
-    A server error may be followed by another attempt, and a status that clients read as "not executed" is
-    replaced.
-    """
-    return 200 <= status < 500 and status not in NOT_EXECUTED_STATUSES
-
-
 class EndpointResponseReader(ResponseReader):
     """Reads the responses of an endpoint."""
 
-    may_stream = staticmethod(may_stream)
+    def may_stream(self, status: int) -> bool:
+        """Return whether a long response may be passed on as it arrives: its status is final.
+
+        A server error may be followed by another attempt, and a status that clients read as "not executed" is
+        replaced.
+        """
+        return 200 <= status < 500 and status not in NOT_EXECUTED_STATUSES
 
 
 class UpstreamConnection(Http1ServerConnection):
--- a/wickspring/fault_isolation.py
+++ b/wickspring/fault_isolation.py
@@ -36,6 +36,7 @@
     API_CALL = "api_call"
     PEER_MESSAGE = "peer_message"  # of another process of the system
     DATAGRAM = "datagram"
+    GOSSIP_ROUND = "gossip_round"
     AGENT_MESSAGE = "agent_message"  # of another agent, or of an operator, to an agent
     OPERATION = "operation"  # on a fleet
 
@@ -55,7 +56,7 @@
 
 
 class FaultIsolation:
-    """Contains what is raised inside of a `with` block, which ends there; what follows the block goes on."""
+    """Contains what is raised inside of a `with` block: the block ends, and what follows it goes on."""
 
     __slots__ = ("_on_fault", "_passes", "_step")
 
@@ -102,7 +103,7 @@
 
 
 async def run_isolated(
-    step: FaultStep, task: Callable[[Unpack[Arguments]], Awaitable[None]], *arguments: *Arguments
+    step: FaultStep, task: Callable[[Unpack[Arguments]], Awaitable[object]], *arguments: *Arguments
 ) -> None:
     """Run a task of one message; a fault ends this task, and not the nursery that it runs in."""
     with isolate_faults(step):
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -53,18 +53,6 @@
 
     `rate` is the requests a second of the one `tenant`; 0 is no quota. `timeout_s` is that of the routes.
     """
-
-    def route(name: str, kind: str, prefix: str, service: str) -> dict[str, object]:
-        return {
-            "name": name,
-            "route_kind": kind,
-            "target_s": 0.5,
-            "priority": 1,
-            "public": False,
-            "pattern": {"path_prefix": prefix},
-            "effect": {"service": service, "timeout_s": timeout_s, "max_tries": 2},
-        }
-
     config = {
         "generation": f"r{version}",
         "tenants": [{"name": tenant, "api_keys": [API_KEY], "rate_per_s": rate, "burst": rate}],
@@ -76,8 +64,8 @@
             {
                 "host": HOST,
                 "policy": [
-                    route("look", "pure", PURE_PREFIX, PURE_SERVICE),
-                    route("do", "effectful", effectful_prefix, EFFECTFUL_SERVICE),
+                    _route("look", "pure", PURE_PREFIX, PURE_SERVICE, timeout_s),
+                    _route("do", "effectful", effectful_prefix, EFFECTFUL_SERVICE, timeout_s),
                 ],
             }
         ],
@@ -85,6 +73,18 @@
     return json.dumps(config).encode()
 
 
+def _route(name: str, kind: str, prefix: str, service: str, timeout_s: float) -> dict[str, object]:
+    return {
+        "name": name,
+        "route_kind": kind,
+        "target_s": 0.5,
+        "priority": 1,
+        "public": False,
+        "pattern": {"path_prefix": prefix},
+        "effect": {"service": service, "timeout_s": timeout_s, "max_tries": 2},
+    }
+
+
 @contextmanager
 def _signals_blocked() -> Iterator[None]:
     """Block the signals of an operator for the processes that are started meanwhile.
--- a/wickspring/lab/simulation/request_path/raised_faults.py
+++ b/wickspring/lab/simulation/request_path/raised_faults.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
-from typing import Any, NamedTuple
+from typing import NamedTuple
 from unittest import mock
 
 from wickspring.connections.pools import ConnectionPools
@@ -58,6 +58,8 @@
     Step(http1_reader, "read_head"),
     Step(http1_front, "encode_response"),
     Step(http1_front, "encode_head"),
+    Step(http1_front, "encode_body"),
+    Step(http1_front, "encode_end"),
     Step(Http1Connection, "write_body"),
     Step(Http1Connection, "unanswered"),
     Step(Http1Connection, "cancel_requests"),
@@ -83,8 +85,8 @@
                 stack.enter_context(mock.patch.object(step.owner, step.name, self._wrap(step, original)))
             yield
 
-    def _wrap(self, step: Step, original: Callable[..., Any]) -> Callable[..., Any]:
-        def raise_or_call(*args: Any, **named: Any) -> Any:
+    def _wrap(self, step: Step, original: Callable[..., object]) -> Callable[..., object]:
+        def raise_or_call(*args: object, **named: object) -> object:
             if self._random.random() >= self._share:
                 return original(*args, **named)
             self.raised[step.label] += 1
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -4,7 +4,6 @@
 
 import socket
 from collections.abc import Sequence
-from functools import partial
 
 import h11
 
@@ -13,7 +12,7 @@
 from wickspring.net.front_limits import LimitsSource, default_limits
 from wickspring.net.http1_reader import MAX_READ_AHEAD as MAX_READ_AHEAD
 from wickspring.net.http1_reader import Http1RequestReader
-from wickspring.net.http1_syntax import encode_head, encode_response
+from wickspring.net.http1_syntax import encode_body, encode_end, encode_head, encode_response
 from wickspring.net.http_server import HttpServer
 from wickspring.net.link import Link
 from wickspring.net.octets import HeaderPair, header
@@ -257,8 +256,8 @@
     def write_body(self, data: bytes) -> None:
         """Pass a piece of the body on; after a fault in that the response ends incomplete."""
         if data and self.http.our_state is h11.SEND_BODY:
-            with isolate_faults(FaultStep.WRITE_RESPONSE, partial(self.end_response, False)):
-                self.link.send(self.http.send(h11.Data(data=data)) or b"")
+            with isolate_faults(FaultStep.WRITE_RESPONSE, self._cut_off):
+                self.link.send(encode_body(self.http, data))
 
     async def wait_writable(self) -> bool:
         """Wait until the kernel has taken what was passed on; False where the client has gone."""
@@ -277,7 +276,7 @@
             self._cut_off()
             return
         with isolate_faults(FaultStep.WRITE_RESPONSE, self._cut_off):
-            self.link.send(self.http.send(h11.EndOfMessage()) or b"")
+            self.link.send(encode_end(self.http))
 
     def _cut_off(self) -> None:
         """End the connection with a reset: what has been written of a response must not pass for complete."""
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -52,6 +52,7 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head_bytes)
         self.request: h11.Request | None = None
         self.headers: Headers = {}
+        self._pairs: HeaderPairs = []  # headers of the present request, in order, names in lower case
         self.body = RequestBody(0.0)
         self.request_number: int | None = None  # of the request that waits for its response
         self.request_read_at = 0.0  # when the latest request had been read, as far as it is buffered
@@ -207,7 +208,8 @@
             raise HeadTooLargeError(f"head: over {self.limits.max_head_bytes} bytes")
         if has_ambiguous_length(head):
             raise CallError("content-length")
-        self.headers = read_head(decode_pairs(request.headers), self.limits.max_body_bytes)
+        self._pairs = decode_pairs(request.headers)
+        self.headers = read_head(self._pairs, self.limits.max_body_bytes)
         if self.http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.link.send(self.http.send(go_on) or b"")
@@ -261,7 +263,7 @@
 
     def pairs(self) -> HeaderPairs:
         """Return the headers of the present request, in order, their names in lower case."""
-        return [] if self.request is None else decode_pairs(self.request.headers)
+        return [] if self.request is None else self._pairs
 
     @property
     def _awaits_request(self) -> bool:
--- a/wickspring/net/http1_syntax.py
+++ b/wickspring/net/http1_syntax.py
@@ -36,9 +36,19 @@
     return http.send(h11.Response(status_code=status, headers=encode_pairs(headers))) or b""
 
 
+def encode_body(http: h11.Connection, data: bytes) -> bytes:
+    """Return the bytes that carry a piece of a response's body."""
+    return http.send(h11.Data(data=data)) or b""
+
+
+def encode_end(http: h11.Connection) -> bytes:
+    """Return the bytes that end a response."""
+    return http.send(h11.EndOfMessage()) or b""
+
+
 def encode_response(http: h11.Connection, status: int, headers: Sequence[HeaderPair], body: bytes) -> bytes:
     """Return the bytes of a complete response."""
     data = encode_head(http, status, headers)
     if body:
-        data += http.send(h11.Data(data=body)) or b""
-    return data + (http.send(h11.EndOfMessage()) or b"")
+        data += encode_body(http, body)
+    return data + encode_end(http)
--- a/wickspring/net/upstream/response_reader.py
+++ b/wickspring/net/upstream/response_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -55,23 +54,13 @@
     return int(length)
 
 
-def is_ok(status: int) -> bool:
-    """Tell whether a response is a plain success, of which alone a long one is streamed by default."""
-    return status == 200
-
-
 class ResponseReader:
-    """Reads one response after another from a connection's bytes.
-
-    A response that is longer than what is buffered is streamed where `may_stream` says so of its status;
-    others must not be so long.
-    """
-
-    may_stream: Callable[[int], bool] = staticmethod(is_ok)
+    """Reads one response after another from a connection's bytes."""
 
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._head: h11.Response | None = None
+        self.pairs: HeaderPairs = []  # headers of the present response, in order, names in lower case
         self._body = bytearray()
         self._interim_count = 0
         self.length: int | None = None  # of the present response's body, where it is declared
@@ -124,6 +113,7 @@
         if isinstance(event, h11.Response):
             self.length = declared_length(event)
             self._head = event
+            self.pairs = decode_pairs(event.headers)
             self._body = bytearray()
             self.streamed = False
             if self.length is not None and self.length > MAX_BUFFERED_RESPONSE:
@@ -142,6 +132,10 @@
         if len(self._body) > MAX_BUFFERED_RESPONSE:
             self._begin_streaming()
 
+    def may_stream(self, status: int) -> bool:
+        """Tell whether a response that is longer than what is buffered may be streamed, by its status."""
+        return status == 200
+
     def _begin_streaming(self) -> None:
         if not self.may_stream(self.code):
             raise h11.RemoteProtocolError("a long response of a status that is not streamed")
@@ -168,11 +162,6 @@
         """The reason phrase of the present response."""
         return decode_octets(self._head.reason if self._head is not None else b"")
 
-    @property
-    def pairs(self) -> HeaderPairs:
-        """The headers of the present response, in order, their names in lower case."""
-        return decode_pairs(self._head.headers) if self._head is not None else []
-
     def start_next(self) -> bool:
         """Make ready for the next request; False where the connection cannot be used again."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
