Name in the error what a configuration names twice, and who shares a key

Cause: "named twice" and "a key is shared" named the list and not the entry, of which there may be 5,000 routes and 23,000 tenants; two spellings of one place read as two different ones besides.

Change: the errors name host and prefix, service, tenant, or the two tenants; never the key.

Result: the new test of tests/controlplane/test_config_names.py failed before (the errors had no names); the tests of the control plane pass.

--- a/tests/controlplane/test_config_names.py
+++ b/tests/controlplane/test_config_names.py
@@ -11,7 +11,7 @@
 
 from wickspring.common.routing_table import build_routing_table
 from wickspring.controlplane.api.config_validation import validate_config
-from wickspring.lab.emulation.local_gateway import gateway_config
+from wickspring.lab.emulation.local_gateway import API_KEY, HOST, PURE_PREFIX, gateway_config
 from wickspring.net.octets import decode_octets, is_field_value
 
 PRINTABLE = st.text(st.characters(exclude_categories=("Cc", "Cs")), min_size=1)
@@ -55,3 +55,16 @@
     tenant = build_routing_table(body).tenants_by_key.get(decode_octets(key.encode()))
     assert tenant is not None
     assert tenant.name == "other"
+
+
+def test_what_is_named_twice_or_shared_is_named_in_the_error() -> None:
+    """Guards against an error from which an operator cannot tell which of thousands of entries is meant."""
+    document = msgspec.json.decode(gateway_config(1))
+    policy = document["sockets"][0]["policy"]
+    policy.append({**policy[0], "name": "again"})
+    assert f"named twice: {HOST}{PURE_PREFIX}" in validate_config(msgspec.json.encode(document)).error.reason
+    shared = validate_config(config_with(api_keys=[API_KEY])).error.reason
+    assert "a key is shared: by toy and other" in shared
+    assert API_KEY not in shared
+    again = validate_config(config_with(name="toy")).error.reason
+    assert "named twice: toy" in again
--- a/wickspring/controlplane/api/config_validation.py
+++ b/wickspring/controlplane/api/config_validation.py
@@ -9,8 +9,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Hashable, Iterable, Iterator, Sequence
-from typing import NotRequired, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
 from expression import Error, Ok, Result
@@ -200,13 +201,14 @@
         services = [backend["name"] for backend in config["backends"]]
         _require_unique("backends", services)
         _require_known_services(config["sockets"], frozenset(services))
-        _require_unique("sockets", list(_route_places(config["sockets"])))
+        _require_unique("sockets", _route_places(config["sockets"]))
         _validate_tenants(config.get("tenants", ()))
 
 
-def _require_unique(field: str, names: Sequence[Hashable], reason: str = "named twice") -> None:
-    if len(names) != len(set(names)):
-        raise ValidationError(reason, field)
+def _require_unique(field: str, names: Iterable[Hashable], reason: str = "named twice") -> None:
+    for name, count in Counter(names).items():
+        if count > 1:
+            raise ValidationError(f"{reason}: {name}", field)
 
 
 def _require_known_services(sockets: Iterable[SocketDocument], known_services: frozenset[str]) -> None:
@@ -224,17 +226,32 @@
     return [part["service"] for part in effect.get("weighted", ())]
 
 
-def _route_places(sockets: Iterable[SocketDocument]) -> Iterator[tuple[str, str]]:
+class _Place(NamedTuple):
+    """Where a route stands."""
+
+    host: str
+    prefix: str
+
+    def __str__(self) -> str:
+        """Write it for an operator."""
+        return f"{self.host}{self.prefix}"
+
+
+def _route_places(sockets: Iterable[SocketDocument]) -> Iterator[_Place]:
     """Return the host and the path prefix of each route; no two routes may have the same."""
     for socket in sockets:
         for rule in socket["policy"]:
-            yield socket["host"].lower(), rule["pattern"]["path_prefix"]
+            yield _Place(socket["host"].lower(), rule["pattern"]["path_prefix"])
 
 
 def _validate_tenants(tenants: Sequence[TenantDocument]) -> None:
     _require_unique("tenants", [tenant["name"] for tenant in tenants])
-    keys = [key for tenant in tenants for key in set(tenant["api_keys"])]
-    _require_unique("tenants", keys, "a key is shared")
+    owners: dict[str, str] = {}  # names of tenants, by key; the keys themselves are told to nobody
+    for tenant in tenants:
+        for key in tenant["api_keys"]:
+            owner = owners.setdefault(key, tenant["name"])
+            if owner != tenant["name"]:
+                raise ValidationError(f"a key is shared: by {owner} and {tenant['name']}", "tenants")
 
 
 class _NewRule(_Rule):
@@ -264,8 +281,8 @@
     @validates_schema
     def _validate_places(self, config: ConfigDocument, **_: object) -> None:
         places = _route_places(config["sockets"])
-        keys = [(host_key(host), prefix_key(prefix)) for host, prefix in places]
-        _require_unique("sockets", keys, "two routes have one host and prefix")
+        keys = [_Place(host_key(place.host), prefix_key(place.prefix)) for place in places]
+        _require_unique("sockets", keys, "two spellings of one host and prefix")
 
 
 _STORED_CONFIG_SCHEMA = _Config()
