--- a/review/7/case.py
+++ b/review/7/case.py
@@ -42,7 +42,8 @@
     return newest
 
 
-async def _run(record: Record, deployment: Deployment) -> int:
+async def play(record: Record, deployment: Deployment) -> int:
+    """Play the case; return 1 where the rule is broken, else 0."""
     servers = [
         Server(deployment, record, f"i-{number}", "store", f"127.{deployment.net}.3.{number + 1}")
         for number in range(3)
@@ -75,7 +76,7 @@
     record = Record(Path(__file__).parent)
     deployment = Deployment(record)
     try:
-        return await _run(record, deployment)
+        return await play(record, deployment)
     except (CannotRunError, OSError) as error:
         record.say(f"could not run: {error}")
         return 2
