--- a/tests/controlplane/test_chain_defects.py
+++ b/tests/controlplane/test_chain_defects.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
+from wickspring.common.config_version import is_newer
 from wickspring.controlplane.replication.chain import OutgoingMessage, ReplicationChain, TicketOutcome
 from wickspring.controlplane.replication.lease import Lease
-from wickspring.controlplane.replication.messages import Pass, Promise
+from wickspring.controlplane.replication.messages import Pass, Passed, Promise
 from wickspring.controlplane.replication.paxos import AcceptedValue, PaxosVoter, Proposal
 from wickspring.controlplane.replication.replica import CommitOutcome, Replica, Update
 from wickspring.controlplane.replication.update_passing import UpdatePassing
@@ -73,10 +75,17 @@
 
     def start(self, now: float) -> None:
         super().start(now)
-        if self.replica.config.version:
+        if self.replica.config.version is not None:
             self.record_committed(self.replica)
 
 
+class TakesVersionZeroForNone(ReplicationChain):
+    """A head that takes an update of version 0 for one without a configuration, as earlier versions did."""
+
+    def submit(self, now: float, ticket: int, update: Update) -> None:
+        super().submit(now, ticket, replace(update, version=update.version or None))
+
+
 class StopsAtOnce(ReplicationChain):
     """A node that stops as soon as it is asked to."""
 
@@ -112,9 +121,15 @@
             return
         super().on_pass(now, sender, message)
 
+    def _is_stored(self, message: Passed, state: Replica) -> bool:
+        return True
+
 
 class ConfirmsWithoutText(ReplicationChain):
-    """Omits the document for a node with one of that version; a node without it confirms it as stored."""
+    """Omits the document for a node with one of that version; a node without it confirms it as stored.
+
+    Its predecessor doesn't compare what it has confirmed.
+    """
 
     update_passing_type = _ConfirmsWithoutTextPassing
 
@@ -132,7 +147,7 @@
 
     def install(self, now: float, view: View, state: Replica | None) -> None:
         own = self.replica.config
-        if state is not None and own.version >= state.config.version:
+        if state is not None and not is_newer(state.config.version, own.version):
             state = Replica(self.replica.with_epoch(view.epoch).config, state.departures)
         super().install(now, view, state)
 
@@ -226,6 +241,7 @@
         "no other text of it is safe",
     ),  # refused, though no other text is safe
     (chaos, ConfirmsReadsAlone, 0, "had been acknowledged before"),  # confirmed without contact
+    (chaos, TakesVersionZeroForNone, 0, "r0 acknowledged, m. has none on its disk"),
     (chaos, CommitsAtStart, 0, "before it has heard another"),  # published before contact
     (leaving, StopsAtOnce, 8, "no read was answered"),  # a leaving member forgotten early: by its copies
     (leaving_of_five, StopsWithVote, 192, "no read was answered"),  # by those who decide
--- a/tests/controlplane/test_chain_history.py
+++ b/tests/controlplane/test_chain_history.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from wickspring.common.config_version import is_newer, version_order
 from wickspring.controlplane.replication.replica import CommitOutcome, Update
 from wickspring.controlplane.replication.view import FaultTolerance
 from wickspring.lab.simulation.replication.group import SimulatedGroup
@@ -28,7 +29,7 @@
 
         def on_outcome(outcome: CommitOutcome) -> None:
             if outcome == CommitOutcome.COMMITTED:
-                self.changed = max(self.changed, update.version)
+                self.changed = max(self.changed, version_order(update.version))
 
         self.send_update(self.random.choice(sorted(self.nodes)), update, on_outcome)
         self.schedule(EVERY_MS, lambda: self.change(ends))
@@ -36,7 +37,7 @@
 
 def caught_up(core: SimulatedGroup, ip: str) -> bool:
     """Return whether a node stores what the group has acknowledged."""
-    return core.nodes[ip].replica.config.version >= core.checker.highest_acknowledged
+    return not is_newer(core.checker.highest_acknowledged, core.nodes[ip].replica.config.version)
 
 
 def run_until(core: GroupUnderUpdates, what: str, bound_ms: float, ip: str = "", changed: int = 0) -> float:
@@ -109,7 +110,7 @@
     for update in (Update(), Update(10, b"other"), Update(61, b"new")) * 5:
         core.send_update(one.ip, update, answers.append)
         core.run(core.now + 1000.0)
-        assert one.chain is not None and one.chain.committed.config.version == 0
+        assert one.chain is not None and one.chain.committed.config.version is None
     assert set(answers) <= {CommitOutcome.NOT_YET}
     core.network.cut.clear()
     assert run_until(core, "it does not catch up", CATCH_UP_MS, one.ip) <= CATCH_UP_MS
--- a/tests/controlplane/test_replica_recovery.py
+++ b/tests/controlplane/test_replica_recovery.py
@@ -16,6 +16,7 @@
 import pytest
 
 from tests.support.storage_files import Files, after_power, files
+from wickspring.common.config_version import version_order
 from wickspring.controlplane import storage_file
 from wickspring.controlplane.replication import messages
 from wickspring.controlplane.replication.chain import ReplicationChain
@@ -183,11 +184,11 @@
 
     def check_committed(self, update: Update) -> None:
         """Check that what is committed is on the disks of all of the chain, and nothing committed is lost."""
-        self.committed_version = max(self.committed_version, update.version)
+        self.committed_version = max(self.committed_version, version_order(update.version))
         newest = max((node.chain.view for node in self.nodes.values() if node.chain), key=lambda v: v.epoch)
         for ip, _ in newest.chain:
             chain = self.nodes[ip].chain
-            assert chain is None or chain.replica.config.version >= self.committed_version
+            assert chain is None or version_order(chain.replica.config.version) >= self.committed_version
 
     def commit_versions(self, versions: range) -> None:
         for version in versions:
--- a/tests/controlplane/test_status.py
+++ b/tests/controlplane/test_status.py
@@ -30,6 +30,8 @@
     "safe",
     "disk",
     "short",
+    "stored_generation",
+    "committed_generation",
 ]
 NODE_NAMES = [
     "live",
@@ -45,6 +47,7 @@
     "zone",
     "control",
     "sees",
+    "generation",
 ]
 SERVER_NAMES = ["id", "service", "address", "zone", "state", "slots", "silent_s"]
 
@@ -64,6 +67,7 @@
         assert list(status) == TOP_NAMES
         assert list(status["chain"]) == CHAIN_NAMES
         assert status["chain"]["held"] == status["chain"]["safe"] == 3
+        assert status["chain"]["stored_generation"] == status["chain"]["committed_generation"] == "r3"
         assert status["chain"]["contact"] == "settled" and status["chain"]["member"] is True
         assert list(status["core"]) == list(CONTROL_PLANES[1:3])
         assert list(status["core"][CONTROL_PLANES[1]]) == NODE_NAMES
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.support.storage_files import DURABLE, MEMBERS, reopened, replica
+from wickspring.common.config_version import version_order
 from wickspring.common.digest import digest_of
 from wickspring.controlplane.replication.replica import Config, Replica, Update
 from wickspring.controlplane.storage import ReplicaStore
@@ -21,7 +22,9 @@
     for step in range(300):
         epoch = 3 + step // 50
         if random.random() < 0.3:
-            stored.apply(Update(stored.config.version + random.randint(1, 3), b"%d" % step), epoch)
+            stored.apply(
+                Update(version_order(stored.config.version) + random.randint(1, 3), b"%d" % step), epoch
+            )
         stored.add_departures({f"i{random.randrange(80)}": random.choice((1, 2))})
         if len(stored.departures) > 60:  # as over the limit of departures
             del stored.departures[next(iter(stored.departures))]
--- a/tests/controlplane/test_storage_migration.py
+++ b/tests/controlplane/test_storage_migration.py
@@ -51,7 +51,7 @@
     write_older(tmp_path, 2, 0, b"", {})
     store = ReplicaStore(str(tmp_path))
     found = store.load()
-    assert found is not None and found[1].config.version == 0 and found[1].config.epoch == 3
+    assert found is not None and found[1].config.version is None and found[1].config.epoch == 3
     store.close()
 
 
--- a/tests/controlplane/test_storage_power_loss.py
+++ b/tests/controlplane/test_storage_power_loss.py
@@ -27,6 +27,7 @@
     replica,
     write_older,
 )
+from wickspring.common.config_version import version_order
 from wickspring.common.digest import digest_of
 from wickspring.controlplane import storage_file
 from wickspring.controlplane.replication.replica import Config, Replica, Update
@@ -48,7 +49,7 @@
         before = files(tmp_path / "a")
         if random.random() < 0.7:
             text = random.randbytes(random.choice((20, 3000, 20_000)))
-            stored.apply(Update(stored.config.version + 1, text), durable["view"][0])
+            stored.apply(Update(version_order(stored.config.version) + 1, text), durable["view"][0])
         if random.random() < 0.5:
             stored.add_departures({f"i{random.randrange(30)}": random.choice((1, 2)) for _ in range(9)})
         if random.random() < 0.3:
--- a/tests/dataplane/test_config_adoption.py
+++ b/tests/dataplane/test_config_adoption.py
@@ -17,6 +17,7 @@
 )
 from wickspring.common import logs
 from wickspring.common.config_status import ConfigStatus
+from wickspring.common.config_version import version_order
 from wickspring.common.digest import digest_of
 from wickspring.common.messages import ConfigOffer
 from wickspring.dataplane.policy import config_adoption
@@ -32,16 +33,16 @@
     """Random offers of nodes and data planes in contact and not; of each version one text is committed."""
     random = Random(seed)
     adoption = ConfigAdoption(0.0)
-    committed = {version: random.choice("xy") for version in range(1, 40)}
+    committed = {version: random.choice("xy") for version in range(40)}
     now = 0.0
-    newest = 1
+    newest = 0
     contact_at = 0.0
-    adopted_versions = [0]
+    adopted_versions = [version_order(None)]
     for _ in range(400):
         now += random.expovariate(1 / 120.0)
         newest = min(39, newest + (random.random() < 0.06))
         status = random.choice(list(ConfigStatus)) if now > 1000.0 * (seed % 4) else ConfigStatus.STORED
-        version = newest if status is ConfigStatus.CURRENT else random.randint(1, newest)
+        version = newest if status is ConfigStatus.CURRENT else random.randint(0, newest)
         if status is ConfigStatus.STORED:
             version += random.randint(0, 1)  # stored at a head, not committed
         mark = random.choice("xy") if status is ConfigStatus.STORED else committed.get(version, "x")
@@ -53,18 +54,19 @@
         assert action is not AdoptionAction.FENCE  # one committed text a version: never fenced
         if action in (AdoptionAction.ADOPT, AdoptionAction.REPLACE_UNCOMMITTED):
             assert status >= ConfigStatus.COMMITTED
-            assert previous[0] or status is ConfigStatus.CURRENT
+            assert previous[0] is not None or status is ConfigStatus.CURRENT
             assert action is AdoptionAction.ADOPT or previous == (version, ConfigStatus.STORED)
             adoption.adopted(offered)
         elif fallback is not None:
-            assert not previous[0] and now - contact_at >= config_adoption.FALLBACK_AFTER_MS
+            assert previous[0] is None and now - contact_at >= config_adoption.FALLBACK_AFTER_MS
             adoption.adopted(fallback)
-        adopted_versions.append(adoption.version)
+        adopted_versions.append(version_order(adoption.version))
         if adoption.status is ConfigStatus.COMMITTED:
+            assert adoption.version is not None
             assert adoption.digest == digest_of(config_text(adoption.version, committed[adoption.version]))
     assert adopted_versions == sorted(adopted_versions)
     adoption.offer(now, copy_of(newest, committed[newest], ConfigStatus.CURRENT))
-    assert adoption.version <= newest or adoption.status is ConfigStatus.STORED
+    assert version_order(adoption.version) <= newest or adoption.status is ConfigStatus.STORED
 
 
 def test_a_conflicting_text_from_a_node_in_contact_is_adopted_and_logged(
--- a/wickspring/common/messages/between_nodes.py
+++ b/wickspring/common/messages/between_nodes.py
@@ -10,10 +10,21 @@
 
 import msgspec
 
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.messages.base import IpAddress, Message, MessageDecoder
 from wickspring.common.messages.hello import Hello
 from wickspring.common.messages.shared import EndpointsChanged
 
+_NO_CONFIG_NUMBER = 0  # as nodes of earlier versions report it
+_VERSION_0_NUMBER = -1  # no digest beside it would tell r0 from no configuration
+
+
+def node_status_version(version: ConfigVersion) -> int:
+    """Return the number that stands for a version in `NodeStatus`."""
+    if version is None:
+        return _NO_CONFIG_NUMBER
+    return version or _VERSION_0_NUMBER
+
 
 class NodeStatus(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     """How a node is, as it reports with each heartbeat."""
@@ -21,7 +32,7 @@
     disk_id: str
     epoch: int  # of its view
     config_epoch: int  # in which its committed configuration was written
-    config_version: int
+    config_version: int  # of its committed configuration, by `node_status_version`
     departure_count: int  # of committed departures
     departure_checksum: int
     config_identity: bytes  # of the stored configuration, with its history
@@ -30,6 +41,13 @@
     control_address: str  # IP:port of its API
     reachable_ips: list[str]  # the nodes that it reaches
 
+    @property
+    def committed_version(self) -> ConfigVersion:
+        """Return the version of the node's committed configuration; None where it knows of none."""
+        if self.config_version == _NO_CONFIG_NUMBER:
+            return None
+        return max(self.config_version, 0)
+
 
 class NodeHeartbeat(Message, tag="tick", frozen=True):
     """Shows that the sender is alive and asks for its lease to be extended.
--- a/wickspring/common/messages/datagrams.py
+++ b/wickspring/common/messages/datagrams.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from wickspring.common.config_version import ConfigVersion, version_from_wire
 from wickspring.common.messages.base import IpAddress, Message, MessageDecoder
 from wickspring.common.messages.shared import EndpointRecord
 
@@ -29,6 +30,11 @@
     departure_count: int
     endpoints_digest: int  # `endpoints.endpoints_digest`
 
+    @property
+    def version(self) -> ConfigVersion:
+        """Return the version of the sender's configuration; None where it has none."""
+        return version_from_wire(self.config_version, self.config_digest)
+
 
 class MemberEntry(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     """One member's entry (`membership.anti_entropy.Entry`)."""
--- a/wickspring/common/messages/hello.py
+++ b/wickspring/common/messages/hello.py
@@ -5,6 +5,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from wickspring.common.config_version import ConfigVersion, version_from_wire
 from wickspring.common.messages.base import IpAddress, Message
 
 ROLE_NODE = "core"  # names are fixed by the wire
@@ -39,10 +40,10 @@
         return self.role == ROLE_NODE
 
     @property
-    def config_version(self) -> int:
-        """Return the version of the sender's configuration; 0 where it has none."""
+    def config_version(self) -> ConfigVersion:
+        """Return the version of the sender's configuration; None where it has none."""
         version = self.attributes.config_version
-        return 0 if version is UNSET else version
+        return None if version is UNSET else version_from_wire(version, self.config_digest)
 
     @property
     def config_digest(self) -> bytes:
--- a/wickspring/common/routing_table.py
+++ b/wickspring/common/routing_table.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.routes import Route, RouteIndex, prefix_key
 from wickspring.net.octets import OctetText, field_value, utf8_octets
 
@@ -60,7 +61,7 @@
 class RoutingTable:
     """One version of the configuration, indexed."""
 
-    version: int = 0
+    version: ConfigVersion = None
     routes: RouteIndex = field(default_factory=RouteIndex)
     tenants_by_key: dict[OctetText, Tenant] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
--- a/wickspring/common/status.py
+++ b/wickspring/common/status.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 
 class ReplicationStatus(
@@ -29,7 +30,9 @@
     contact: str
     frozen: bool
     steady: bool
-    stored_version: int
+    stored_version: int  # 0 for r0 and for none; `stored_generation` tells them apart
     committed_version: int
     disk_id: str
     tolerance_shortfalls: list[str]  # faults named in the settings that the view would not survive
+    stored_generation: str | UnsetType | None = UNSET  # as operators write it; None: no configuration
+    committed_generation: str | UnsetType | None = UNSET
--- a/wickspring/controlplane/api/config.py
+++ b/wickspring/controlplane/api/config.py
@@ -70,6 +70,6 @@
         replica = await self._control_plane.updates.read()
         if replica is None:
             return error_response(NO_QUORUM)
-        if not replica.config.document:
+        if replica.config.version is None:
             return error_response(ErrorDetail(ErrorKind.NO_CONFIG))
         return ApiResponse(200, replica.config.document)
--- a/wickspring/controlplane/api/snapshot.py
+++ b/wickspring/controlplane/api/snapshot.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wickspring.common import logs
+from wickspring.common.config_version import version_label
 from wickspring.controlplane.api.calls import (
     NO_QUORUM,
     ApiRequest,
@@ -49,9 +50,9 @@
         result = await self._control_plane.updates.commit(update, read=True)
         if result.outcome is not CommitOutcome.COMMITTED or result.replica is None:
             return not_committed_response(result.outcome, "snapshot", update.version)
-        version = result.replica.config.version
+        current = version_label(result.replica.config.version)
         leaving = len(result.replica.departures)
         logs.log_event(
-            "snapshot_restored", version=update.version, current_version=version, departures=leaving
+            "snapshot_restored", version=update.version, current_version=current, departures=leaving
         )
-        return ApiResponse(200, msgspec.json.encode({"generation": f"r{version}", "leaving": leaving}))
+        return ApiResponse(200, msgspec.json.encode({"generation": current, "leaving": leaving}))
--- a/wickspring/controlplane/config_distribution.py
+++ b/wickspring/controlplane/config_distribution.py
@@ -7,6 +7,7 @@
 
 from wickspring.common import logs
 from wickspring.common.config_status import ConfigStatus, QuorumContact
+from wickspring.common.config_version import ConfigVersion, is_newer
 from wickspring.common.messages import ConfigOffer
 from wickspring.common.routing_table import RoutingTable, build_routing_table
 from wickspring.controlplane.data_plane_sessions import PeerSession, SentOffer
@@ -19,7 +20,7 @@
 class PackedConfig:
     """A configuration as data planes receive it: compressed, with the digest of its text."""
 
-    version: int = 0
+    version: ConfigVersion = None
     digest: bytes = b""
     packed: bytes = b""
 
@@ -44,7 +45,7 @@
     def publish(self, config: Config) -> bool:
         """Take over a committed configuration; True where it is newer than the one before."""
         known_version = self.routing_table.version
-        if config.version < known_version or self._is_published(config):
+        if is_newer(known_version, config.version) or self._is_published(config):
             return False
         if config.version == known_version:
             logs.log_event("config_digest_mismatch", version=known_version, digest=config.digest.hex())
@@ -71,16 +72,18 @@
                 to a data plane that has none, while no committed one is known here; None to withhold it.
         """
         reported = session.reported_config
-        if self.committed.version:
+        if self.committed.version is not None:
             config = self.committed
             status = ConfigStatus.COMMITTED if contact is QuorumContact.NONE else ConfigStatus.CURRENT
-        elif reported.version or stored is None:
+        elif reported.version is not None or stored is None:
             return
         else:
             config = self._packed_from_disk(stored)
             status = ConfigStatus.STORED
+        if config.version is None:
+            return
         differs = config.version == reported.version and config.digest != reported.digest
-        needed = config.version > reported.version or (differs and status is ConfigStatus.CURRENT)
+        needed = is_newer(config.version, reported.version) or (differs and status is ConfigStatus.CURRENT)
         # The data plane may wait with what it was sent: the same offer goes out once on a connection.
         offer = SentOffer(config.version, config.digest, status, reported)
         if needed and session.last_offer != offer:
--- a/wickspring/controlplane/data_plane_messages.py
+++ b/wickspring/controlplane/data_plane_messages.py
@@ -6,6 +6,7 @@
 
 from msgspec import UNSET
 
+from wickspring.common.config_version import version_from_wire, version_to_wire
 from wickspring.common.messages import (
     AddQuota,
     ControlPlaneHeartbeatReply,
@@ -120,7 +121,7 @@
         version = heartbeat.config_version
         digest = heartbeat.config_digest
         if version is not UNSET and digest is not UNSET:
-            session.reported_config = ReportedConfig(version, digest)
+            session.reported_config = ReportedConfig(version_from_wire(version, digest), digest)
         self.offer_config(session)
 
     def _answer_heartbeat(self, session: PeerSession) -> None:
@@ -130,7 +131,7 @@
         session.announced_digest = committed.digest
         reply = ControlPlaneHeartbeatReply(
             epoch=parts.replication.chain.view.epoch,
-            config_version=committed.version,
+            config_version=version_to_wire(committed.version),
             data_plane_count=parts.known_data_planes.count,
             endpoints_digest=self._endpoints.digest(),
             config_digest=b"" if is_announced else committed.digest,
--- a/wickspring/controlplane/data_plane_sessions.py
+++ b/wickspring/controlplane/data_plane_sessions.py
@@ -6,15 +6,16 @@
 from dataclasses import dataclass
 
 from wickspring.common.config_status import ConfigStatus
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.connection import PeerConnection
 from wickspring.common.messages import Message
 
 
 @dataclass(slots=True, frozen=True)
 class ReportedConfig:
-    """The configuration that a data plane uses, as it reported it last; version 0 is none."""
+    """The configuration that a data plane uses, as it reported it last."""
 
-    version: int = 0
+    version: ConfigVersion = None
     digest: bytes = b""
 
 
--- a/wickspring/controlplane/replication/chain.py
+++ b/wickspring/controlplane/replication/chain.py
@@ -23,6 +23,7 @@
 from random import Random
 from typing import ClassVar, NamedTuple, Self, assert_never
 
+from wickspring.common.config_version import is_newer
 from wickspring.controlplane.replication.catch_up import CatchUp
 from wickspring.controlplane.replication.messages import (
     Accept,
@@ -245,7 +246,8 @@
         """Record that a state is committed."""
         committed = self.committed.config
         if state.config.rank > committed.rank:
-            check_invariant(state.config.version >= committed.version, "what is committed never goes back")
+            went_back = is_newer(committed.version, state.config.version)
+            check_invariant(not went_back, "what is committed never goes back")
             same_version = state.config.version == committed.version
             same_text = state.config.digest == committed.digest
             check_invariant(not same_version or same_text, "a committed version keeps its text")
--- a/wickspring/controlplane/replication/diagnostics.py
+++ b/wickspring/controlplane/replication/diagnostics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wickspring.common.config_version import version_label, version_order
 from wickspring.common.messages import NodeStatus
 from wickspring.controlplane.replication.chain import ReplicationChain
 
@@ -29,10 +30,10 @@
     """Describe the committed state that a node is missing."""
     reasons = []
     committed = chain.committed
-    if (status.config_epoch, status.config_version) < committed.config.rank:
-        epoch, version = committed.config.rank
-        found = f"r{status.config_version} of epoch {status.config_epoch}"
-        reasons.append(f"{found}, not r{version} of {epoch}")
+    config = committed.config
+    if (status.config_epoch, version_order(status.committed_version)) < config.rank:
+        found = f"{version_label(status.committed_version)} of epoch {status.config_epoch}"
+        reasons.append(f"{found}, not {version_label(config.version)} of {config.epoch}")
     count = len(committed.departures)
     if status.departure_count < count:
         reasons.append(f"{status.departure_count} of {count} leaving servers")
--- a/wickspring/controlplane/replication/node.py
+++ b/wickspring/controlplane/replication/node.py
@@ -28,6 +28,7 @@
     SubmitUpdate,
     UpdateOutcome,
 )
+from wickspring.common.messages.between_nodes import node_status_version
 from wickspring.common.settings import NodeSettings
 from wickspring.controlplane.replication import diagnostics, messages
 from wickspring.controlplane.replication.lease import Lease, granted_epoch
@@ -251,7 +252,7 @@
             disk_id=chain.me.disk_id,
             epoch=chain.view.epoch,
             config_epoch=committed.config.epoch,
-            config_version=committed.config.version,
+            config_version=node_status_version(committed.config.version),
             departure_count=len(committed.departures),
             departure_checksum=committed.departures_checksum,
             config_identity=chain.replica.config.identity,
--- a/wickspring/controlplane/replication/peers.py
+++ b/wickspring/controlplane/replication/peers.py
@@ -44,7 +44,7 @@
         zone=status.zone,
         epoch=status.epoch,
         committed_epoch=status.config_epoch,
-        committed_version=status.config_version,
+        committed_version=status.committed_version,
         departure_count=status.departure_count,
         departures_checksum=status.departure_checksum,
         identity=status.config_identity,
--- a/wickspring/controlplane/replication/replica.py
+++ b/wickspring/controlplane/replication/replica.py
@@ -7,6 +7,8 @@
 * Of two replicas the one of higher rank (epoch first, then version) replaces the other. So a document
   that an earlier epoch left uncommitted is replaced by the one that the next epoch started with, even where
   its version is higher.
+* A replica without a configuration has no version (None), and is of lower rank than one with any version,
+  r0 included (`common.config_version`).
 * Departures only grow (draining, then gone) and are merged like a grow-only map; see Shapiro et al.,
   "Conflict-free Replicated Data Types", 2011.
 
@@ -24,6 +26,13 @@
 
 import msgspec
 
+from wickspring.common.config_version import (
+    ConfigVersion,
+    is_newer,
+    version_from_wire,
+    version_order,
+    version_to_wire,
+)
 from wickspring.common.digest import DIGEST_SIZE, digest_of
 from wickspring.controlplane.replication.packing import PackedFields, convert_packed
 from wickspring.core.invariants import check_invariant
@@ -32,7 +41,7 @@
 MAX_DEPARTURES = 4096  # departing endpoints that are remembered
 NO_DOCUMENT = b""
 
-Rank = tuple[int, int]  # epoch, version
+Rank = tuple[int, int]  # epoch, and the version's order
 
 
 class _PackedConfig(NamedTuple):
@@ -74,7 +83,7 @@
     """A configuration, the epoch of the head that passed it on last, and the versions before it."""
 
     epoch: int = 0
-    version: int = 0
+    version: ConfigVersion = None
     document: bytes = NO_DOCUMENT
     digest: bytes = b""
     history: tuple[tuple[int, bytes], ...] = ()  # version and digest, the newest last
@@ -84,12 +93,12 @@
     @property
     def rank(self) -> Rank:
         """Return what decides between two replicas."""
-        return self.epoch, self.version
+        return self.epoch, version_order(self.version)
 
     @property
     def complete(self) -> bool:
         """Return whether it has its document, and not only a reference to it."""
-        return not self.reference and (bool(self.document) or not self.version)
+        return not self.reference and (bool(self.document) or self.version is None)
 
     @property
     def identity(self) -> bytes:
@@ -98,32 +107,36 @@
         The digest of the text alone would not do: one text may come under two versions, with other histories.
         """
         if not self._identity:
-            hasher = hashlib.blake2b(b"%d %s" % (self.version, self.digest), digest_size=DIGEST_SIZE)
+            hasher = hashlib.blake2b(
+                b"%d %s" % (version_to_wire(self.version), self.digest), digest_size=DIGEST_SIZE
+            )
             hasher.update(b"".join(b"%d %s " % entry for entry in self.history))
             self._identity.append(hasher.digest())
         return self._identity[0]
 
-    def outcome_of(self, version: int, digest: bytes) -> CommitOutcome:
+    def outcome_of(self, version: ConfigVersion, digest: bytes) -> CommitOutcome:
         """Return the outcome of an update once this configuration is committed."""
-        if version > self.version:
+        if version is None:
+            return CommitOutcome.COMMITTED
+        if is_newer(version, self.version):
             return CommitOutcome.NOT_YET
         known = self._digest_of_version(version)
-        if not version or known in (None, digest):
+        if known in (None, digest):
             return CommitOutcome.COMMITTED
         return CommitOutcome.CONFLICT
 
     def holds(self, version: int, digest: bytes) -> bool:
         """Return whether a document is known to have been committed under a version."""
-        return bool(version) and self._digest_of_version(version) == digest
+        return self._digest_of_version(version) == digest
 
     def _digest_of_version(self, version: int) -> bytes | None:
         return self.digest if version == self.version else dict(self.history).get(version)
 
     def successor(self, version: int, document: bytes, epoch: int) -> Config:
         """Return the configuration that an update with a higher version makes."""
-        check_invariant(version > self.version, "versions only rise within an epoch")
+        check_invariant(is_newer(version, self.version), "versions only rise within an epoch")
         history = self.history
-        if self.version:
+        if self.version is not None:
             history = (*history, (self.version, self.digest))
         return Config(epoch, version, document, digest_of(document), history[-MAX_HISTORY:])
 
@@ -142,7 +155,8 @@
     def pack(self) -> PackedFields:
         """Return it for a message or a file."""
         history: PackedFields = [list(entry) for entry in self.history]
-        return [self.epoch, self.version, self.document, self.digest, history, self.reference]
+        version = version_to_wire(self.version)
+        return [self.epoch, version, self.document, self.digest, history, self.reference]
 
     @staticmethod
     def unpack(packed: object) -> Config:
@@ -150,31 +164,39 @@
         fields = convert_packed(packed, _PackedConfig)
         if fields.document and digest_of(fields.document) != fields.digest:
             raise ValueError(f"r{fields.version}: the text does not have the digest that came with it")
-        return Config(*fields)
+        version = version_from_wire(fields.version, fields.digest)
+        if fields.reference and fields.reference != NO_CONFIG_IDENTITY:
+            version = fields.version  # a reference comes without the digest
+        return Config(fields.epoch, version, *fields[2:])
+
+
+NO_CONFIG_IDENTITY = Config().identity
+LOWEST_RANK = Config().rank
 
 
 @dataclass(slots=True, frozen=True)
 class Update:
     """What is to be committed: a configuration, departures, or nothing (a read)."""
 
-    version: int = 0
+    version: ConfigVersion = None
     document: bytes = NO_DOCUMENT
     departures: dict[str, int] = field(default_factory=dict)  # endpoint id: 1 draining, 2 gone
 
     @property
     def is_read(self) -> bool:
         """Return whether it changes nothing."""
-        return not self.version and not self.departures
+        return self.version is None and not self.departures
 
     def pack(self) -> tuple[int, bytes, dict[str, int]]:
         """Return it for a message."""
-        return self.version, self.document, self.departures
+        return version_to_wire(self.version), self.document, self.departures
 
     @staticmethod
     def unpack(packed: object) -> Update:
         """Decode what `pack` has returned; raises ValueError for anything else."""
         fields = convert_packed(packed, _PackedUpdate)
-        return Update(fields.version, fields.document, fields.departures)
+        version = version_from_wire(fields.version, fields.document)
+        return Update(version, fields.document, fields.departures)
 
 
 def _departure_checksum(endpoint_id: str, state: int) -> int:
@@ -228,11 +250,15 @@
 
     def apply(self, update: Update, epoch: int) -> bool:
         """Apply an update as the head of an epoch; True where it changed this replica."""
-        changed = update.version > self.config.version
-        if changed:
-            self.config = self.config.successor(update.version, update.document, epoch)
+        changed = self._apply_config(update, epoch)
         return self.add_departures(update.departures) or changed
 
+    def _apply_config(self, update: Update, epoch: int) -> bool:
+        if update.version is None or not is_newer(update.version, self.config.version):
+            return False
+        self.config = self.config.successor(update.version, update.document, epoch)
+        return True
+
     def copy(self) -> Replica:
         """Return a copy that does not change with this one."""
         return Replica(self.config, dict(self.departures))
--- a/wickspring/controlplane/replication/snapshot.py
+++ b/wickspring/controlplane/replication/snapshot.py
@@ -15,6 +15,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from wickspring.common.config_version import is_newer, version_from_wire, version_label, version_to_wire
 from wickspring.common.digest import DIGEST_SIZE, digest_of
 from wickspring.common.errors import ErrorDetail, ErrorKind
 from wickspring.controlplane.api.config_validation import validate_stored_config
@@ -78,7 +79,7 @@
     snapshot = _Snapshot(
         format=FORMAT,
         epoch=epoch,
-        number=config.version,
+        number=version_to_wire(config.version),
         digest=config.digest.hex(),
         history=[(version, digest.hex()) for version, digest in config.history],
         config=config.document.decode(),
@@ -104,36 +105,37 @@
 def _read_format_2(snapshot: _Snapshot) -> Result[Update, ErrorDetail]:
     if snapshot.sum != _checksum_of(snapshot):
         return _invalid("its sum does not fit: it was cut or changed")
-    versions = [0, *(version for version, _ in snapshot.history), snapshot.number]
-    rising = all(earlier < later for earlier, later in pairwise(versions))
+    version = version_from_wire(snapshot.number, snapshot.digest)
+    versions = [None, *(earlier for earlier, _ in snapshot.history), version]
+    rising = all(is_newer(later, earlier) for earlier, later in pairwise(versions))
     digests_complete = all(len(digest) == 2 * DIGEST_SIZE for _, digest in snapshot.history)
     if (snapshot.history and not rising) or not digests_complete:
         return _invalid("history: numbers rise up to the configuration's, each with its digest")
-    expected = digest_of(snapshot.config.encode()).hex() if snapshot.number else ""
+    expected = digest_of(snapshot.config.encode()).hex() if version is not None else ""
     if snapshot.digest != expected:
         return _invalid("config: not the text that its digest tells")
-    return _restoring_update(snapshot.config, snapshot.leaving, snapshot.number)
+    restored = _restoring_update(snapshot.config, snapshot.leaving)
+    if restored.is_ok() and restored.ok.version != version:
+        found = version_label(restored.ok.version)
+        return _invalid(f"config: its text is {found}, its number {version_label(version)}")
+    return restored
 
 
 def _read_format_1(snapshot: _SnapshotFormat1) -> Result[Update, ErrorDetail]:
     if snapshot.sum != _checksum(snapshot.config, sorted(snapshot.leavers.items())):
         return _invalid("its sum does not fit: it was cut or changed")
-    return _restoring_update(snapshot.config, snapshot.leavers, None)
+    return _restoring_update(snapshot.config, snapshot.leavers)
 
 
-def _restoring_update(
-    config: str, departures: dict[str, int], version: int | None
-) -> Result[Update, ErrorDetail]:
-    """Return the update of a snapshot; `version` is None where the format has it in the text alone."""
+def _restoring_update(config: str, departures: dict[str, int]) -> Result[Update, ErrorDetail]:
+    """Return the update that restores a configuration's text and departures."""
     for endpoint_id, state in departures.items():
         if not endpoint_id or not 0 < state <= MAX_DEPARTURE_STATE:
             return _invalid("leaving: states are 1 and 2")
     if not config:
-        return _invalid(f"r{version} has no text") if version else Ok(Update(departures=departures))
+        return Ok(Update(departures=departures))
     document = config.encode()
     validated = validate_stored_config(document)
     if validated.is_error():
         return _invalid(f"config: {validated.error.reason}")
-    if version is not None and validated.ok != version:
-        return _invalid(f"config: its text is r{validated.ok}, its number r{version}")
     return Ok(Update(validated.ok, document, departures))
--- a/wickspring/controlplane/replication/update_passing.py
+++ b/wickspring/controlplane/replication/update_passing.py
@@ -181,10 +181,19 @@
         self.stored_identities[Member(sender, message.disk_id)] = message.identity
         if message.sequence != self.sequence or self.passing is None:
             return  # it confirms an earlier pass, not the one in progress
+        if not self._is_stored(message, self.passing):
+            return
         self._confirm(message.sequence, self.passing)
         if chain.is_head:
             self._start_pass(now)
 
+    def _is_stored(self, message: Passed, state: Replica) -> bool:
+        """Return whether the successor stores the configuration that it was passed.
+
+        A node of an earlier version confirms r0 without storing it.
+        """
+        return message.identity == state.config.identity
+
     def _carry_pending_again(self, now: float) -> None:
         for pending in self.pending.values():
             pending.sequence = NO_PASS
--- a/wickspring/controlplane/replication/update_submission.py
+++ b/wickspring/controlplane/replication/update_submission.py
@@ -1,7 +1,9 @@
 """Submitting updates: to this node's chain where it is the head, else forwarded to the head.
 
 Each update gets a ticket. At the head the chain answers a ticket with an outcome; another node sends the
-update to the head it knows and waits for the answer on the connection.
+update to the head it knows and waits for the answer on the connection. A configuration counts as committed
+only by the state that comes with the answer: a head of an earlier version takes r0 for no configuration, and
+acknowledges it without storing anything.
 """
 
 from __future__ import annotations
@@ -11,6 +13,8 @@
 
 import trio
 
+from wickspring.common import logs
+from wickspring.common.digest import digest_of
 from wickspring.common.messages import Message, SubmitUpdate, UpdateOutcome
 from wickspring.controlplane.replication.chain import ReplicationChain
 from wickspring.controlplane.replication.replica import CommitOutcome, Replica, Update
@@ -25,6 +29,15 @@
     outcome: CommitOutcome
     replica: Replica | None = None
 
+    def shows(self, update: Update) -> bool:
+        """Return whether the state that came with it has the configuration of an update, or a newer one."""
+        if update.version is None:
+            return True
+        if self.replica is None:
+            return False
+        outcome = self.replica.config.outcome_of(update.version, digest_of(update.document))
+        return outcome is CommitOutcome.COMMITTED
+
 
 NOT_COMMITTED = UpdateResult(CommitOutcome.NOT_YET)
 
@@ -39,19 +52,23 @@
 class _LocalSubmitter:
     """A caller in this process, which waits for its result."""
 
-    def __init__(self, reads: bool) -> None:
+    def __init__(self, update: Update, read: bool) -> None:
         self.result = NOT_COMMITTED
-        self._reads = reads
+        self.needs_state = read or update.version is not None
+        self._update = update
         self._done = trio.Event()
 
     def finish(self, outcome: CommitOutcome, committed: Replica) -> None:
-        """Return the outcome to the caller, with a copy of the state where it reads."""
-        has_state = self._reads and outcome is CommitOutcome.COMMITTED
+        """Return the outcome to the caller, with a copy of the state where that is needed."""
+        has_state = self.needs_state and outcome is CommitOutcome.COMMITTED
         self.finish_with(UpdateResult(outcome, committed.copy() if has_state else None))
 
     def finish_with(self, result: UpdateResult) -> None:
-        """Return a result to the caller."""
-        self.result = result
+        """Return a result to the caller, unless it claims what its state does not show."""
+        if result.outcome is not CommitOutcome.COMMITTED or result.shows(self._update):
+            self.result = result
+        else:
+            logs.log_event("acknowledgement_not_shown", version=self._update.version)
         self._done.set()
 
     async def wait(self) -> None:
@@ -105,22 +122,22 @@
 
     async def submit(self, update: Update, read: bool) -> UpdateResult:
         """Have an update committed by the head; NOT_YET where that takes longer than `UPDATE_TIMEOUT_MS`."""
-        submitter = _LocalSubmitter(read)
+        submitter = _LocalSubmitter(update, read)
         ticket = self._next_ticket()
         try:
             with trio.move_on_after(UPDATE_TIMEOUT_MS / 1000.0):
-                if self._start(ticket, update, read, submitter):
+                if self._start(ticket, update, submitter):
                     await submitter.wait()
         finally:  # its caller may have been cancelled
             self._forget(ticket)
         return submitter.result
 
-    def _start(self, ticket: int, update: Update, read: bool, submitter: _LocalSubmitter) -> bool:
+    def _start(self, ticket: int, update: Update, submitter: _LocalSubmitter) -> bool:
         """Hand an update to the head; False where that is not connected."""
         chain = self._host.chain
         if chain.head != chain.ip:
             self._forwarded[ticket] = submitter
-            return self._host.send(chain.head, SubmitUpdate(ticket, update.pack(), read))
+            return self._host.send(chain.head, SubmitUpdate(ticket, update.pack(), submitter.needs_state))
         self._at_chain[ticket] = submitter
         self._host.submit_to_chain(ticket, update)
         return True
--- a/wickspring/controlplane/replication/view.py
+++ b/wickspring/controlplane/replication/view.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from wickspring.common.config_version import ConfigVersion, version_order
 from wickspring.controlplane.replication.packing import PackedFields, convert_packed
 from wickspring.controlplane.replication.replica import MAX_DEPARTURES, Rank, Replica
 
@@ -110,7 +111,7 @@
     zone: str = ""
     epoch: int = 0  # of the view that it has installed
     committed_epoch: int = 0  # rank of what it knows to be committed: epoch,
-    committed_version: int = 0  # and version
+    committed_version: ConfigVersion = None  # and version
     departure_count: int = 0
     departures_checksum: int = 0
     identity: bytes = b""  # of the configuration that it stores, committed or not
@@ -119,7 +120,7 @@
     @property
     def committed_rank(self) -> Rank:
         """Return the rank of the configuration that it knows to be committed."""
-        return self.committed_epoch, self.committed_version
+        return self.committed_epoch, version_order(self.committed_version)
 
     def is_missing(self, committed: Replica) -> bool:
         """Return whether a part of the state `committed` is not known to the node as committed."""
--- a/wickspring/controlplane/status.py
+++ b/wickspring/controlplane/status.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from wickspring.common.config_version import generation_of, version_to_wire
 from wickspring.common.endpoints import Endpoint
 from wickspring.common.messages import NodeStatus
 from wickspring.common.status import ReplicationStatus
@@ -31,7 +32,7 @@
     disk: str
     epoch: int
     safe_epoch: int
-    version: int
+    version: int  # 0 for r0 and for none; `generation` tells them apart
     leaving: int
     leaving_sum: int
     identity: bytes
@@ -39,6 +40,7 @@
     zone: str
     control: str
     reachable: list[str]
+    generation: str | None  # its committed configuration; None where it knows of none
 
 
 class EndpointStatus(msgspec.Struct, frozen=True, rename={"heartbeat_age_s": "silent_s"}):
@@ -104,10 +106,12 @@
         contact=contact,
         frozen=chain.frozen,
         steady=replication.holds_lease,
-        stored_version=chain.replica.config.version,
-        committed_version=chain.committed.config.version,
+        stored_version=version_to_wire(chain.replica.config.version),
+        committed_version=version_to_wire(chain.committed.config.version),
         disk_id=chain.me.disk_id,
         tolerance_shortfalls=replication.tolerance_shortfalls(),
+        stored_generation=generation_of(chain.replica.config.version),
+        committed_generation=generation_of(chain.committed.config.version),
     )
 
 
@@ -123,7 +127,8 @@
         disk=reported.disk_id,
         epoch=reported.epoch,
         safe_epoch=reported.config_epoch,
-        version=reported.config_version,
+        version=version_to_wire(reported.committed_version),
+        generation=generation_of(reported.committed_version),
         leaving=reported.departure_count,
         leaving_sum=reported.departure_checksum,
         identity=reported.config_identity,
--- a/wickspring/controlplane/storage_legacy.py
+++ b/wickspring/controlplane/storage_legacy.py
@@ -94,17 +94,23 @@
         return None
     durable: dict[str, PackedValue] = msgpack.unpackb(parts["chain"])
     view = convert_packed(durable["view"], StoredView)
-    version, departures = convert_packed(msgpack.unpackb(parts["hold"]), tuple[int, object])
-    document = parts.get("document", b"") if version else b""
-    config = Config(view.epoch, version, document, digest_of(document) if version else b"")
-    if not config.complete:
-        raise CorruptStoreError(f"r{version} has no text")
+    number, departures = convert_packed(msgpack.unpackb(parts["hold"]), tuple[int, object])
+    config = _read_config(view.epoch, number, parts.get("document", b""))
     replica = Replica(config, _read_departures(db, schema, departures))
     accepted = _upgrade_accepted(durable["accepted"], view.epoch, replica)
     durable |= {"view": view.upgraded(), "accepted": accepted}
     return LegacyState(durable, replica, parts.get("servers"))
 
 
+def _read_config(epoch: int, version: int, document: bytes) -> Config:
+    """Return the configuration; in these schemas number 0 was none, whatever text was left beside it."""
+    if not version:
+        return Config(epoch)
+    if not document:
+        raise CorruptStoreError(f"r{version} has no text")
+    return Config(epoch, version, document, digest_of(document))
+
+
 def _upgrade_accepted(stored: object, epoch: int, replica: Replica) -> PackedFields | None:
     """Return an accepted view with the state that it starts with; None where its epoch is over."""
     if stored is None:
--- a/wickspring/controlplane/storage_records.py
+++ b/wickspring/controlplane/storage_records.py
@@ -23,6 +23,7 @@
 
 import msgpack
 
+from wickspring.common.config_version import version_label, version_to_wire
 from wickspring.common.digest import digest_of
 from wickspring.controlplane import storage_legacy
 from wickspring.controlplane.replication.packing import PackedState
@@ -89,7 +90,7 @@
     parts = {
         "chain": msgpack.packb(votes),
         "accepted": msgpack.packb(durable["accepted"]),
-        "config": msgpack.packb([config.epoch, config.version, config.digest, *tables]),
+        "config": msgpack.packb([config.epoch, version_to_wire(config.version), config.digest, *tables]),
         "document": config.document,
     }
     parts[CHECKSUMS_PART] = b"".join(_part_checksum(name, parts[name], saved) for name in CHECKSUMMED_PARTS)
@@ -97,9 +98,9 @@
 
 
 def _check_document(config: Config) -> None:
-    expected = digest_of(config.document) if config.version else b""
+    expected = digest_of(config.document) if config.version is not None else b""
     if not check_invariant(config.complete and config.digest == expected, "what is saved is complete"):
-        raise ValueError(f"r{config.version} is not complete")
+        raise ValueError(f"configuration {version_label(config.version)} is not complete")
 
 
 def _part_checksum(name: str, data: bytes, saved: Records) -> bytes:
--- a/wickspring/ctl/reports.py
+++ b/wickspring/ctl/reports.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from wickspring.common.status import ReplicationStatus
 
@@ -39,6 +40,7 @@
     behind: list[str]
     disk_id: str = UNKNOWN
     version: int | None = None
+    generation: str | UnsetType | None = UNSET
 
 
 class StatusReport(
@@ -158,8 +160,8 @@
         control_plane=address,
         state=node_state(chain).value,
         epoch=chain.epoch,
-        stored=f"r{chain.stored_version}",
-        committed=f"r{chain.committed_version}",
+        stored=_generation(chain.stored_generation, chain.stored_version),
+        committed=_generation(chain.committed_generation, chain.committed_version),
         endpoints=len(report.endpoints),
         data_planes=",".join(report.data_planes) or NOTHING,
         shortfalls=chain.tolerance_shortfalls,
@@ -187,7 +189,15 @@
     peer = report.peer_nodes.get(ip)
     if peer is None:  # the node that was asked
         chain = report.replication
-        return ReplicaRow(position, ip, True, f"r{chain.committed_version}", chain.disk_id, NOTHING)
-    version = UNKNOWN if peer.version is None else peer.version
+        committed = _generation(chain.committed_generation, chain.committed_version)
+        return ReplicaRow(position, ip, True, committed, chain.disk_id, NOTHING)
+    committed = f"r{UNKNOWN}" if peer.version is None else _generation(peer.generation, peer.version)
     behind = "; ".join(peer.behind) or NOTHING
-    return ReplicaRow(position, ip, peer.is_live, f"r{version}", peer.disk_id, behind)
+    return ReplicaRow(position, ip, peer.is_live, committed, peer.disk_id, behind)
+
+
+def _generation(generation: str | UnsetType | None, version: int) -> str:
+    """Return a version for a table; nodes of earlier versions report its number alone."""
+    if generation is UNSET:
+        return f"r{version}"
+    return NOTHING if generation is None else generation
--- a/wickspring/dataplane/control_client/client.py
+++ b/wickspring/dataplane/control_client/client.py
@@ -9,6 +9,7 @@
 import trio
 
 from wickspring.common.config_status import ConfigStatus, QuorumContact
+from wickspring.common.config_version import version_from_wire, version_to_wire
 from wickspring.common.connection import HEARTBEAT_MS, PeerConnection
 from wickspring.common.messages import (
     ROLE_DATA_PLANE,
@@ -83,7 +84,7 @@
     def is_synchronized(self) -> bool:
         """Whether a configuration and the endpoints of most control-plane members are known."""
         member_count = len(self.connections.owners.members) or len(self._settings.seed_addrs)
-        if not self.config.routing_table.version:
+        if self.config.routing_table.version is None:
             return False
         return self.endpoint_sync.complete_from_majority(member_count)
 
@@ -92,7 +93,7 @@
     def on_connect(self, connection: PeerConnection) -> None:
         """Introduce this data plane on a new connection."""
         identity = self.config.identity
-        attributes = HelloAttributes(identity.version, identity.digest, self._settings.zone)
+        attributes = HelloAttributes(version_to_wire(identity.version), identity.digest, self._settings.zone)
         connection.send(Hello(ROLE_DATA_PLANE, self._settings.ip, attributes))
         status_of(connection).sent_config = identity
         self.quota.send_usage(connection)
@@ -153,7 +154,8 @@
         if reply.config_digest:  # else as last reported on this connection
             status.committed_digest = reply.config_digest
         if reply.contact > QuorumContact.NONE:
-            self.config.confirm(reply.config_version, status.committed_digest)
+            version = version_from_wire(reply.config_version, status.committed_digest)
+            self.config.confirm(version, status.committed_digest)
 
     # Periodic work.
 
@@ -181,5 +183,5 @@
         connection = client.connection
         if connection is None or status_of(connection).sent_config == identity:
             client.send(DataPlaneHeartbeat())
-        elif client.send(DataPlaneHeartbeat(identity.version, identity.digest)):
+        elif client.send(DataPlaneHeartbeat(version_to_wire(identity.version), identity.digest)):
             status_of(connection).sent_config = identity
--- a/wickspring/dataplane/control_client/config_sync.py
+++ b/wickspring/dataplane/control_client/config_sync.py
@@ -8,6 +8,7 @@
 
 from wickspring.common import logs
 from wickspring.common.config_status import ConfigStatus
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.digest import digest_of
 from wickspring.common.messages import ConfigOffer
 from wickspring.common.routing_table import RoutingTable, build_routing_table
@@ -47,7 +48,7 @@
             logs.log_event("config_digest_mismatch", version=copy.version, digest=copy.digest.hex())
         self._adopt(copy)
 
-    def confirm(self, version: int, digest: bytes) -> None:
+    def confirm(self, version: ConfigVersion, digest: bytes) -> None:
         """Take note of what a node in contact with a quorum reports as committed."""
         copy = self.adoption.confirm(self._clock.now(), version, digest)
         if copy is not None:
--- a/wickspring/dataplane/control_client/connections.py
+++ b/wickspring/dataplane/control_client/connections.py
@@ -15,6 +15,7 @@
 import trio
 
 from wickspring.common.config_status import QuorumContact
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.connection import PeerConnection
 from wickspring.common.messages import CONTROL_PLANE_MESSAGES, ControlPlaneMessage
 from wickspring.common.reconnecting_client import ConnectionHandler, ReconnectingClient
@@ -29,7 +30,7 @@
 class ConfigIdentity(NamedTuple):
     """What tells two configurations apart."""
 
-    version: int
+    version: ConfigVersion
     digest: bytes  # of the document, uncompressed
 
 
--- a/wickspring/dataplane/local_state.py
+++ b/wickspring/dataplane/local_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wickspring.common.config_version import ConfigVersion, is_newer, version_to_wire
 from wickspring.common.connection import PeerConnection
 from wickspring.common.messages import ConfigOffer, EndpointRecord, EndpointSnapshot, PeerReply, StateDigest
 from wickspring.dataplane.control_client.client import ControlClient
@@ -21,9 +22,11 @@
         """Return what other data planes compare with theirs."""
         adopted = self._control_client.config.adoption
         departure_count = len(self._endpoints.departures)
-        return StateDigest(adopted.version, adopted.digest, departure_count, self._endpoints.digest())
+        return StateDigest(
+            version_to_wire(adopted.version), adopted.digest, departure_count, self._endpoints.digest()
+        )
 
-    def send(self, connection: PeerConnection, version: int, digest: bytes) -> None:
+    def send(self, connection: PeerConnection, version: ConfigVersion, digest: bytes) -> None:
         """Send all that is known; the configuration only if newer than, or of another text than, these."""
         self._send_config(connection, version, digest)
         now = self._clock.now()
@@ -35,11 +38,13 @@
         in_contact = self._control_client.in_contact
         connection.send(EndpointSnapshot(records, self._endpoints.departures, in_contact))
 
-    def _send_config(self, connection: PeerConnection, version: int, digest: bytes) -> None:
+    def _send_config(self, connection: PeerConnection, version: ConfigVersion, digest: bytes) -> None:
         config = self._control_client.config
         own_version = config.adoption.version
         own_digest = config.adoption.digest
-        if own_version > version or (own_version == version and own_digest != digest):
+        if own_version is None:
+            return
+        if is_newer(own_version, version) or (own_version == version and own_digest != digest):
             status = self._control_client.config_status
             connection.send(ConfigOffer(own_version, config.compressed_document, own_digest, status))
 
--- a/wickspring/dataplane/policy/config_adoption.py
+++ b/wickspring/dataplane/policy/config_adoption.py
@@ -16,6 +16,7 @@
 from enum import Enum
 
 from wickspring.common.config_status import ConfigStatus
+from wickspring.common.config_version import ConfigVersion, is_newer
 
 FALLBACK_AFTER_MS = 1500.0  # without a process in contact, until the last known copy is adopted
 
@@ -44,7 +45,7 @@
     """The configuration that one data plane has adopted, and the copy that it keeps in reserve."""
 
     def __init__(self, now: float) -> None:
-        self.version = 0
+        self.version: ConfigVersion = None
         self.digest = b""
         self.status = ConfigStatus.STORED
         self.pending: ConfigCopy | None = None
@@ -54,13 +55,14 @@
         """Return what to do with a copy; it counts as adopted only with `adopted`."""
         if copy.status is ConfigStatus.CURRENT:
             self._last_contact_at = now
-        if copy.version < self.version or not copy.version:
+        if is_newer(self.version, copy.version):
             return AdoptionAction.IGNORE
         if copy.version == self.version:
             return self._same_version(copy, by_control_plane)
-        if copy.status is ConfigStatus.CURRENT or (self.version and copy.status is ConfigStatus.COMMITTED):
+        has_config = self.version is not None
+        if copy.status is ConfigStatus.CURRENT or (has_config and copy.status is ConfigStatus.COMMITTED):
             return AdoptionAction.ADOPT
-        if self.version:
+        if has_config:
             return AdoptionAction.IGNORE
         best = self.pending
         if best is None or (copy.status, copy.version) > (best.status, best.version):
@@ -77,20 +79,22 @@
             return AdoptionAction.FENCE
         return AdoptionAction.IGNORE
 
-    def confirm(self, now: float, version: int, digest: bytes) -> ConfigCopy | None:
+    def confirm(self, now: float, version: ConfigVersion, digest: bytes) -> ConfigCopy | None:
         """Take note of what a process in contact reports as committed; return the copy that awaited this."""
         self._last_contact_at = now
+        if version is None:
+            return None
         pending = self.pending
         committed = (version, digest)
-        if version and committed == (self.version, self.digest):
+        if committed == (self.version, self.digest):
             self.status = ConfigStatus.COMMITTED
-        elif not self.version and pending is not None and committed == (pending.version, pending.digest):
+        elif self.version is None and pending is not None and committed == (pending.version, pending.digest):
             return ConfigCopy(version, digest, pending.compressed_document, ConfigStatus.CURRENT)
         return None
 
     def fallback(self, now: float) -> ConfigCopy | None:
         """Return the pending copy once nobody in contact has reported any for `FALLBACK_AFTER_MS`."""
-        due = not self.version and now - self._last_contact_at >= FALLBACK_AFTER_MS
+        due = self.version is None and now - self._last_contact_at >= FALLBACK_AFTER_MS
         return self.pending if due else None
 
     def adopted(self, copy: ConfigCopy) -> None:
--- a/wickspring/dataplane/readiness.py
+++ b/wickspring/dataplane/readiness.py
@@ -55,7 +55,7 @@
             return True
         if self._clock.now() - self._started_at <= READY_BY_ONE_MS:
             return False
-        has_config = control_client.config.routing_table.version > 0
+        has_config = control_client.config.routing_table.version is not None
         return has_config and bool(control_client.endpoint_sync.complete_from)
 
 
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -165,4 +165,5 @@
 
     def can_route(self) -> bool:
         """Return whether a configuration and endpoints are known."""
-        return bool(self.config.routing_table.version and self.endpoints.accepting)
+        has_config = self.config.routing_table.version is not None
+        return has_config and bool(self.endpoints.accepting)
--- a/wickspring/dataplane/state_exchange.py
+++ b/wickspring/dataplane/state_exchange.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from wickspring.common.config_version import ConfigVersion, is_newer, version_from_wire
 from wickspring.common.connection import PeerConnection
 from wickspring.common.messages import (
     PEER_REPLIES,
@@ -35,7 +36,7 @@
     def digest(self) -> StateDigest:
         """Return what data planes compare to find out who is behind."""
 
-    def send(self, connection: PeerConnection, version: int, digest: bytes) -> None:
+    def send(self, connection: PeerConnection, version: ConfigVersion, digest: bytes) -> None:
         """Send all that is known; the configuration only if newer than, or of another text than, these."""
 
     def on_peer_message(self, connection: PeerConnection, message: PeerReply) -> None:
@@ -70,9 +71,10 @@
 
     def _is_wanted(self, theirs: StateDigest) -> bool:
         own = self.local_state.digest()
-        if theirs.config_version > own.config_version or theirs.departure_count > own.departure_count:
+        is_newer_config = is_newer(theirs.version, own.version)
+        if is_newer_config or theirs.departure_count > own.departure_count:
             return True
-        other_text = theirs.config_version == own.config_version and theirs.config_digest != own.config_digest
+        other_text = theirs.version == own.version and theirs.config_digest != own.config_digest
         differs = other_text or theirs.endpoints_digest != own.endpoints_digest
         return differs and self.local_state.is_isolated()
 
@@ -105,5 +107,6 @@
 
     def on_fetch(self, connection: PeerConnection, request: PeerRequest) -> None:
         """Answer a fetch, and close the connection once all is sent."""
-        self.local_state.send(connection, request.config_version, request.config_digest)
+        version = version_from_wire(request.config_version, request.config_digest)
+        self.local_state.send(connection, version, request.config_digest)
         connection.link.finish()
--- a/wickspring/lab/experiments/storage_cost.py
+++ b/wickspring/lab/experiments/storage_cost.py
@@ -17,6 +17,7 @@
 
 from wickspring.command_line.errors import CommandError
 from wickspring.command_line.runner import run_single
+from wickspring.common.config_version import version_order
 from wickspring.controlplane.replication.packing import PackedState, PackedValue
 from wickspring.controlplane.replication.replica import Replica, Update
 from wickspring.controlplane.storage import ReplicaStore
@@ -59,7 +60,7 @@
 
     def change_config(self) -> None:
         """Apply a configuration of the next version."""
-        number = self.replica.config.version + 1
+        number = version_order(self.replica.config.version) + 1
         self.replica.apply(Update(number, b"%d " % number + self.random.randbytes(self.size)), 1)
 
     def add_departure(self) -> None:
--- a/wickspring/lab/simulation/gossip.py
+++ b/wickspring/lab/simulation/gossip.py
@@ -17,6 +17,7 @@
 import trio
 import trio.testing
 
+from wickspring.common.config_version import ConfigVersion, is_newer, version_to_wire
 from wickspring.common.connection import PeerConnection
 from wickspring.common.digest import DIGEST_SIZE
 from wickspring.common.messages import EndpointRecord, PeerReply, StateDigest
@@ -85,7 +86,7 @@
 
     def __init__(self, group: DataPlaneGroup, number: int, nursery: trio.Nursery) -> None:
         self.ip = f"10.0.{number // 250}.{number % 250 + 1}"
-        self.version = 0
+        self.version: ConfigVersion = None
         self.socket = VirtualSocket(group.network, self.ip)
         random = Random(group.random.getrandbits(32))
         exchange = VirtualStateExchange(group, nursery, self)
@@ -99,9 +100,11 @@
 
     def digest(self) -> StateDigest:
         """Return the state to compare."""
-        return StateDigest(self.version, bytes(DIGEST_SIZE) if self.version else b"", 0, 0)
+        return StateDigest(
+            version_to_wire(self.version), b"" if self.version is None else bytes(DIGEST_SIZE), 0, 0
+        )
 
-    def send(self, connection: PeerConnection, version: int, digest: bytes) -> None:
+    def send(self, connection: PeerConnection, version: ConfigVersion, digest: bytes) -> None:
         """Send nothing."""
 
     def on_peer_message(self, connection: PeerConnection, message: PeerReply) -> None:
@@ -134,7 +137,7 @@
         await trio.sleep(FETCH_S)
         if {own.ip, ip} & (network.dead | network.muted):
             return
-        if other.version > own.version:
+        if is_newer(other.version, own.version):
             other.socket.bytes_sent += CONFIG_BYTES
             own.version = other.version
 
--- a/wickspring/lab/simulation/replication/group.py
+++ b/wickspring/lab/simulation/replication/group.py
@@ -20,6 +20,7 @@
 
 import msgpack
 
+from wickspring.common.config_version import is_newer, version_label
 from wickspring.controlplane.replication import messages as chain_messages
 from wickspring.controlplane.replication.chain import ReplicationChain
 from wickspring.controlplane.replication.lease import MAX_CLOCK_DRIFT, Lease, granted_epoch
@@ -92,7 +93,7 @@
         node.available_at = self.now
         node.lease = self.lease_type()
         node.has_received = False
-        node.committed = (0, 0, b"")
+        node.committed = (0, None, b"")
         node.known_addresses = set(self.nodes) - {node.ip}  # the seeds of its settings
         node.clock_rate = self.random.uniform(1.0 - MAX_CLOCK_DRIFT / 2, 1.0 + MAX_CLOCK_DRIFT / 2)
         self.step(node, lambda: chain.start(self.now))
@@ -177,13 +178,13 @@
             self.fail(f"{node.ip} calls safe what it does not hold")
         current = committed.epoch, committed.version, committed.digest
         if newly_committed and not node.has_received and len(chain.view.chain) > 1:
-            self.fail(f"{node.ip} hands out r{committed.version} before it has heard another")
+            self.fail(f"{node.ip} hands out {version_label(committed.version)} before it has heard another")
         if current == node.committed:
             return
         _, version, digest = node.committed
-        has_other_text = committed.version == version and version and committed.digest != digest
-        if committed.version < version or has_other_text:
-            self.fail(f"{node.ip} called r{version} safe, and now {current}")
+        has_other_text = committed.version == version and committed.digest != digest
+        if is_newer(version, committed.version) or has_other_text:
+            self.fail(f"{node.ip} called {version_label(version)} safe, and now {current}")
         self.checker.on_committed(node.ip, committed)
         node.committed = current
 
--- a/wickspring/lab/simulation/replication/node.py
+++ b/wickspring/lab/simulation/replication/node.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from wickspring.common.config_version import ConfigVersion
 from wickspring.controlplane.replication.chain import ReplicationChain
 from wickspring.controlplane.replication.lease import Lease
 from wickspring.controlplane.replication.packing import PackedState
@@ -34,7 +35,11 @@
     known_addresses: set[str] = field(default_factory=set)  # of other nodes
     observations: dict[str, tuple[float, PeerObservation]] = field(default_factory=dict)  # with times, ms
     has_received: bool = False  # a message of another node's chain, since its start
-    committed: tuple[int, int, bytes] = (0, 0, b"")  # epoch, version, digest: considered committed last
+    committed: tuple[int, ConfigVersion, bytes] = (
+        0,
+        None,
+        b"",
+    )  # epoch, version, digest: considered committed last
     available_at: float = 0.0  # ms: since then, or from then on, it counts as available
     stopping: bool = False
     lease: Lease = field(default_factory=Lease)
@@ -59,5 +64,5 @@
 
     update: Update
     origin: str  # address of the node that took it
-    acknowledged: int  # the highest version that was acknowledged when it was sent
+    acknowledged: ConfigVersion  # the highest version that was acknowledged when it was sent
     answer: Callable[[CommitOutcome], None]
--- a/wickspring/lab/simulation/replication/operators.py
+++ b/wickspring/lab/simulation/replication/operators.py
@@ -1,8 +1,8 @@
 """Operators of the simulated replication group.
 
-Operators reuse versions with other texts: two at once, eight updates together, an update sent again to any
-node whose answer was lost, old versions, texts that come back under a later version, and one who goes on
-until he is answered. `invariant_checker` checks what they are answered.
+Operators number from 0 on, and reuse versions with other texts: two at once, eight updates together, an
+update sent again to any node whose answer was lost, old versions, texts that come back under a later version,
+and one who goes on until he is answered. `invariant_checker` checks what they are answered.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from random import Random
 
+from wickspring.common.config_version import ConfigVersion, version_order
 from wickspring.controlplane.replication.replica import CommitOutcome, Update
 
 
@@ -21,8 +22,8 @@
     ) -> None:
         self.random, self.send = random, send
         self.sent: list[Update] = []
-        self.highest_sent = 0  # the highest version that was sent
-        self.highest_acknowledged = 0  # version
+        self.highest_sent: ConfigVersion = None
+        self.highest_acknowledged: ConfigVersion = None
 
     def draw_update(self, size: int = 0) -> Update:
         """Draw an update: most often of a new version, which another may be using at this moment."""
@@ -30,13 +31,10 @@
         if self.sent and kind < 0.15:
             return draw.choice(self.sent[-20:])
         if self.sent and kind < 0.25:  # an old version once more, with another text
-            version = draw.choice(self.sent).version
+            version = version_order(draw.choice(self.sent).version)
         else:
-            version = max(
-                1,
-                draw.choice((self.highest_acknowledged, self.highest_acknowledged, self.highest_sent))
-                + draw.choice((0, 1, 1, 1, 2)),
-            )
+            known = draw.choice((self.highest_acknowledged, self.highest_acknowledged, self.highest_sent))
+            version = max(0, version_order(known) + draw.choice((0, 1, 1, 1, 2)))
         if self.sent and kind > 0.9:  # back to an earlier text
             document = draw.choice(self.sent[-8:]).document
         else:
@@ -44,7 +42,7 @@
         leaving = {f"i{draw.randint(0, 40)}": draw.randint(1, 2)} if draw.random() < 0.1 else {}
         one = Update(version, document, leaving)
         self.sent.append(one)
-        self.highest_sent = max(self.highest_sent, version)
+        self.highest_sent = max(self.highest_sent, version, key=version_order)
         return one
 
     def send_some(self, ips: list[str], most: int = 8) -> None:
@@ -55,6 +53,6 @@
 
             def on_outcome(outcome: CommitOutcome, one: Update = one) -> None:
                 if outcome == CommitOutcome.COMMITTED:
-                    self.highest_acknowledged = max(self.highest_acknowledged, one.version)
+                    self.highest_acknowledged = max(self.highest_acknowledged, one.version, key=version_order)
 
             self.send(self.random.choice(ips), one, on_outcome)
--- a/wickspring/lab/simulation/state_exploration.py
+++ b/wickspring/lab/simulation/state_exploration.py
@@ -120,8 +120,9 @@
             if to in self.chains or to != self.lost:
                 self.network[repr((ip, to, message.encode()))] = Transit(ip, to, message)
         config = chain.committed.config
-        for version, digest in (*config.history, (config.version, config.digest)):
-            if version and self.committed.setdefault(version, digest) != digest:
+        texts = [] if config.version is None else [*config.history, (config.version, config.digest)]
+        for version, digest in texts:
+            if self.committed.setdefault(version, digest) != digest:
                 raise InvariantBrokenError(f"r{version} is safe with two texts, the other at {ip}")
         for ticket, outcome in effects.outcomes:
             self._on_outcome(ip, ticket, outcome)
@@ -130,7 +131,7 @@
         """Check the outcome of an update."""
         update = self.updates[ticket]
         digest = digest_of(update.document)
-        committed = self.committed.get(update.version)
+        committed = None if update.version is None else self.committed.get(update.version)
         if outcome == CommitOutcome.COMMITTED:
             if committed not in (None, digest):
                 raise InvariantBrokenError(
@@ -164,7 +165,7 @@
         for ip, chain in self.chains.items():
             config = chain.replica.config
             content = config.digest, config.history
-            if config.version and configs.setdefault(config.rank, content) != content:
+            if config.version is not None and configs.setdefault(config.rank, content) != content:
                 raise InvariantBrokenError(f"two copies of {config.rank} differ, one at {ip}")
 
     def _check_newest_chain(self) -> None:
