Reserve for an unresponsive data plane as long as another node says, 0 included

What callers would see: less of a quota than they have, for a span.

`lasts_ms or longest_ms` took a remaining time of 0 for "not told", and reserved for the whole span.

Evidence: found by reading for that habit; the new test failed before (`test_a_remaining_time_of_0_reserves_nothing`).

Change: None alone means "not told".

--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -204,6 +204,15 @@
     assert counter.usage["t"].shares["cut"] == share == 1.0 / 3.0
 
 
+def test_a_remaining_time_of_0_reserves_nothing() -> None:
+    """Guards against a 0 from another node that is taken for "not told", and so for the whole span."""
+    counter = QuotaCounter(SPAN_S, EXCESS, SLACK)
+    counter.mark_unresponsive(0.0, "cut", 0.0)
+    assert counter.unresponsive_for_ms(0.0) == {}
+    counter.mark_unresponsive(0.0, "cut")
+    assert counter.unresponsive_for_ms(0.0)["cut"] > 1000.0 * SPAN_S / 2
+
+
 def test_few_units_say_nothing_of_shares() -> None:
     counter = QuotaCounter(SPAN_S, EXCESS, SLACK)
     counter.record_spent(0.0, "t", "cut", 20.0, 20.0)
--- a/wickspring/controlplane/quota_counter.py
+++ b/wickspring/controlplane/quota_counter.py
@@ -117,7 +117,8 @@
         others' from the same time, so a share of them would grow towards the whole.
         """
         longest_ms = reservation_ms(self.span_s)
-        if not self.unresponsive.mark(now, data_plane, min(lasts_ms or longest_ms, longest_ms)):
+        reserved_ms = longest_ms if lasts_ms is None else min(lasts_ms, longest_ms)
+        if not self.unresponsive.mark(now, data_plane, reserved_ms):
             return
         window = self._window(now)
         for usage in self.usage.values():
