Bound a long response by the time of its request alone

Cause, of both: once a response streamed, its deadline was cancelled and replaced by `STALL_S`, 15 s without a byte. That is the ingress's rule, whose connections the gateway shares.

Change: the gateway's exchanges keep their deadline to the end and have no other bound, for pauses of servers, clients that read slowly, and bodies that a server reads slowly.

--- a/wickspring/dataplane/upstream.py
+++ b/wickspring/dataplane/upstream.py
@@ -88,6 +88,9 @@
     id: str
     on_headers: Callable[[Headers], None] = _ignore_headers  # of each buffered response
     on_stream: Callable[[ResponseHead], ResponseSink | None] = _refuse_stream  # None buffers on
+    deadline_bounds_transfer: bool = (
+        True  # the route's timeout, or the client's deadline where that is earlier
+    )
 
 
 def end_to_end_headers(pairs: HeaderPairs) -> HeaderPairs:
--- a/wickspring/net/upstream/exchange.py
+++ b/wickspring/net/upstream/exchange.py
@@ -74,6 +74,8 @@
     open_sink: Callable[[int | None], ResponseSink | None] = _no_sink
     server_connection: ServerConnection | None = None
     timer: Timer | None = None  # of the deadline
+    # Whether the deadline ends a transfer too; else it ends once a side moves no byte for `http1.STALL_S`.
+    deadline_bounds_transfer: bool = False
     ended: bool = False
 
     def finish(self, result: ExchangeResult) -> None:
--- a/wickspring/net/upstream/http1.py
+++ b/wickspring/net/upstream/http1.py
@@ -21,6 +21,11 @@
 STALL_S = 15.0  # for a peer that moves no byte of a transfer; slow ones take seconds
 
 
+def _stall_s(exchange: ServerExchange) -> float:
+    """Return for how long a side may move no byte of a transfer; the deadline may be the only bound."""
+    return math.inf if exchange.deadline_bounds_transfer else STALL_S
+
+
 class Http1ServerConnection:
     """A connection in the pool."""
 
@@ -78,7 +83,7 @@
     async def _write_body(self, exchange: ServerExchange, body_stream: BodyStream, link: Link) -> None:
         """Write the rest of a long body as it arrives and as the server reads it."""
         while True:
-            with trio.move_on_after(STALL_S) as stalled:
+            with trio.move_on_after(_stall_s(exchange)) as stalled:
                 await link.wait_writable()
             if stalled.cancelled_caught and self.exchange is exchange:
                 self.close(ClosedBy.PEER)
@@ -106,7 +111,7 @@
         self.upstream.dial_succeeded(self.connection, 1)
         while not self.closed:
             data: bytes | None = None
-            with trio.move_on_after(STALL_S if self._sink is not None else math.inf):
+            with trio.move_on_after(self._silence_s()):
                 data = await link.receive()
             if data is None or self.exchange is None:
                 break  # broken, or something sent unasked, a close most of all
@@ -123,15 +128,22 @@
                 break
         self.close(ClosedBy.PEER)
 
+    def _silence_s(self) -> float:
+        """Return for how long the server may send nothing."""
+        if self.exchange is None or self._sink is None:
+            return math.inf
+        return _stall_s(self.exchange)
+
     async def _stream(self, exchange: ServerExchange) -> bool:
         """Pass on what has arrived of a streamed response; False where nobody wants it any more."""
         if self._sink is None:
-            exchange.cancel_deadline()
+            if not exchange.deadline_bounds_transfer:
+                exchange.cancel_deadline()
             self._sink = self.open_sink(exchange)
         if self._sink is None or self.exchange is not exchange:
             return False
         self._sink.write_body(self.reader.take_body())
-        with trio.move_on_after(STALL_S):
+        with trio.move_on_after(_stall_s(exchange)):
             return await self._sink.wait_writable() and self.exchange is exchange
         return False
 
