Let a body take as long as its request may last

Cause: the front ends bodies by constants of the ingress (2.5 s and 1 ms for 32 bytes); the gateway took over the operator's other limits and left this one.

Change: each program says until when a body may come (`HttpServer.body_expires_at`). In the gateway a pause is bounded by the operator's idle timeout, the whole by the time of its request, which answers 504 once it has been passed on.

`test_a_request_whose_streamed_body_stops_is_not_refused` had bodies that stop and routes of 9 s; such requests are now answered 504 at 9 s, which a further test demands. The test keeps its check with routes of 40 s, where the idle timeout comes first.

The tests of dataplane, net and common pass.

--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -179,10 +179,22 @@
 
 
 def test_a_request_whose_streamed_body_stops_is_not_refused() -> None:
+    seen = run_stopped_bodies(timeout_s=40.0)
+    assert seen["told[502]"] + seen["closed to the client"] == 30 and seen["closed to the client"] > 10
+
+
+def test_a_request_whose_streamed_body_stops_is_answered_at_its_deadline() -> None:
+    """Guards against an upload that is cut without an answer before the time of its request is over."""
+    seen = run_stopped_bodies(timeout_s=9.0)
+    assert seen["told[502]"] + seen["told[504]"] == 30 and seen["told[504]"] > 10
+
+
+def run_stopped_bodies(timeout_s: float) -> Counter[str]:
     seen: Counter[str] = Counter()
     for seed in range(10):
-        seen.update(StoppedBodies(seed, fault_share=1.0, only_faults=("early",), timeout_s=9.0).run().seen)
-    assert seen["told[502]"] + seen["closed to the client"] == 30 and seen["closed to the client"] > 10
+        run = StoppedBodies(seed, fault_share=1.0, only_faults=("early",), timeout_s=timeout_s)
+        seen.update(run.run().seen)
+    return seen
 
 
 def always_true(*_: object, **__: object) -> bool:
--- a/wickspring/dataplane/limits.py
+++ b/wickspring/dataplane/limits.py
@@ -1,4 +1,4 @@
-"""Limits that follow from a configuration: connections to endpoints, and what one client may send."""
+"""Limits that follow from a configuration: connections to endpoints; what a client may send, and how long."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 
 from wickspring.common.routing_table import ClientLimits, RoutingTable
 from wickspring.connections.limits import ConnectionLimits
+from wickspring.dataplane.request.validation import longest_ms
 from wickspring.net.front_limits import FrontLimits
+from wickspring.net.request_body import ArrivingRequest
 
 CONNECTION_SHARE = 0.9  # of an endpoint's connections that all data planes together open
 MIN_CONNECTIONS = 3  # to one endpoint
@@ -34,6 +36,21 @@
     )
 
 
+def body_expires_at(request: ArrivingRequest, routing_table: RoutingTable) -> float:
+    """Return until when the body of a request may take to come (ms).
+
+    A pause is bounded by the operator's idle timeout. The whole is bounded by the time of the request, which
+    ends it with a response once it has been passed on; before that, a client with a short deadline still has
+    what the size of its body allows.
+    """
+    stalls_at = request.last_received_at + request.limits.idle_ms
+    if request.is_passed_on:
+        return stalls_at
+    by_time = request.body.started_at + longest_ms(routing_table, request.headers, request.target)
+    by_size = request.body.expires_at(request.limits.body_ms)
+    return min(stalls_at, max(by_time, by_size))
+
+
 def connection_limits(routing_table: RoutingTable, data_plane_count: int) -> ConnectionLimits:
     """Return the limits on connections to one endpoint for this data plane's even share of them.
 
--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -24,7 +24,7 @@
 from wickspring.dataplane.control_client.client import ControlClient
 from wickspring.dataplane.endpoint_table import EndpointTable
 from wickspring.dataplane.gossip import GossipNode
-from wickspring.dataplane.limits import INITIAL_LIMITS, connection_limits, front_limits
+from wickspring.dataplane.limits import INITIAL_LIMITS, body_expires_at, connection_limits, front_limits
 from wickspring.dataplane.local_state import DataPlaneState
 from wickspring.dataplane.metrics import collect_samples
 from wickspring.dataplane.policy.endpoint_selection import EndpointSelector
@@ -46,6 +46,7 @@
 from wickspring.net.front_limits import FrontLimits
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.octets import NO_OCTETS, Headers
+from wickspring.net.request_body import ArrivingRequest
 from wickspring.net.upstream.manager import UpstreamManager
 
 RESERVED_FDS = 200  # descriptors that are not for clients or endpoints
@@ -135,6 +136,10 @@
         """Close a connection to an endpoint that carries nothing; False where there is none."""
         return self.upstream.close_longest_idle()
 
+    def body_expires_at(self, request: ArrivingRequest) -> float:
+        """Return until when a body may take to come (ms): by the operator's and the client's limits."""
+        return body_expires_at(request, self.control_client.config.routing_table)
+
     @property
     def active_streams(self) -> int:
         """How many requests with a streamed body or a streamed response are in flight."""
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -34,6 +34,13 @@
     return float(text) if _MILLISECONDS.fullmatch(text) else math.inf
 
 
+def longest_ms(routing_table: RoutingTable, headers: Headers, target: str) -> float:
+    """Return how long a request may last: to the client's deadline, or the route's timeout."""
+    deadline_ms = min(client_deadline_ms(headers), MAX_DEADLINE_MS)
+    route = routing_table.route(headers.get("host", NO_OCTETS), target)
+    return deadline_ms if route is None else min(deadline_ms, 1000.0 * route.timeout_s)
+
+
 class RequestValidator:
     """Makes a `Request` of what a client has sent, or refuses it."""
 
--- a/wickspring/net/http1_front.py
+++ b/wickspring/net/http1_front.py
@@ -127,7 +127,7 @@
         self._adopt_limits()
         limits = self.limits
         if self.request is not None:
-            return self.body.expires_at(limits.body_ms)
+            return self.server.body_expires_at(self.arriving_request(self.request))
         if not self.is_idle():
             return self.started_at + limits.head_ms
         if self.has_received_request:
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -21,7 +21,7 @@
 from wickspring.net.http_server import HttpRequest, HttpServer
 from wickspring.net.link import Link
 from wickspring.net.octets import HeaderPair, HeaderPairs, Headers, decode_octets, decode_pairs
-from wickspring.net.request_body import RequestBody
+from wickspring.net.request_body import ArrivingRequest, RequestBody
 from wickspring.net.unanswered import EndReason
 
 MAX_READ_AHEAD = (
@@ -116,7 +116,9 @@
             return
         paused_at = self.server.clock.now()
         await body.stream.wait_writable()
-        body.started_at += self.server.clock.now() - paused_at  # no fault of the client's
+        # The pause is no fault of the client's.
+        self.last_received_at = self.server.clock.now()
+        body.started_at += self.last_received_at - paused_at
 
     def _receive(self, data: bytes) -> bool:
         """Process bytes; False where the connection is to be closed at once."""
@@ -261,6 +263,17 @@
         if self.request_number is None:  # answered at once
             body.stream = None
 
+    def arriving_request(self, request: h11.Request) -> ArrivingRequest:
+        """Return the request whose body is arriving."""
+        return ArrivingRequest(
+            target=origin_form(decode_octets(request.target)),
+            headers=self.headers,
+            body=self.body,
+            limits=self.limits,
+            last_received_at=self.last_received_at,
+            is_passed_on=self.request_number is not None,
+        )
+
     def pairs(self) -> HeaderPairs:
         """Return the headers of the present request, in order, their names in lower case."""
         return [] if self.request is None else self._pairs
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -24,6 +24,7 @@
 from wickspring.net.loop_monitor import LoopMonitor, TurnSample, add_loop_monitor
 from wickspring.net.octets import Headers
 from wickspring.net.overload import OverloadLimiter
+from wickspring.net.request_body import ArrivingRequest
 from wickspring.net.timers import Timers
 from wickspring.net.unanswered import EndReason, UnansweredRequest, UnansweredRequests
 from wickspring.net.work_estimate import WorkEstimate
@@ -370,6 +371,10 @@
             or self._total_buffered_bytes <= BUFFERED_SHARE * self.memory_mb * 2**20
         )
 
+    def body_expires_at(self, request: ArrivingRequest) -> float:
+        """Return until when a body may take to come (ms): by its size."""
+        return request.body.expires_at(request.limits.body_ms)
+
     def expire_connections(self) -> None:
         """Check all connections for clients that take too long, now and every `EXPIRE_EVERY_MS`."""
         self.call_later(EXPIRE_EVERY_MS, self.expire_connections)
--- a/wickspring/net/request_body.py
+++ b/wickspring/net/request_body.py
@@ -2,8 +2,24 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from wickspring.net.body_stream import BodyStream
 from wickspring.net.calls import BODY_BYTES_PER_MS, MAX_BUFFERED_BODY
+from wickspring.net.front_limits import FrontLimits
+from wickspring.net.octets import Headers
+
+
+@dataclass(slots=True, frozen=True)
+class ArrivingRequest:
+    """A request whose body has not come whole yet. Times are in ms of the process's clock."""
+
+    target: str
+    headers: Headers
+    body: RequestBody
+    limits: FrontLimits
+    last_received_at: float  # its last byte so far; put off by the time in which the client was not read
+    is_passed_on: bool  # a part of its body has gone to a server, or may go at once
 
 
 class RequestBody:
