Let the time of a request run from its first bytes

What callers saw: no answer by the deadline that they had stated, where their bodies came slowly. The server was told that it had more time than the client.

Cause: `X-Deadline-Ms` and timeout_s were counted from a request's last byte (of a streamed body, from its first 64 KiB). While a body could take little more than 2.5 s this was small; now it may take as long as its request.

Change: the front notes when the head came (`HttpRequest.began_at`), and the data plane counts from then. What is measured of this process's lateness still goes by the last bytes.

--- a/wickspring/dataplane/process.py
+++ b/wickspring/dataplane/process.py
@@ -158,7 +158,7 @@
                 request.headers,
                 request.body,
                 request.body_stream,
-                self.clock.now() if request.arrived_at is None else request.arrived_at,
+                self.clock.now() if request.began_at is None else request.began_at,
             )
         )
 
--- a/wickspring/dataplane/request/model.py
+++ b/wickspring/dataplane/request/model.py
@@ -48,7 +48,7 @@
     headers: Headers
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
-    arrived_at: float = 0.0  # ms: when its last bytes were in the kernel; its client's time runs from then
+    began_at: float = 0.0  # ms: when its head was in the kernel; its client's time runs from then
 
 
 def _nothing_to_cancel() -> None:
--- a/wickspring/dataplane/request/validation.py
+++ b/wickspring/dataplane/request/validation.py
@@ -104,8 +104,8 @@
         return min(client_deadline_ms(incoming.headers), MAX_DEADLINE_MS)
 
     def _wait_ms(self, incoming: IncomingRequest, allowed_ms: float) -> float:
-        """Return how long the client waits from now: it has waited since its request arrived."""
-        wait_ms = allowed_ms - (self._context.clock.now() - incoming.arrived_at)
+        """Return how long the client waits from now: it has waited since its request began to arrive."""
+        wait_ms = allowed_ms - (self._context.clock.now() - incoming.began_at)
         if wait_ms <= FINAL_RESPONSE_MARGIN_MS:
             raise RequestRefusedError(ErrorKind.EXPIRED)
         return wait_ms
--- a/wickspring/net/http1_reader.py
+++ b/wickspring/net/http1_reader.py
@@ -59,6 +59,7 @@
         self._discards_requests = False  # what still comes is no rest of a request that has been answered
         self._has_discarded = False
         self.started_at = self.last_received_at  # of the connection, or of the present request
+        self._request_began_at = self.started_at  # of the present request: when its head was in the kernel
         self.has_received_request = read_ahead is not None or link.has_answered
         self._advancing = False
         self._handled_at_once = 0  # requests, by the present call of `advance`
@@ -205,6 +206,7 @@
     def _on_head(self, request: h11.Request, read: bytes) -> None:
         """Take a request's head; `read` is what had been read before it was parsed."""
         self.request, self.body = request, RequestBody(self.server.clock.now())
+        self._request_began_at = self.arrived_at
         head = read[: len(read) - len(self.http.trailing_data[0])]
         if len(head) > self.limits.max_head_bytes:  # h11 bounds only what arrives in pieces
             raise HeadTooLargeError(f"head: over {self.limits.max_head_bytes} bytes")
@@ -247,7 +249,10 @@
         self.request_read_at = self.server.clock.now()
         body = bytes(self.body.buffered)
         self.server.take_request(
-            self, HttpRequest(method, target, self.headers, body, body_stream, self.arrived_at)
+            self,
+            HttpRequest(
+                method, target, self.headers, body, body_stream, self.arrived_at, self._request_began_at
+            ),
         )
 
     def _start_streaming(self, request: h11.Request) -> None:
--- a/wickspring/net/http_server.py
+++ b/wickspring/net/http_server.py
@@ -55,6 +55,7 @@
     body: bytes
     body_stream: BodyStream | None = None  # the rest of a body that is longer than what is buffered
     arrived_at: float | None = None  # ms: when its last bytes were in the kernel; None: just now
+    began_at: float | None = None  # ms: when its head was in the kernel; None: just now
 
 
 class Connection(Protocol):
