Have soaks begin at r0, send bodies slowly, and count uploads that are cut short

Cause: the soak began at r2, and no client sent a body for longer than a second, so it could meet neither r0 nor the bounds on bodies. "No configuration read" was -1, the habit of the r0 fault.

Change: versions from r0 on, None for none; bodies of 20,000 bytes that come in 2 to 4 s of the 5 s that a request has; a rule for 408 to a client that sends on in time, with a defect that it must find.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -85,6 +85,10 @@
     seen.troubles.append(Trouble("d1", 7.03, 7.5))
 
 
+def give_an_upload_no_more_time(seen: Observations) -> None:
+    seen.requests[5].status, seen.executions[5].request_id = 408, "r7"
+
+
 def lose_the_configuration(seen: Observations) -> None:
     seen.read_back_version = 2
 
@@ -109,6 +113,7 @@
     "over_quota": pass_the_ceiling,
     "went_on": work_on_for_clients_that_have_left,
     "lost": lose_an_answer,
+    "cut_short": give_an_upload_no_more_time,
     "config_lost": lose_the_configuration,
     "own_ends": end_by_itself,
     "not_ready": not_come_back,
--- a/wickspring/lab/emulation/local_gateway.py
+++ b/wickspring/lab/emulation/local_gateway.py
@@ -18,6 +18,7 @@
 
 import trio
 
+from wickspring.common.config_version import ConfigVersion
 from wickspring.common.termination import RELOAD_SIGNAL, TERMINATION_SIGNALS
 from wickspring.lab.emulation.http_call import DEFAULT_HOST, HttpRequest, call
 from wickspring.lab.emulation.stand_in_server import CONTROL_PORT, HEARTBEAT_S, StandInServer
@@ -231,15 +232,15 @@
             await trio.sleep(CONTROL_RETRY_S)
         return status
 
-    async def read_config_version(self) -> int:
-        """Return the version of the configuration in force, or -1 where no node answers."""
+    async def read_config_version(self) -> ConfigVersion:
+        """Return the version of the configuration in force; None where no node has or knows one."""
         request = HttpRequest("GET", "/config/read")
         for ip in self.control_planes * CONTROL_PLANE_ROUNDS:
             status, body = await call(ip, CONTROL_PORT, request, CONTROL_TIMEOUT_S)
             if status == 200:
                 return int(json.loads(body)["generation"][1:])
             await trio.sleep(CONTROL_RETRY_S)
-        return -1
+        return None
 
     async def request(
         self, data_plane: int, path: str, attempt_id: str, key: str = API_KEY, method: str = "GET"
--- a/wickspring/lab/experiments/soak/checks.py
+++ b/wickspring/lab/experiments/soak/checks.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wickspring.common.config_version import is_newer
 from wickspring.common.quota_rule import quota_ceiling
 from wickspring.lab.emulation.stand_in_server import Execution
 from wickspring.lab.experiments.drill import QUOTA_EXCESS, QUOTA_SLACK, QUOTA_SPAN_S, REFUSAL_STATUSES
@@ -14,6 +15,7 @@
 
 GONE_AFTER_S = 0.5  # after a client has left, by which work for it has ended
 MAX_GONE = 3  # runs that may go on; a pause of the lab's own is no fault of the gateway
+REQUEST_TIMEOUT = 408
 LOSS_SLACK_S = 1.0  # after the last byte of a request that was not executed, in which its connection may end
 TROUBLE_BEFORE_S = 0.5  # that a request may have been sent before a trouble that ends its connection
 TROUBLE_AFTER_S = 1.5  # after a process is back, in which its trouble may still end connections
@@ -29,6 +31,7 @@
     over_quota: int = 0  # requests above the tenant's ceiling in the worst span
     went_on: int = 0  # runs of repeatable requests that went on after their clients had left
     lost: int = 0  # executed or waited for in vain, though their data plane was in no trouble
+    cut_short: int = 0  # requests that were given no more time (408), though their clients sent on in time
     config_lost: int = 0  # the configuration read back is older than what was acknowledged
     own_ends: int = 0  # processes that ended by themselves
     not_ready: int = 0  # data planes that did not come back
@@ -59,7 +62,8 @@
         over_quota=_over_quota(requests, executions, rate),
         went_on=gone if gone > MAX_GONE else 0,
         lost=len(lost_requests(seen)),
-        config_lost=int(seen.read_back_version < seen.acknowledged_version),
+        cut_short=sum(request.status == REQUEST_TIMEOUT and not request.timed_out for request in requests),
+        config_lost=int(is_newer(seen.acknowledged_version, seen.read_back_version)),
         own_ends=len(seen.own_ends),
         not_ready=len(seen.not_ready),
     )
--- a/wickspring/lab/experiments/soak/clients.py
+++ b/wickspring/lab/experiments/soak/clients.py
@@ -36,6 +36,9 @@
 ODD_OCTETS_SHARE = 0.2  # of the requests
 ODD_OCTETS = 6
 UPLOAD_BYTES = 150_000  # more than is buffered, so that it is streamed
+SLOW_UPLOAD_BYTES = 20_000  # less than is buffered
+SLOW_UPLOAD_PIECES = 20
+SLOW_UPLOAD_S = (2.0, 4.0)
 BROKEN = (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError)
 
 
@@ -45,6 +48,7 @@
     PLAIN = "plain"
     SENT_SLOWLY = "sent_slowly"  # in two parts, with a pause between
     UPLOAD = "upload"  # with a long body
+    SLOW_UPLOAD = "slow_upload"  # with a body that comes in pieces, for most of the time that a request has
     LONG_ANSWER = "long_answer"  # that is read slowly
 
 
@@ -52,9 +56,12 @@
     RequestShape.PLAIN: 20,
     RequestShape.SENT_SLOWLY: 2,
     RequestShape.UPLOAD: 1,
+    RequestShape.SLOW_UPLOAD: 1,
     RequestShape.LONG_ANSWER: 1,
 }
 
+BODY_BYTES = {RequestShape.UPLOAD: UPLOAD_BYTES, RequestShape.SLOW_UPLOAD: SLOW_UPLOAD_BYTES}
+
 
 @dataclass(slots=True)
 class ClientSettings:
@@ -146,12 +153,19 @@
             await stream.send_all(data[:half])
             await trio.sleep(self._random.uniform(*SLOW_SEND_PAUSE_S))
             data = data[half:]
+        elif shape is RequestShape.SLOW_UPLOAD:
+            pause_s = self._random.uniform(*SLOW_UPLOAD_S) / SLOW_UPLOAD_PIECES
+            size = len(data) // SLOW_UPLOAD_PIECES + 1
+            while len(data) > size:
+                await stream.send_all(data[:size])
+                data = data[size:]
+                await trio.sleep(pause_s)
         await stream.send_all(data)
 
 
 def _encode(http: h11.Connection, request: SoakRequest, shape: RequestShape) -> bytes:
     method, path = ("POST", EFFECTFUL_PREFIX) if request.effectful else ("GET", PURE_PREFIX)
-    body = bytes(UPLOAD_BYTES) if shape is RequestShape.UPLOAD else b""
+    body = bytes(BODY_BYTES.get(shape, 0))
     name = LONG_PATH if shape is RequestShape.LONG_ANSWER else "1"
     fields = {
         "Host": HOST,
--- a/wickspring/lab/experiments/soak/observations.py
+++ b/wickspring/lab/experiments/soak/observations.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from wickspring.common.config_version import ConfigVersion
 from wickspring.lab.emulation.stand_in_server import Execution
 
 NO_ANSWER = 0  # in place of a status: the connection has ended without a complete answer
@@ -43,7 +44,7 @@
     requests: list[SoakRequest] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
-    acknowledged_version: int = 0  # the highest
-    read_back_version: int = 0  # at the end
+    acknowledged_version: ConfigVersion = None  # the highest
+    read_back_version: ConfigVersion = None  # at the end
     own_ends: list[str] = field(default_factory=list)  # processes that ended by themselves
     not_ready: list[str] = field(default_factory=list)  # data planes that are not ready at the end
--- a/wickspring/lab/experiments/soak/run.py
+++ b/wickspring/lab/experiments/soak/run.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from wickspring.common.config_version import version_order
 from wickspring.lab.emulation.http_call import HttpRequest, call
 from wickspring.lab.emulation.local_gateway import (
     PURE_SERVICE,
@@ -76,7 +77,7 @@
     options: SoakOptions
     folder: Path
     seen: Observations = field(default_factory=Observations)
-    version: int = 1
+    next_version: int = 0
     pressure: float = 1.0
     is_over: bool = False
 
@@ -212,11 +213,11 @@
     # Changes.
 
     async def _replace_config(self) -> None:
-        self.version += 1
-        version = self.version
+        version = self.next_version
+        self.next_version += 1
         config = gateway_config(version, self.options.rate, timeout_s=ROUTE_TIMEOUT_S, tenant=SOAK_TENANT)
         if await self.gateway.replace_config(config) == 200:
-            self.seen.acknowledged_version = max(self.seen.acknowledged_version, version)
+            self.seen.acknowledged_version = max(self.seen.acknowledged_version, version, key=version_order)
 
     async def _drain_server(self) -> None:
         """Have a server leave in order, and come back as another."""
