--- a/tests/controlplane/test_quota_takeover.py
+++ b/tests/controlplane/test_quota_takeover.py
@@ -160,7 +160,7 @@
     known = KnownDataPlanes(remembered_ms=1000.0)
     known.restore(0.0, ["a"])
     assert known.unsaved(0.0) is None
-    known.heard_of(600.0, ["b"])
+    known.record_seen(600.0, ["b"])
     assert known.unsaved(600.0) == ["a", "b"]
     known.saved(["a", "b"])
     assert known.unsaved(900.0) is None and known.names(1100.0) == {"b"}
--- a/tests/dataplane/test_long_responses.py
+++ b/tests/dataplane/test_long_responses.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.support.echo_exchange import EchoServer, Exchange
+from tests.support.echo_exchange import EchoServer, Exchange, route_timeout
 from wickspring.lab.emulation.local_gateway import PURE_PREFIX
 from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX
 from wickspring.lab.simulation.request_path.memory_connection import PeerEnd
@@ -73,13 +73,8 @@
     """One request for a long response that pauses in its middle."""
 
     def __init__(self, pause_s: float, timeout_s: float, deadline_s: float, prefix: str) -> None:
-        def set_timeout(document: dict[str, Any]) -> None:
-            for socket in document["sockets"]:
-                for rule in socket["policy"]:
-                    rule["effect"]["timeout_s"] = timeout_s
-
         deadline = (b"X-Deadline-Ms", b"%d" % (1000.0 * deadline_s))
-        super().__init__([deadline], prefix=prefix, change=set_timeout)
+        super().__init__([deadline], prefix=prefix, change=route_timeout(timeout_s))
         self.server = PausingServer([], LONG, False)
         self.server.pause_s = pause_s
         self.faulty_servers = dict.fromkeys(self.faulty_servers, self.server)  # type: ignore[arg-type]
--- a/tests/dataplane/test_slow_bodies.py
+++ b/tests/dataplane/test_slow_bodies.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import h11
 import pytest
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.support.echo_exchange import Exchange
+from tests.support.echo_exchange import Exchange, route_timeout
 from wickspring.lab.emulation.local_gateway import API_KEY, HOST
 from wickspring.lab.simulation.request_path.ledger import EFFECTFUL_PREFIX
 from wickspring.net.calls import BODY_BYTES_PER_MS, BODY_MS, MAX_BUFFERED_BODY
@@ -27,12 +25,7 @@
     """One request whose body comes in pieces, with a pause before each."""
 
     def __init__(self, size: int, pause_s: float, timeout_s: float, deadline_s: float) -> None:
-        def set_timeout(document: dict[str, Any]) -> None:
-            for socket in document["sockets"]:
-                for rule in socket["policy"]:
-                    rule["effect"]["timeout_s"] = timeout_s
-
-        super().__init__(change=set_timeout)
+        super().__init__(change=route_timeout(timeout_s))
         self.size, self.pause_s, self.deadline_s = size, pause_s, deadline_s
         self.lasted_s = 0.0
         self.status = 0  # 0: the connection ended without a response
--- a/tests/support/echo_exchange.py
+++ b/tests/support/echo_exchange.py
@@ -50,6 +50,17 @@
         return data + (http.send(h11.EndOfMessage()) or b"")
 
 
+def route_timeout(timeout_s: float) -> Callable[[dict[str, Any]], None]:
+    """Return a change of a configuration that gives all routes a timeout."""
+
+    def change(document: dict[str, Any]) -> None:
+        for socket in document["sockets"]:
+            for rule in socket["policy"]:
+                rule["effect"]["timeout_s"] = timeout_s
+
+    return change
+
+
 class Exchange(Simulation):
     """One client that sends one request, among servers that echo."""
 
--- a/wickspring/controlplane/quota_service.py
+++ b/wickspring/controlplane/quota_service.py
@@ -76,7 +76,7 @@
 
     def data_plane_connected(self, data_plane: str) -> None:
         """Record that a data plane is in reach again."""
-        self._known_data_planes.heard_of(self._clock.now(), [data_plane])
+        self._known_data_planes.record_seen(self._clock.now(), [data_plane])
         self._counter.mark_responsive(data_plane)
 
     def data_plane_ended(self, data_plane: str) -> None:
@@ -111,7 +111,7 @@
     async def save_data_planes(self) -> None:
         """Save which data planes there are, where that has changed; a disk that refuses is tried again."""
         now = self._clock.now()
-        self._known_data_planes.heard_of(now, self._data_planes.names())
+        self._known_data_planes.record_seen(now, self._data_planes.names())
         names = self._known_data_planes.unsaved(now)
         if names is not None and await self._replication.save_data_planes(names):
             self._known_data_planes.saved(names)
@@ -160,7 +160,7 @@
         now = self._clock.now()
         for tenant_name, shares_by_data_plane in shares.shares_by_tenant.items():
             self._counter.receive_shares(tenant_name, shares_by_data_plane)
-            self._known_data_planes.heard_of(now, shares_by_data_plane)
+            self._known_data_planes.record_seen(now, shares_by_data_plane)
         connected = self._data_planes.names()
         for data_plane, remaining_ms in shares.unresponsive_ms.items():
             if data_plane not in connected:
--- a/wickspring/net/discovery.py
+++ b/wickspring/net/discovery.py
@@ -61,7 +61,7 @@
 
 
 class Directory:
-    """The servers as discovery has named them: their addresses, and news for the decision module."""
+    """The servers as discovery has named them: their addresses, and updates for the decision module."""
 
     def __init__(self, zones: tuple[str, ...]) -> None:
         self.zones = {name: index for index, name in enumerate(zones)}
@@ -235,9 +235,11 @@
 
     def _line(self, line: bytes) -> None:
         if line:
-            news = self.directory.apply(decode(line))
-            states = " ".join(f"{e.server.decode()}:{e.readiness.value}" for e in news.entries[:20])
-            log.info("list", extra=kv(version=self.directory.version, kind=news.kind.value, servers=states))
-            self._on_list(news)
+            server_list = self.directory.apply(decode(line))
+            states = " ".join(f"{e.server.decode()}:{e.readiness.value}" for e in server_list.entries[:20])
+            log.info(
+                "list", extra=kv(version=self.directory.version, kind=server_list.kind.value, servers=states)
+            )
+            self._on_list(server_list)
         self.received.set()
         self.tried.set()
--- a/wickspring/net/runtime.py
+++ b/wickspring/net/runtime.py
@@ -204,9 +204,9 @@
 
     # The server list, from discovery and from operators.
 
-    def on_server_list(self, news: api.ServerList) -> None:
+    def on_server_list(self, server_list: api.ServerList) -> None:
         """Take in what discovery sends, without the servers that operators have taken out."""
-        self.dispatch(self.maintenance.apply(news))
+        self.dispatch(self.maintenance.apply(server_list))
 
     def exclude(self, server: api.ServerId) -> bool:
         """Take a server out; False where nobody has such an id."""
