Count a planned replacement as unavailable until a lost disk is made up for

Cause, in the model: m1's disk is lost at 7,103 ms, its empty process leaves by plan at 8,533 ms and is forgotten with its loss, and m0's disk is lost at 9,193 ms: two of three disks within the 4,000 ms that the model itself gives a group of tolerance one (`CATCH_UP_MS`). The trace has no view change between.

Change: the node that replaces one that left is needed from when that one came back, as it already is where one was ended by force. The check of the answer stays.

--- a/tests/controlplane/test_chain.py
+++ b/tests/controlplane/test_chain.py
@@ -51,6 +51,11 @@
     assert usable > 40 * runs
 
 
+def test_a_second_disk_is_not_lost_while_the_first_is_being_replaced() -> None:
+    """Guards against a model that loses two disks of three at once, and blames the group for it."""
+    Chaos(50_064, 3).play(25_000.0)
+
+
 @pytest.mark.parametrize(
     ("machines", "seeds", "zones", "tolerance", "runs"),
     [
--- a/wickspring/lab/faults/fault_injector.py
+++ b/wickspring/lab/faults/fault_injector.py
@@ -199,6 +199,8 @@
         chain = old.chain
         if chain is not None and old.stopped_until <= self.now and chain.may_stop:
             self.left += 1
+            # Where its disk was lost, another loss is tolerated once the new node has caught up.
+            new.available_at = max(new.available_at, old.available_at)
         elif self.now < ends_at or not self.tolerates_loss({old.ip}):
             self.schedule(POLL_MS, partial(self._end_when_ready, old, new, ends_at))
             return
